--- /dev/null
+++ b/components/agent/src/control.rs
@@ -0,0 +1,259 @@
+//! The control thread: owns the reducer's state, takes events in and carries effects out.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use model::reservation::{Ask, Denial, Fate, Grant, Id, Load};
+use scheduler::agent::{self, Effect, Event, Room, State};
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot, watch},
+    time::sleep_until,
+};
+
+/// Longest sleep of the control thread, in case no timer is due.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// What an agent says of itself.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Status {
+    /// Its load.
+    pub load: Load,
+    /// Whether it takes no new reservations.
+    pub draining: bool,
+    /// Whether nothing waits or runs any more, and nothing will.
+    pub drained: bool,
+}
+
+type Granted = Result<Grant, Denial>;
+type Started = Result<(), Fate>;
+
+enum Message {
+    Reserve { ask: Ask, reply: oneshot::Sender<Granted> },
+    Start { id: Id, reply: oneshot::Sender<Started> },
+    Cancel { id: Id, reply: Option<oneshot::Sender<Fate>> },
+    Settle { id: Id, reply: oneshot::Sender<Fate> },
+    Event(Event),
+}
+
+/// Who waits for the answer to the message that is being reduced.
+enum Reply {
+    Nobody,
+    Start(oneshot::Sender<Started>),
+    Fate(oneshot::Sender<Fate>),
+}
+
+/// Speaks to the control thread; clones speak to the same one.
+#[derive(Clone)]
+pub struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    status: watch::Receiver<Status>,
+}
+
+/// A dispatched request; dropping it tells the reducer that the target is done with it.
+pub struct Run {
+    id: Id,
+    control: Handle,
+}
+
+/// A reservation that is waited for; dropping it cancels the reservation.
+struct Wait {
+    id: Id,
+    control: Handle,
+    armed: bool,
+}
+
+struct Thread {
+    state: State,
+    status: watch::Sender<Status>,
+    metrics: Arc<metrics::Agent>,
+    granting: HashMap<Id, oneshot::Sender<Granted>>,
+    drained: bool,
+}
+
+/// Starts the control thread.
+pub fn spawn(settings: &settings::Agent, metrics: Arc<metrics::Agent>) -> io::Result<Handle> {
+    let (messages, inbox) = mpsc::unbounded_channel();
+    let (status, status_reader) = watch::channel(Status::default());
+    let room = Room {
+        slots: settings.room.slots,
+        tokens: settings.room.tokens,
+        waiting: settings.room.waiting,
+        grant: settings.room.grant,
+    };
+    let thread = Thread {
+        state: agent::open(room),
+        status,
+        metrics,
+        granting: HashMap::new(),
+        drained: false,
+    };
+    let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(thread.run(inbox)))?;
+    Ok(Handle { messages, status: status_reader })
+}
+
+impl Handle {
+    /// Waits for room; dropping the future cancels the reservation. `None` where the control
+    /// thread ended.
+    pub async fn reserve(&self, ask: Ask) -> Option<Granted> {
+        let mut wait = Wait { id: ask.id, control: self.clone(), armed: true };
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Reserve { ask, reply });
+        let granted = answer.await.ok();
+        wait.armed = false;
+        granted
+    }
+
+    /// Takes a granted reservation to its start, or tells why it may not start.
+    pub async fn start(&self, id: Id) -> Result<Run, Fate> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Start { id, reply });
+        answer.await.unwrap_or(Err(Fate::Unknown))?;
+        Ok(Run { id, control: self.clone() })
+    }
+
+    /// Gives a reservation up.
+    pub async fn cancel(&self, id: Id) -> Fate {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Cancel { id, reply: Some(reply) });
+        answer.await.unwrap_or(Fate::Unknown)
+    }
+
+    /// Tells what became of a reservation; one that hasn't started never will.
+    pub async fn settle(&self, id: Id) -> Fate {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Settle { id, reply });
+        answer.await.unwrap_or(Fate::Unknown)
+    }
+
+    /// What the agent says of itself.
+    pub fn status(&self) -> Status {
+        *self.status.borrow()
+    }
+
+    /// Asks the reducer to take no new reservation.
+    pub fn start_drain(&self) {
+        self.send(Message::Event(Event::Drain));
+    }
+
+    /// Waits until nothing waits or runs.
+    pub async fn drained(&self) {
+        let mut status = self.status.clone();
+        // An error means that the control thread ended, and with it all reservations.
+        let _ = status.wait_for(|status| status.drained).await;
+    }
+
+    fn send(&self, message: Message) {
+        // The thread ends only with the process; a message after that has no reader to reach.
+        let _ = self.messages.send(message);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.control.send(Message::Event(Event::Ended(self.id)));
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if self.armed {
+            self.control.send(Message::Cancel { id: self.id, reply: None });
+        }
+    }
+}
+
+impl Thread {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        loop {
+            let wake = agent::next_wake(&self.state).unwrap_or_else(|| Instant::now() + IDLE);
+            let message = tokio::select! {
+                message = inbox.recv() => message,
+                () = sleep_until(wake.into()) => Some(Message::Event(Event::Tick)),
+            };
+            match message {
+                None => return,
+                Some(message) => self.take(message),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let (event, mut reply) = self.open(message);
+        for effect in agent::reduce(&mut self.state, Instant::now(), event) {
+            reply = self.carry_out(effect, reply);
+        }
+        self.publish();
+    }
+
+    fn open(&mut self, message: Message) -> (Event, Reply) {
+        match message {
+            Message::Reserve { ask, reply } => {
+                self.granting.insert(ask.id, reply);
+                (Event::Reserve(ask), Reply::Nobody)
+            }
+            Message::Start { id, reply } => (Event::Start(id), Reply::Start(reply)),
+            Message::Cancel { id, reply } => {
+                self.granting.remove(&id);
+                (Event::Cancel(id), reply.map_or(Reply::Nobody, Reply::Fate))
+            }
+            Message::Settle { id, reply } => (Event::Settle(id), Reply::Fate(reply)),
+            Message::Event(event) => (event, Reply::Nobody),
+        }
+    }
+
+    /// Carries one effect out; gives back who still waits for an answer. A reader that went
+    /// away needs none: its grant lapses, and its question may be asked again.
+    fn carry_out(&mut self, effect: Effect, reply: Reply) -> Reply {
+        match (effect, reply) {
+            (Effect::Grant { id, grant }, reply) => {
+                self.answer(id, Ok(grant));
+                reply
+            }
+            (Effect::Deny { id, denial }, reply) => {
+                self.answer(id, Err(denial));
+                reply
+            }
+            (Effect::Dispatch(_), Reply::Start(sender)) => {
+                self.metrics.dispatched.inc();
+                let _ = sender.send(Ok(()));
+                Reply::Nobody
+            }
+            (Effect::DenyStart { fate, .. }, Reply::Start(sender)) => {
+                let _ = sender.send(Err(fate));
+                Reply::Nobody
+            }
+            (Effect::Tell { fate, .. }, Reply::Fate(sender)) => {
+                let _ = sender.send(fate);
+                Reply::Nobody
+            }
+            (Effect::Drained, reply) => {
+                self.drained = true;
+                reply
+            }
+            (_, reply) => reply,
+        }
+    }
+
+    fn answer(&mut self, id: Id, granted: Granted) {
+        if let Some(reply) = self.granting.remove(&id) {
+            let _ = reply.send(granted);
+        }
+    }
+
+    fn publish(&self) {
+        let load = self.state.load();
+        self.metrics.running.set(load.running.into());
+        self.metrics.waiting.set(load.waiting.into());
+        let status = Status { load, draining: self.state.is_draining(), drained: self.drained };
+        self.status.send_if_modified(|old| std::mem::replace(old, status) != status);
+    }
+}
--- /dev/null
+++ b/components/entry/src/caller.rs
@@ -0,0 +1,177 @@
+//! The callers' server.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use dropshot::{ApiDescription, Body, Path, RequestContext, UntypedBody, endpoint};
+use http::{HeaderMap, Method, Response};
+use model::{
+    Refusal,
+    id::{PoolName, RequestId},
+    refusal::Ran,
+};
+use scheduler::entry::{Owner, Request, Start};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use tracing::{info, warn};
+use uuid::Uuid;
+
+use crate::{
+    control::{self, Ticket, Verdict},
+    fault::{self, Fault},
+    read,
+    relay::{self, Opened, Outgoing, Relay},
+    stream::{self, Account},
+};
+
+/// What the endpoints share.
+pub struct Context {
+    /// The control thread.
+    pub control: control::Handle,
+    /// The metrics.
+    pub metrics: Arc<metrics::Entry>,
+    /// Sends bodies to agents.
+    pub relay: Relay,
+}
+
+type Answer = Result<Response<Body>, Fault>;
+
+#[derive(Deserialize, JsonSchema)]
+struct ServicePath {
+    pool: PoolName,
+    path: Vec<String>,
+}
+
+/// Describes the callers' endpoints.
+pub fn api() -> ApiDescription<Arc<Context>> {
+    let mut api = ApiDescription::new();
+    api.register(complete).expect("the path is free");
+    api.register(chat).expect("the path is free");
+    api.register(call_service).expect("the path is free");
+    api.register(read_service).expect("the path is free");
+    api
+}
+
+/// Completes a prompt.
+#[endpoint { method = POST, path = "/v1/completions" }]
+async fn complete(context: RequestContext<Arc<Context>>, body: UntypedBody) -> Answer {
+    Ok(run_completion(&context, "/v1/completions", &body).await)
+}
+
+/// Completes a conversation.
+#[endpoint { method = POST, path = "/v1/chat/completions" }]
+async fn chat(context: RequestContext<Arc<Context>>, body: UntypedBody) -> Answer {
+    Ok(run_completion(&context, "/v1/chat/completions", &body).await)
+}
+
+/// Calls a plain service.
+#[endpoint { method = POST, path = "/v1/services/{pool}/{path:.*}", unpublished = true }]
+async fn call_service(
+    context: RequestContext<Arc<Context>>,
+    path: Path<ServicePath>,
+    body: UntypedBody,
+) -> Answer {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    Ok(run_service(&context, Method::POST, path.into_inner(), body).await)
+}
+
+/// Reads from a plain service.
+#[endpoint { method = GET, path = "/v1/services/{pool}/{path:.*}", unpublished = true }]
+async fn read_service(context: RequestContext<Arc<Context>>, path: Path<ServicePath>) -> Answer {
+    Ok(run_service(&context, Method::GET, path.into_inner(), Bytes::new()).await)
+}
+
+async fn run_completion(
+    context: &RequestContext<Arc<Context>>,
+    path: &str,
+    body: &UntypedBody,
+) -> Response<Body> {
+    let headers = context.request.headers();
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let request = read::completion(Uuid::new_v4(), headers, &body);
+    let outgoing = outgoing(headers, Method::POST, path.to_owned(), body);
+    run(context.context(), request, outgoing).await
+}
+
+async fn run_service(
+    context: &RequestContext<Arc<Context>>,
+    method: Method,
+    path: ServicePath,
+    body: Bytes,
+) -> Response<Body> {
+    let headers = context.request.headers();
+    let mut target_path = format!("/{}", path.path.join("/"));
+    if let Some(query) = context.request.uri().query() {
+        target_path = format!("{target_path}?{query}");
+    }
+    let request = read::service(Uuid::new_v4(), headers, path.pool, &body);
+    run(context.context(), request, outgoing(headers, method, target_path, body)).await
+}
+
+fn outgoing(headers: &HeaderMap, method: Method, path: String, body: Bytes) -> Outgoing {
+    Outgoing { method, path, headers: relay::forwarded(headers), body }
+}
+
+/// Takes a request from its arrival to the head of its answer.
+async fn run(context: &Arc<Context>, request: Request, outgoing: Outgoing) -> Response<Body> {
+    let arrived = Instant::now();
+    let id = request.id;
+    let mut ticket = context.control.arrive(request);
+    loop {
+        match ticket.verdict().await {
+            None => return refuse(context, id, &Owner::default(), fault::stopped()),
+            Some(Verdict::Refuse { owner, refusal }) => {
+                return refuse(context, id, &owner, refusal);
+            }
+            Some(Verdict::Start(start)) => match context.relay.start(&start, &outgoing).await {
+                Ok(opened) => return relay_answer(context, arrived, ticket, start, opened).await,
+                Err(relay::Error::NotStarted { unreachable }) => {
+                    ticket.not_started(start.id, unreachable);
+                }
+                Err(relay::Error::Lost(refusal)) => {
+                    return refuse(context, id, &start.owner, refusal);
+                }
+            },
+        }
+    }
+}
+
+async fn relay_answer(
+    context: &Arc<Context>,
+    arrived: Instant,
+    ticket: Ticket,
+    start: Start,
+    opened: Opened,
+) -> Response<Body> {
+    let account = Account {
+        id: start.id.request,
+        owner: start.owner,
+        arrived,
+        metrics: context.metrics.clone(),
+    };
+    account.first_byte();
+    info!(
+        request = %account.id,
+        account = account.owner.account,
+        tier = account.owner.tier,
+        target = start.target,
+        status = opened.status.as_u16(),
+        "answering"
+    );
+    if opened.is_event_stream() {
+        return stream::streamed(ticket, account, opened);
+    }
+    stream::whole(ticket, account, opened).await
+}
+
+fn refuse(context: &Context, id: RequestId, owner: &Owner, refusal: Refusal) -> Response<Body> {
+    context.metrics.refused(&owner.tier, refusal.reason);
+    let reason = refusal.reason;
+    let message = &refusal.message;
+    if refusal.ran == Ran::NotRun {
+        info!(request = %id, account = owner.account, ?reason, message, "refused");
+    } else {
+        warn!(request = %id, account = owner.account, ?reason, message, "lost");
+    }
+    fault::answer(id, refusal)
+}
--- /dev/null
+++ b/components/entry/src/control.rs
@@ -0,0 +1,256 @@
+//! The control thread: owns the reducer's state, takes events in and carries effects out.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use model::{Refusal, id::Offset, id::RequestId, reservation::Id};
+use scheduler::entry::{self, Effect, Event, Owner, Request, Start, State};
+use tokio::{
+    runtime,
+    sync::{mpsc, watch},
+    task::AbortHandle,
+    time::sleep_until,
+};
+
+use crate::agents::Agents;
+
+/// Longest sleep of the control thread, in case no timer is due.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// What the control thread decided for one request.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// Send the body there.
+    Start(Start),
+    /// Answer with a refusal.
+    Refuse {
+        /// Whose request it was.
+        owner: Owner,
+        /// What the caller is told.
+        refusal: Refusal,
+    },
+}
+
+/// What a process says of itself.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Status {
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Configuration offset in force here.
+    pub offset: Offset,
+    /// Requests that haven't ended.
+    pub open: usize,
+    /// Whether it was asked to leave and nothing is left to do.
+    pub drained: bool,
+}
+
+enum Message {
+    Arrive { request: Box<Request>, verdicts: mpsc::UnboundedSender<Verdict> },
+    Event(Event),
+}
+
+/// Speaks to the control thread; clones speak to the same one.
+#[derive(Clone)]
+pub struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    status: watch::Receiver<Status>,
+}
+
+/// One request's place at the control thread; dropping it ends the request.
+pub struct Ticket {
+    request: RequestId,
+    control: Handle,
+    verdicts: mpsc::UnboundedReceiver<Verdict>,
+}
+
+struct Thread {
+    state: State,
+    messages: mpsc::UnboundedSender<Message>,
+    status: watch::Sender<Status>,
+    metrics: Arc<metrics::Entry>,
+    agents: Arc<Agents>,
+    traffic: runtime::Handle,
+    verdicts: HashMap<RequestId, mpsc::UnboundedSender<Verdict>>,
+    reserving: HashMap<Id, AbortHandle>,
+    drained: bool,
+}
+
+/// Starts the control thread; must be called on the traffic runtime.
+pub fn spawn(
+    settings: &settings::Entry,
+    metrics: Arc<metrics::Entry>,
+    agents: Arc<Agents>,
+) -> io::Result<Handle> {
+    let (messages, inbox) = mpsc::unbounded_channel();
+    let (status, status_reader) = watch::channel(Status::default());
+    let reducer = entry::Settings { waiting: settings.bounds.waiting, zone: settings.zone.clone() };
+    let thread = Thread {
+        state: entry::open(reducer),
+        messages: messages.clone(),
+        status,
+        metrics,
+        agents,
+        traffic: runtime::Handle::current(),
+        verdicts: HashMap::new(),
+        reserving: HashMap::new(),
+        drained: false,
+    };
+    let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(thread.run(inbox)))?;
+    Ok(Handle { messages, status: status_reader })
+}
+
+impl Handle {
+    /// Brings a request before the reducer.
+    pub fn arrive(&self, request: Request) -> Ticket {
+        let (sender, verdicts) = mpsc::unbounded_channel();
+        let id = request.id;
+        self.send(Message::Arrive { request: Box::new(request), verdicts: sender });
+        Ticket { request: id, control: self.clone(), verdicts }
+    }
+
+    /// Feeds an event to the reducer.
+    pub fn event(&self, event: Event) {
+        self.send(Message::Event(event));
+    }
+
+    /// What the process says of itself.
+    pub fn status(&self) -> Status {
+        *self.status.borrow()
+    }
+
+    /// Asks the reducer to take no new request.
+    pub fn start_drain(&self) {
+        self.event(Event::Drain);
+    }
+
+    /// Waits until no request is left.
+    pub async fn drained(&self) {
+        let mut status = self.status.clone();
+        // An error means that the control thread ended, and with it all requests.
+        let _ = status.wait_for(|status| status.drained).await;
+    }
+
+    fn send(&self, message: Message) {
+        // The thread ends only with the process; a message after that has no reader to reach.
+        let _ = self.messages.send(message);
+    }
+}
+
+impl Ticket {
+    /// Waits for the next verdict; `None` where the control thread ended.
+    pub async fn verdict(&mut self) -> Option<Verdict> {
+        self.verdicts.recv().await
+    }
+
+    /// Tells that a start provably had no effect; another verdict follows.
+    pub fn not_started(&self, id: Id, unreachable: bool) {
+        self.control.event(Event::NotStarted { id, unreachable });
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.control.event(Event::Ended { request: self.request });
+    }
+}
+
+impl Thread {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        loop {
+            let wake = entry::next_wake(&self.state).unwrap_or_else(|| Instant::now() + IDLE);
+            let message = tokio::select! {
+                message = inbox.recv() => message,
+                () = sleep_until(wake.into()) => Some(Message::Event(Event::Tick)),
+            };
+            match message {
+                None => return,
+                Some(message) => self.take(message),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let event = match message {
+            Message::Event(event) => event,
+            Message::Arrive { request, verdicts } => {
+                self.verdicts.insert(request.id, verdicts);
+                Event::Arrived(*request)
+            }
+        };
+        self.note(&event);
+        for effect in entry::reduce(&mut self.state, Instant::now(), event) {
+            self.carry_out(effect);
+        }
+        self.publish();
+    }
+
+    /// Forgets what belongs to something that ended.
+    fn note(&mut self, event: &Event) {
+        match event {
+            Event::Ended { request } => {
+                self.verdicts.remove(request);
+            }
+            Event::Granted { id, .. } | Event::Denied { id, .. } | Event::Unreachable { id } => {
+                self.reserving.remove(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Reserve { address, ask, .. } => {
+                let id = ask.id;
+                let agents = Arc::clone(&self.agents);
+                let messages = self.messages.clone();
+                let task = self.traffic.spawn(async move {
+                    let event = agents.reserve(address, ask).await;
+                    let _ = messages.send(Message::Event(event));
+                });
+                self.reserving.insert(id, task.abort_handle());
+            }
+            Effect::Cancel { id, address } => {
+                if let Some(task) = self.reserving.remove(&id) {
+                    task.abort();
+                }
+                let agents = Arc::clone(&self.agents);
+                self.traffic.spawn(async move { agents.cancel(address, id).await });
+            }
+            Effect::Start(start) => self.tell(start.id.request, Verdict::Start(start)),
+            Effect::Refuse { request, owner, refusal } => {
+                self.tell(request, Verdict::Refuse { owner, refusal });
+            }
+            Effect::CatchUp(offset) => {
+                tracing::debug!(offset, applied = self.state.config().applied(), "behind");
+            }
+            Effect::Drained => self.drained = true,
+        }
+    }
+
+    fn tell(&self, request: RequestId, verdict: Verdict) {
+        if let Some(verdicts) = self.verdicts.get(&request) {
+            // The caller may have gone; its ticket's drop tells the reducer.
+            let _ = verdicts.send(verdict);
+        }
+    }
+
+    fn publish(&self) {
+        let status = Status {
+            ready: self.state.is_ready(),
+            offset: self.state.config().applied(),
+            open: self.state.len(),
+            drained: self.drained,
+        };
+        self.metrics.open.set(i64::try_from(status.open).unwrap_or(i64::MAX));
+        self.metrics.offset.set(i64::try_from(status.offset).unwrap_or(i64::MAX));
+        self.status.send_if_modified(|old| std::mem::replace(old, status) != status);
+    }
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,112 @@
+//! The entry process: takes callers' requests and relays the answers.
+
+mod agents;
+mod caller;
+mod control;
+mod fault;
+mod feed;
+mod operator;
+mod read;
+mod relay;
+mod stream;
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use displaydoc::Display;
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use thiserror::Error;
+use tracing::info;
+
+use agents::Agents;
+pub use control::Status;
+
+/// Why an entry process can't run.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// the control thread can't be started: {0}
+    Thread(#[from] io::Error),
+    /// can't listen: {0}
+    Listen(#[from] dropshot::BuildError),
+    /// the server failed: {0}
+    Server(String),
+}
+
+/// A running entry process.
+pub struct Handle {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators, the balancer's health check and metrics readers connect.
+    pub operators: SocketAddr,
+    settings: settings::Entry,
+    control: control::Handle,
+    feeds: feed::Handle,
+    caller_server: HttpServer<Arc<caller::Context>>,
+    operator_server: HttpServer<Arc<operator::Context>>,
+}
+
+/// Starts an entry process on the current `tokio` runtime, which becomes its traffic threads.
+pub async fn spawn(settings: settings::Entry) -> Result<Handle, Error> {
+    let metrics = Arc::new(metrics::entry::open(settings.bounds.tracked_accounts));
+    let agents = Arc::new(Agents::open(settings.timing.connect));
+    let relay = relay::open(settings.timing.connect, Arc::clone(&agents));
+    let control = control::spawn(&settings, Arc::clone(&metrics), agents)?;
+    let feeds = feed::spawn(&settings, control.clone());
+    let caller_server = serve_callers(&settings, &control, &metrics, relay)?;
+    let operator_server = serve_operators(&settings, &control, &metrics)?;
+    let callers = caller_server.local_addr();
+    let operators = operator_server.local_addr();
+    info!(name = settings.name, %callers, %operators, "listening");
+    Ok(Handle { callers, operators, settings, control, feeds, caller_server, operator_server })
+}
+
+impl Handle {
+    /// What the process says of itself now.
+    pub fn status(&self) -> Status {
+        self.control.status()
+    }
+
+    /// Takes no new request, finishes all that are in progress, and ends.
+    pub async fn drain(self) -> Result<(), Error> {
+        let open = self.control.status().open;
+        info!(open, "draining: health fails, new requests are refused");
+        self.control.start_drain();
+        tokio::time::sleep(self.settings.timing.lame).await;
+        self.control.drained().await;
+        self.caller_server.close().await.map_err(Error::Server)?;
+        self.operator_server.close().await.map_err(Error::Server)?;
+        self.feeds.stop();
+        info!("drained");
+        Ok(())
+    }
+}
+
+fn serve_callers(
+    settings: &settings::Entry,
+    control: &control::Handle,
+    metrics: &Arc<metrics::Entry>,
+    relay: relay::Relay,
+) -> Result<HttpServer<Arc<caller::Context>>, Error> {
+    let context =
+        Arc::new(caller::Context { control: control.clone(), metrics: Arc::clone(metrics), relay });
+    let config = ConfigDropshot {
+        bind_address: settings.listen.callers,
+        default_request_body_max_bytes: settings.bounds.body_bytes,
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    let server = ServerBuilder::new(caller::api(), context, metrics::log::slog()).config(config);
+    Ok(server.start()?)
+}
+
+fn serve_operators(
+    settings: &settings::Entry,
+    control: &control::Handle,
+    metrics: &Arc<metrics::Entry>,
+) -> Result<HttpServer<Arc<operator::Context>>, Error> {
+    let context =
+        Arc::new(operator::Context { control: control.clone(), metrics: Arc::clone(metrics) });
+    let config =
+        ConfigDropshot { bind_address: settings.listen.operators, ..ConfigDropshot::default() };
+    let server = ServerBuilder::new(operator::api(), context, metrics::log::slog()).config(config);
+    Ok(server.start()?)
+}
--- /dev/null
+++ b/components/entry/src/stream.rs
@@ -0,0 +1,130 @@
+//! Answers callers: whole, or streamed as they come.
+
+use std::{convert::Infallible, sync::Arc, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use dropshot::Body;
+use futures::Stream;
+use http::{Response, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use model::{Refusal, id::RequestId};
+use scheduler::entry::Owner;
+use tracing::{info, warn};
+use wire::answer::Piece;
+
+use crate::{
+    control::Ticket,
+    fault::{self, REQUEST_ID},
+    relay::Opened,
+};
+
+/// The event that ends a whole stream of a completion.
+const DONE: &[u8] = b"data: [DONE]";
+
+/// For whom an answer counts.
+pub struct Account {
+    /// The request.
+    pub id: RequestId,
+    /// Its client account and tier.
+    pub owner: Owner,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Where it is counted.
+    pub metrics: Arc<metrics::Entry>,
+}
+
+impl Account {
+    /// Counts the head of the answer.
+    pub fn first_byte(&self) {
+        self.metrics.first_byte(&self.owner.tier, self.arrived.elapsed());
+    }
+
+    fn whole(&self) {
+        let took = self.arrived.elapsed();
+        self.metrics.whole(&self.owner.tier, &self.owner.account, took);
+        info!(request = %self.id, millis = took.as_millis(), "whole");
+    }
+
+    fn torn(&self, refusal: &Refusal) {
+        self.metrics.torn(&self.owner.tier);
+        warn!(request = %self.id, reason = ?refusal.reason, message = refusal.message, "torn");
+    }
+}
+
+/// Collects the whole answer before the caller gets any of it.
+pub async fn whole(ticket: Ticket, account: Account, mut opened: Opened) -> Response<Body> {
+    let mut body = BytesMut::new();
+    loop {
+        match opened.next().await {
+            Ok(Piece::Head { .. }) => {}
+            Ok(Piece::Chunk(bytes)) => body.extend_from_slice(&bytes),
+            Ok(Piece::Whole) => break,
+            Err(refusal) => {
+                account.torn(&refusal);
+                return fault::answer(account.id, refusal);
+            }
+        }
+    }
+    account.whole();
+    drop(ticket);
+    respond(&account, &opened, Body::with_content(body.freeze()))
+}
+
+/// Passes the answer on as it comes; a torn one ends in an `error` event and never in `[DONE]`.
+pub fn streamed(ticket: Ticket, account: Account, opened: Opened) -> Response<Body> {
+    let id = account.id;
+    let status = opened.status;
+    let content_type = opened.content_type.clone();
+    let events = events(ticket, account, opened);
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, content_type)
+        .header(header::CACHE_CONTROL, "no-store")
+        .header(REQUEST_ID, id.to_string())
+        .body(Body::wrap(StreamBody::new(events)))
+        .expect("the target's content type was valid")
+}
+
+fn events(
+    ticket: Ticket,
+    account: Account,
+    mut opened: Opened,
+) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
+    async_stream::stream! {
+        let _ticket = ticket;
+        // The event that says `whole` is held back until the answer is known to be whole.
+        let mut held = Bytes::new();
+        loop {
+            match opened.next().await {
+                Ok(Piece::Head { .. }) => {}
+                Ok(Piece::Chunk(bytes)) if is_done(&bytes) => held = bytes,
+                Ok(Piece::Chunk(bytes)) => yield Ok(Frame::data(bytes)),
+                Ok(Piece::Whole) => {
+                    account.whole();
+                    yield Ok(Frame::data(held));
+                    return;
+                }
+                Err(refusal) => {
+                    account.torn(&refusal);
+                    let event = format!("event: error\ndata: {}\n\n", fault::render(refusal));
+                    yield Ok(Frame::data(event.into()));
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn is_done(event: &[u8]) -> bool {
+    event.windows(DONE.len()).any(|window| window == DONE)
+}
+
+fn respond(account: &Account, opened: &Opened, body: Body) -> Response<Body> {
+    Response::builder()
+        .status(opened.status)
+        .header(header::CONTENT_TYPE, &opened.content_type)
+        .header(REQUEST_ID, account.id.to_string())
+        .body(body)
+        .expect("the target's content type was valid")
+}
--- /dev/null
+++ b/components/metrics/src/entry.rs
@@ -0,0 +1,151 @@
+//! Metrics of an entry process.
+
+use std::{
+    collections::BTreeSet,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use model::{
+    id::{AccountName, TierName},
+    refusal::Reason,
+};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Label of the client accounts beyond the tracked ones.
+pub const OTHER: &str = "other";
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 18;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Tier {
+    tier: TierName,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Account {
+    account: AccountName,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Refused {
+    reason: String,
+    tier: TierName,
+}
+
+type Latency = Family<Tier, Histogram>;
+type AccountLatency = Family<Account, Histogram>;
+
+/// Counters and histograms; every method may be called from any thread.
+#[derive(Debug)]
+pub struct Entry {
+    registry: Registry,
+    whole_by_tier: Latency,
+    first_by_tier: Latency,
+    whole_by_account: AccountLatency,
+    refused: Family<Refused, Counter>,
+    torn: Family<Tier, Counter>,
+    /// Requests between arrival and the end of the answer.
+    pub open: Gauge,
+    /// Configuration offset that is applied.
+    pub offset: Gauge,
+    tracked_limit: usize,
+    /// Accounts with a label of their own; never more than `tracked_limit`.
+    tracked: Mutex<BTreeSet<AccountName>>,
+}
+
+/// Builds the metrics; at most `tracked_limit` client accounts get labels of their own.
+pub fn open(tracked_limit: usize) -> Entry {
+    let mut registry = Registry::with_prefix("wagtailhill");
+    let metrics = Entry {
+        whole_by_tier: Latency::new_with_constructor(histogram),
+        first_by_tier: Latency::new_with_constructor(histogram),
+        whole_by_account: AccountLatency::new_with_constructor(histogram),
+        refused: Family::default(),
+        torn: Family::default(),
+        open: Gauge::default(),
+        offset: Gauge::default(),
+        registry: Registry::default(),
+        tracked_limit,
+        tracked: Mutex::default(),
+    };
+    let whole = "Time from arrival to the end of a whole answer, by tier";
+    registry.register("answer_seconds", whole, metrics.whole_by_tier.clone());
+    let first = "Time from arrival to the first byte of the answer, by tier";
+    registry.register("first_byte_seconds", first, metrics.first_by_tier.clone());
+    let account = "Time from arrival to the end of a whole answer, by client account";
+    registry.register("account_answer_seconds", account, metrics.whole_by_account.clone());
+    registry.register("refusals", "Requests refused, by reason and tier", metrics.refused.clone());
+    registry.register("torn_answers", "Answers that ended torn, by tier", metrics.torn.clone());
+    registry.register("open_requests", "Requests in progress or waiting", metrics.open.clone());
+    let offset = "Configuration offset in force in this process";
+    registry.register("config_offset", offset, metrics.offset.clone());
+    Entry { registry, ..metrics }
+}
+
+impl Entry {
+    /// Counts the first byte of an answer.
+    pub fn first_byte(&self, tier: &str, after: Duration) {
+        self.first_by_tier.get_or_create(&label(tier)).observe(after.as_secs_f64());
+    }
+
+    /// Counts a whole answer.
+    pub fn whole(&self, tier: &str, account: &str, after: Duration) {
+        self.whole_by_tier.get_or_create(&label(tier)).observe(after.as_secs_f64());
+        let account = Account { account: self.track(account) };
+        self.whole_by_account.get_or_create(&account).observe(after.as_secs_f64());
+    }
+
+    /// Counts a refusal; the tier is empty where it isn't known.
+    pub fn refused(&self, tier: &str, reason: Reason) {
+        let reason = serde_name(reason);
+        self.refused.get_or_create(&Refused { reason, tier: tier.to_owned() }).inc();
+    }
+
+    /// Counts a torn answer.
+    pub fn torn(&self, tier: &str) {
+        self.torn.get_or_create(&label(tier)).inc();
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string can't fail");
+        text
+    }
+
+    fn track(&self, account: &str) -> AccountName {
+        let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
+        if tracked.contains(account) {
+            return account.to_owned();
+        }
+        if tracked.len() >= self.tracked_limit {
+            return OTHER.to_owned();
+        }
+        tracked.insert(account.to_owned());
+        account.to_owned()
+    }
+}
+
+fn label(tier: &str) -> Tier {
+    Tier { tier: tier.to_owned() }
+}
+
+fn serde_name(reason: Reason) -> String {
+    let name = serde_json::to_value(reason).expect("a reason is a JSON string");
+    name.as_str().unwrap_or_default().to_owned()
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
+}
--- /dev/null
+++ b/components/metrics/src/lib.rs
@@ -0,0 +1,9 @@
+//! What operators see of a process: metrics and the log.
+
+pub mod agent;
+mod bridge;
+pub mod entry;
+pub mod log;
+
+pub use agent::Agent;
+pub use entry::Entry;
--- /dev/null
+++ b/components/model/src/id.rs
@@ -0,0 +1,28 @@
+//! Type aliases for the ids that cross module borders.
+
+use uuid::Uuid;
+
+/// Name of a client account; lower-case DNS label.
+pub type AccountName = String;
+/// Id of one configuration change, chosen by whoever asks for it; repeats are harmless.
+pub type ChangeId = Uuid;
+/// A key chosen by the caller, scoped to its client account.
+pub type IdempotencyKey = String;
+/// Name of a host as the platform's list gives it.
+pub type HostName = String;
+/// Name of a model, as callers write it in a request.
+pub type ModelName = String;
+/// Position of a record in one stream of the platform's log; the first record has 1.
+pub type Offset = u64;
+/// Name of a target pool.
+pub type PoolName = String;
+/// Order of a tier: 0 is the highest and is shed last.
+pub type Rank = u8;
+/// Id of one request attempt, minted by the entry process that accepted it.
+pub type RequestId = Uuid;
+/// Name of a target.
+pub type TargetName = String;
+/// Name of a tier.
+pub type TierName = String;
+/// Name of an availability zone.
+pub type ZoneName = String;
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,16 @@
+//! The nouns that every process shares: ids, resources, changes, findings and refusals.
+
+pub mod change;
+pub mod credential;
+pub mod finding;
+pub mod host;
+pub mod id;
+pub mod refusal;
+pub mod reservation;
+pub mod resource;
+
+pub use change::Change;
+pub use finding::Finding;
+pub use host::Host;
+pub use refusal::Refusal;
+pub use resource::Resource;
--- /dev/null
+++ b/components/scheduler/src/agent/event.rs
@@ -0,0 +1,59 @@
+//! Events that the agent's reducer takes and effects that it gives.
+
+use model::reservation::{Ask, Denial, Fate, Grant, Id};
+
+/// What happened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// An entry asks for room.
+    Reserve(Ask),
+    /// An entry sends the body for a granted reservation.
+    Start(Id),
+    /// An entry gives a reservation up.
+    Cancel(Id),
+    /// An entry asks what became of a reservation; one that hasn't started never will.
+    Settle(Id),
+    /// The target is done with a request, in whatever way.
+    Ended(Id),
+    /// The process is asked to leave.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Tell the entry that there is room.
+    Grant {
+        /// The reservation.
+        id: Id,
+        /// What the entry is told.
+        grant: Grant,
+    },
+    /// Tell the entry that the reservation ended; it never starts.
+    Deny {
+        /// The reservation.
+        id: Id,
+        /// What the entry is told.
+        denial: Denial,
+    },
+    /// Send the body to the target, now and only now.
+    Dispatch(Id),
+    /// Tell the entry that the body isn't sent.
+    DenyStart {
+        /// The reservation.
+        id: Id,
+        /// What became of it before.
+        fate: Fate,
+    },
+    /// Answer a cancel or a question.
+    Tell {
+        /// The reservation.
+        id: Id,
+        /// What became of it.
+        fate: Fate,
+    },
+    /// Nothing waits or runs any more, and nothing will.
+    Drained,
+}
--- /dev/null
+++ b/components/scheduler/src/agent/mod.rs
@@ -0,0 +1,305 @@
+//! The agent's reducer: who waits for the target, who may start, what runs.
+
+mod event;
+mod queue;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use model::{
+    id::{Offset, Rank},
+    refusal::Reason,
+    reservation::{Ask, Denial, Fate, Grant, Id, Load},
+};
+
+pub use event::{Effect, Event};
+use queue::{Order, Queue};
+
+/// Time for which an ended reservation is remembered.
+pub const TOMBSTONE_LIFE: Duration = Duration::from_secs(600);
+/// Time for which a shed tier is reported after the last shedding.
+pub const SHED_LIFE: Duration = Duration::from_secs(1);
+const RETRY_MIN: Duration = Duration::from_millis(50);
+const RETRY_MAX: Duration = Duration::from_secs(30);
+/// Share of the newest run in the average run time.
+const PACE_WEIGHT: u32 = 8;
+
+/// Room at the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Room {
+    /// Requests that run or hold a grant at once.
+    pub slots: usize,
+    /// Tokens that these may hold together.
+    pub tokens: u64,
+    /// Most reservations that wait.
+    pub waiting: usize,
+    /// Life of a grant.
+    pub grant: Duration,
+}
+
+/// Where a live reservation is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    Waiting { order: Order },
+    Granted { until: Instant, tokens: u64 },
+    Running { since: Instant, tokens: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    until: Instant,
+    id: Id,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Shed {
+    rank: Rank,
+    until: Instant,
+}
+
+/// Everything that the agent decides from.
+#[derive(Clone, Debug)]
+pub struct State {
+    room: Room,
+    /// Waiting reservations, best first; each has a `Stage::Waiting` in `live`.
+    queue: Queue,
+    /// Reservations that haven't ended.
+    live: BTreeMap<Id, Stage>,
+    /// Reservations that ended and how; never in `live` too.
+    ended: BTreeMap<Id, Fate>,
+    /// The same by time of forgetting.
+    tombstones: VecDeque<Tombstone>,
+    /// Reservations granted or running, and the tokens that they hold.
+    held: usize,
+    held_tokens: u64,
+    /// Average time that a request runs.
+    pace: Duration,
+    shed: Option<Shed>,
+    heard: Offset,
+    draining: bool,
+}
+
+/// Gives the state of an agent whose target is idle.
+pub fn open(room: Room) -> State {
+    State {
+        room,
+        queue: Queue::default(),
+        live: BTreeMap::new(),
+        ended: BTreeMap::new(),
+        tombstones: VecDeque::new(),
+        held: 0,
+        held_tokens: 0,
+        pace: RETRY_MIN,
+        shed: None,
+        heard: 0,
+        draining: false,
+    }
+}
+
+/// Takes one event in and gives what has to be done about it.
+pub fn reduce(state: &mut State, now: Instant, event: Event) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    state.expire(now, &mut effects);
+    match event {
+        Event::Reserve(ask) => state.reserve(now, ask, &mut effects),
+        Event::Start(id) => state.start(now, id, &mut effects),
+        Event::Cancel(id) | Event::Settle(id) => state.cancel(now, id, &mut effects),
+        Event::Ended(id) => state.end(now, id),
+        Event::Drain => state.drain(now, &mut effects),
+        Event::Tick => {}
+    }
+    state.fill(now, &mut effects);
+    if state.draining && state.live.is_empty() {
+        effects.push(Effect::Drained);
+    }
+    effects
+}
+
+/// When the next `Event::Tick` is due, if nothing else happens before.
+pub fn next_wake(state: &State) -> Option<Instant> {
+    let grants = state.live.values().filter_map(|stage| match stage {
+        Stage::Granted { until, .. } => Some(*until),
+        _ => None,
+    });
+    grants.chain(state.queue.next_deadline()).min()
+}
+
+impl State {
+    /// What the agent says of its load.
+    pub fn load(&self) -> Load {
+        let running = self.held.try_into().unwrap_or(u32::MAX);
+        let waiting = self.queue.len().try_into().unwrap_or(u32::MAX);
+        let floor = self.shed.map(|shed| shed.rank);
+        Load { running, waiting, floor, offset: self.heard }
+    }
+
+    /// Whether no new reservations are taken.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    fn reserve(&mut self, now: Instant, ask: Ask, effects: &mut Vec<Effect>) {
+        self.heard = self.heard.max(ask.offset);
+        if self.live.contains_key(&ask.id) {
+            return;
+        }
+        if self.ended.contains_key(&ask.id) {
+            return effects.push(self.denied(ask.id, Reason::Deadline));
+        }
+        if self.draining {
+            return self.bury(now, ask.id, Fate::Cancelled, Reason::Draining, effects);
+        }
+        if ask.remaining.is_zero() {
+            return self.bury(now, ask.id, Fate::Expired, Reason::Deadline, effects);
+        }
+        let order = self.queue.push(now, &ask);
+        self.live.insert(ask.id, Stage::Waiting { order });
+        if self.queue.len() > self.room.waiting {
+            self.evict(now, effects);
+        }
+    }
+
+    fn start(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        match self.live.get(&id) {
+            Some(Stage::Granted { tokens, .. }) => {
+                let tokens = *tokens;
+                self.live.insert(id, Stage::Running { since: now, tokens });
+                effects.push(Effect::Dispatch(id));
+            }
+            _ => effects.push(Effect::DenyStart { id, fate: self.fate(id) }),
+        }
+    }
+
+    fn cancel(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        match self.live.get(&id).copied() {
+            Some(Stage::Waiting { order }) => {
+                self.queue.remove(&order);
+                self.live.remove(&id);
+                self.remember(now, id, Fate::Cancelled);
+            }
+            Some(Stage::Granted { tokens, .. }) => {
+                self.free(tokens);
+                self.live.remove(&id);
+                self.remember(now, id, Fate::Cancelled);
+            }
+            Some(Stage::Running { .. }) | None => {}
+        }
+        effects.push(Effect::Tell { id, fate: self.fate(id) });
+    }
+
+    fn end(&mut self, now: Instant, id: Id) {
+        let Some(Stage::Running { since, tokens }) = self.live.get(&id).copied() else {
+            return;
+        };
+        self.live.remove(&id);
+        self.free(tokens);
+        self.remember(now, id, Fate::Started);
+        let newest = now.saturating_duration_since(since);
+        self.pace = (self.pace * (PACE_WEIGHT - 1) + newest) / PACE_WEIGHT;
+    }
+
+    fn drain(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.draining = true;
+        while let Some(waiting) = self.queue.pop() {
+            self.live.remove(&waiting.id);
+            self.bury(now, waiting.id, Fate::Cancelled, Reason::Draining, effects);
+        }
+    }
+
+    /// Grants room to those who wait, best first; the best is never passed over for a smaller.
+    fn fill(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(waiting) = self.queue.first() {
+            let fits = self.held_tokens + waiting.tokens <= self.room.tokens || self.held == 0;
+            if self.held >= self.room.slots || !fits {
+                return;
+            }
+            self.queue.pop();
+            self.held += 1;
+            self.held_tokens += waiting.tokens;
+            let until = now + self.room.grant;
+            self.live.insert(waiting.id, Stage::Granted { until, tokens: waiting.tokens });
+            let grant = Grant { life: self.room.grant, load: self.load() };
+            effects.push(Effect::Grant { id: waiting.id, grant });
+        }
+    }
+
+    fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let lapsed: Vec<Id> =
+            self.live.iter().filter(|(_, s)| s.lapsed(now)).map(|(id, _)| *id).collect();
+        for id in lapsed {
+            if let Some(Stage::Granted { tokens, .. }) = self.live.remove(&id) {
+                self.free(tokens);
+                self.remember(now, id, Fate::Expired);
+            }
+        }
+        while let Some(late) = self.queue.pop_late(now) {
+            self.live.remove(&late.id);
+            self.bury(now, late.id, Fate::Expired, Reason::Deadline, effects);
+        }
+        while self.tombstones.front().is_some_and(|t| t.until <= now) {
+            if let Some(tombstone) = self.tombstones.pop_front() {
+                self.ended.remove(&tombstone.id);
+            }
+        }
+        if self.shed.is_some_and(|shed| shed.until <= now) {
+            self.shed = None;
+        }
+    }
+
+    fn evict(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let Some(worst) = self.queue.pop_worst() else {
+            return;
+        };
+        self.live.remove(&worst.id);
+        let until = now + SHED_LIFE;
+        let rank = self.shed.map_or(worst.rank, |shed| shed.rank.min(worst.rank));
+        self.shed = Some(Shed { rank, until });
+        self.bury(now, worst.id, Fate::Evicted, Reason::Overloaded, effects);
+    }
+
+    fn bury(
+        &mut self,
+        now: Instant,
+        id: Id,
+        fate: Fate,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.remember(now, id, fate);
+        effects.push(self.denied(id, reason));
+    }
+
+    fn denied(&self, id: Id, reason: Reason) -> Effect {
+        let waiting = u32::try_from(self.queue.len() + 1).unwrap_or(u32::MAX);
+        let slots = u32::try_from(self.room.slots).unwrap_or(u32::MAX);
+        let retry_after = (self.pace.saturating_mul(waiting) / slots).clamp(RETRY_MIN, RETRY_MAX);
+        Effect::Deny { id, denial: Denial { reason, retry_after, load: self.load() } }
+    }
+
+    fn free(&mut self, tokens: u64) {
+        self.held -= 1;
+        self.held_tokens -= tokens;
+    }
+
+    fn remember(&mut self, now: Instant, id: Id, fate: Fate) {
+        self.ended.insert(id, fate);
+        self.tombstones.push_back(Tombstone { until: now + TOMBSTONE_LIFE, id });
+    }
+
+    fn fate(&self, id: Id) -> Fate {
+        match self.live.get(&id) {
+            Some(Stage::Waiting { .. }) => Fate::Waiting,
+            Some(Stage::Granted { .. }) => Fate::Granted,
+            Some(Stage::Running { .. }) => Fate::Started,
+            None => self.ended.get(&id).copied().unwrap_or(Fate::Unknown),
+        }
+    }
+}
+
+impl Stage {
+    fn lapsed(&self, now: Instant) -> bool {
+        matches!(self, Stage::Granted { until, .. } if *until <= now)
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/entry/event.rs
@@ -0,0 +1,176 @@
+//! Events that the entry's reducer takes and effects that it gives.
+
+use std::{net::SocketAddr, time::Duration};
+
+use model::{
+    Finding, Host, Refusal,
+    credential::KeyHash,
+    id::{
+        AccountName, IdempotencyKey, ModelName, Offset, PoolName, RequestId, TargetName, TierName,
+    },
+    reservation::{Ask, BlockHash, Denial, Grant, Id, Load},
+};
+
+/// What a caller wants to reach.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// A completion by a model.
+    Completion(ModelName),
+    /// A call to the plain services of a pool.
+    Service(PoolName),
+}
+
+/// A caller's request, without its body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// Minted by the entry process.
+    pub id: RequestId,
+    /// Hash of the key that the caller sent; `None` where it sent none.
+    pub credential: Option<KeyHash>,
+    /// Tier that the caller asks for.
+    pub tier: Option<TierName>,
+    /// What it wants; `None` where the body doesn't say, which a finding then tells.
+    pub call: Option<Call>,
+    /// Time for the whole answer, where the caller says it.
+    pub deadline: Option<Duration>,
+    /// Whether it may run more than once, where the caller says it.
+    pub idempotent: Option<bool>,
+    /// The caller's idempotency key.
+    pub key: Option<IdempotencyKey>,
+    /// Estimated tokens to prefill.
+    pub prefill: u32,
+    /// Most tokens to generate.
+    pub decode: u32,
+    /// Hashes of the prompt's leading blocks, shortest prefix first.
+    pub prefix: Vec<BlockHash>,
+    /// Faults that were found while reading it.
+    pub findings: Vec<Finding>,
+}
+
+/// Whose request it is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Owner {
+    /// Client account; empty where it isn't known.
+    pub account: AccountName,
+    /// Tier; empty where it isn't known.
+    pub tier: TierName,
+}
+
+/// A record of the configuration stream, as read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// Its offset.
+    pub offset: Offset,
+    /// Its text.
+    pub payload: String,
+}
+
+/// What happened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A caller sent a request.
+    Arrived(Request),
+    /// An agent has room.
+    Granted {
+        /// The reservation.
+        id: Id,
+        /// What the agent said.
+        grant: Grant,
+    },
+    /// An agent ended a reservation that hadn't started.
+    Denied {
+        /// The reservation.
+        id: Id,
+        /// What the agent said.
+        denial: Denial,
+    },
+    /// The agent of a reservation that hadn't started can't be reached.
+    Unreachable {
+        /// The reservation.
+        id: Id,
+    },
+    /// A reservation that was told to start provably did not and never will.
+    NotStarted {
+        /// The reservation.
+        id: Id,
+        /// Whether the agent couldn't be reached.
+        unreachable: bool,
+    },
+    /// A request is over for this process: answered, torn, or given up by its caller.
+    Ended {
+        /// The request.
+        request: RequestId,
+    },
+    /// Records of the configuration stream were read, in order.
+    Records(Vec<Record>),
+    /// All records that stood at the log's last answer are applied.
+    CaughtUp,
+    /// The platform's list of hosts was read.
+    Hosts(Vec<Host>),
+    /// The process is asked to leave.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Ask an agent for room; the answer comes back as an event.
+    Reserve {
+        /// The target.
+        target: TargetName,
+        /// Its agent's control address.
+        address: SocketAddr,
+        /// What to ask.
+        ask: Ask,
+    },
+    /// Give a reservation up.
+    Cancel {
+        /// The reservation.
+        id: Id,
+        /// Its agent's control address.
+        address: SocketAddr,
+    },
+    /// Send the body to the agent that granted, and relay the answer.
+    Start(Start),
+    /// Answer the caller with a refusal.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Whose it is.
+        owner: Owner,
+        /// What the caller is told.
+        refusal: Refusal,
+    },
+    /// A higher offset was heard of: read the log up to it.
+    CatchUp(Offset),
+    /// No request is left and none will be taken.
+    Drained,
+}
+
+/// Everything that is needed to start a granted request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// The reservation that was granted.
+    pub id: Id,
+    /// Whose request it is.
+    pub owner: Owner,
+    /// The target.
+    pub target: TargetName,
+    /// Its agent's control address.
+    pub control: SocketAddr,
+    /// Its agent's traffic address.
+    pub traffic: SocketAddr,
+    /// Time that remains until the whole answer is due.
+    pub remaining: Duration,
+}
+
+/// What an agent's reply says besides, if anything.
+pub(crate) fn load(event: &Event) -> Option<(Id, Load)> {
+    match event {
+        Event::Granted { id, grant } => Some((*id, grant.load)),
+        Event::Denied { id, denial } => Some((*id, denial.load)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/entry/mod.rs
@@ -0,0 +1,463 @@
+//! The entry's reducer: which requests are taken, where they wait, which one starts where.
+
+mod admit;
+pub mod event;
+mod pending;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use model::{
+    Refusal, host,
+    id::{AccountName, HostName, Offset, Rank, RequestId, TargetName, ZoneName},
+    refusal::Reason,
+    reservation::{Ask, BlockHash, Denial, Id, Load},
+    resource::{Desired, Target},
+};
+
+pub use admit::{DEADLINE_LIMIT, KEY_LIMIT};
+pub use event::{Call, Effect, Event, Owner, Record, Request, Start};
+use pending::{Order, Pending, Stage, Timer};
+
+use crate::{config, limit, placement};
+
+/// Most reservations of one request that are open at once.
+const OPEN_LIMIT: usize = 2;
+/// Time for which a target whose agent couldn't be reached is asked last.
+const DOWN_LIFE: Duration = Duration::from_secs(2);
+/// Time for which a target that shed a tier is asked last for that tier.
+const SHED_LIFE: Duration = Duration::from_secs(1);
+/// Wait that is advised where nothing better is known.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What the reducer is told at its start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Most requests that wait.
+    pub waiting: usize,
+    /// Zone of this process.
+    pub zone: ZoneName,
+}
+
+/// What is known of a target beyond its configuration; all of it is a hint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Lowest rank number that the target's agent shed, and until when we believe it.
+    shed: Option<Shed>,
+    down_until: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Shed {
+    rank: Rank,
+    until: Instant,
+}
+
+/// Everything that an entry process decides from.
+#[derive(Clone, Debug)]
+pub struct State {
+    settings: Settings,
+    config: config::State,
+    /// Hosts that the platform's list shows as leaving.
+    leaving: BTreeSet<HostName>,
+    /// Requests that haven't ended.
+    requests: BTreeMap<RequestId, Pending>,
+    /// Those of them that wait, in the order of shedding.
+    waiting: BTreeSet<Order>,
+    /// One timer for each that waits.
+    timers: BTreeSet<Timer>,
+    seen: BTreeMap<TargetName, Seen>,
+    usage: BTreeMap<AccountName, limit::Usage>,
+    /// Whether the configuration was read once to its end.
+    ready: bool,
+    draining: bool,
+}
+
+/// Gives the state of a process that has read nothing yet.
+pub fn open(settings: Settings) -> State {
+    State {
+        settings,
+        config: config::State::default(),
+        leaving: BTreeSet::new(),
+        requests: BTreeMap::new(),
+        waiting: BTreeSet::new(),
+        timers: BTreeSet::new(),
+        seen: BTreeMap::new(),
+        usage: BTreeMap::new(),
+        ready: false,
+        draining: false,
+    }
+}
+
+/// Takes one event in and gives what has to be done about it.
+pub fn reduce(state: &mut State, now: Instant, event: Event) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    if let Some((id, load)) = event::load(&event) {
+        state.hear(now, id, load, &mut effects);
+    }
+    match event {
+        Event::Arrived(request) => state.arrive(now, request, &mut effects),
+        Event::Granted { id, .. } => state.granted(now, id, &mut effects),
+        Event::Denied { id, denial } => state.denied(now, id, Some(denial), &mut effects),
+        Event::Unreachable { id } => {
+            state.mark_down(now, id);
+            state.denied(now, id, None, &mut effects);
+        }
+        Event::NotStarted { id, unreachable } => {
+            state.not_started(now, id, unreachable, &mut effects);
+        }
+        Event::Ended { request } => {
+            state.forget(request, &mut effects);
+        }
+        Event::Records(records) => state.apply(records),
+        Event::CaughtUp => state.ready = true,
+        Event::Hosts(hosts) => state.list(hosts),
+        Event::Drain => state.draining = true,
+        Event::Tick => {}
+    }
+    state.expire(now, &mut effects);
+    if state.draining && state.requests.is_empty() {
+        effects.push(Effect::Drained);
+    }
+    effects
+}
+
+/// When the next `Event::Tick` is due, if nothing else happens before.
+pub fn next_wake(state: &State) -> Option<Instant> {
+    state.timers.first().map(|timer| timer.at)
+}
+
+impl State {
+    /// The configuration in force here.
+    pub fn config(&self) -> &config::State {
+        &self.config
+    }
+
+    /// Whether new requests are taken.
+    pub fn is_ready(&self) -> bool {
+        self.ready && !self.draining
+    }
+
+    /// Requests that haven't ended.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether no request is left.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    fn arrive(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
+        let id = request.id;
+        if let Err((owner, refusal)) = self.admit(now, request) {
+            return effects.push(Effect::Refuse { request: id, owner, refusal });
+        }
+        if self.waiting.len() > self.settings.waiting {
+            self.shed(effects);
+        }
+        if self.requests.contains_key(&id) {
+            self.seek(now, id, effects);
+        }
+    }
+
+    fn admit(&mut self, now: Instant, request: Request) -> Result<(), (Owner, Refusal)> {
+        let nobody = |refusal| (Owner::default(), refusal);
+        self.check_open().map_err(nobody)?;
+        let account = admit::authenticate(&self.config, &request).map_err(nobody)?;
+        let owner =
+            Owner { account: account.name.clone(), tier: request.tier.clone().unwrap_or_default() };
+        let pending = admit::admit(&self.config, now, account, request)
+            .map_err(|refusal| (owner, refusal))?;
+        let usage = self.usage.entry(account.name.clone()).or_insert_with(|| limit::open(now));
+        if let Err(wait) = usage.admit(now, account.limit) {
+            let refusal = Refusal::not_run(
+                Reason::AccountLimit,
+                "the client account has reached a limit of its own",
+            );
+            return Err((pending.owner, refusal.retry_after(wait)));
+        }
+        self.insert(pending);
+        Ok(())
+    }
+
+    fn check_open(&self) -> Result<(), Refusal> {
+        if self.draining {
+            let message = "this process is leaving; send the request again";
+            return Err(Refusal::not_run(Reason::Draining, message).retry_after(Duration::ZERO));
+        }
+        if !self.ready {
+            let message = "this process hasn't read the configuration yet";
+            return Err(Refusal::not_run(Reason::NotReady, message).retry_after(RETRY));
+        }
+        Ok(())
+    }
+
+    /// Asks the next target for room, or refuses where no target is left to ask.
+    fn seek(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        match self.choose(now, pending).cloned() {
+            Some(target) => self.reserve(now, id, &target, effects),
+            None if pending.open.is_empty() => self.refuse_full(id, effects),
+            None => {}
+        }
+    }
+
+    /// The best target that wasn't asked yet; one that is down or sheds this tier comes last.
+    fn choose(&self, now: Instant, pending: &Pending) -> Option<&Target> {
+        let usable = |target: &&Target| {
+            target.desired == Desired::Serving
+                && !self.leaving.contains(&target.host)
+                && !pending.tried.contains(&target.name)
+        };
+        let targets = self.config.targets(&pending.pool).filter(usable);
+        let ordered = placement::order(placement_key(pending), targets);
+        let good = |scored: &&placement::Scored| self.is_good(now, &scored.target, pending.rank);
+        let chosen = ordered.iter().find(good).or(ordered.first())?;
+        self.config.target(&chosen.target)
+    }
+
+    fn reserve(&mut self, now: Instant, id: RequestId, target: &Target, effects: &mut Vec<Effect>) {
+        let offset = self.config.applied();
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        pending.attempts += 1;
+        let reservation = Id { request: id, attempt: pending.attempts };
+        pending.open.insert(reservation, target.name.clone());
+        pending.tried.insert(target.name.clone());
+        let ask = Ask {
+            id: reservation,
+            rank: pending.rank,
+            remaining: pending.deadline.saturating_duration_since(now),
+            prefill: pending.request.prefill,
+            decode: pending.request.decode,
+            prefix: pending.request.prefix.clone(),
+            offset,
+        };
+        effects.push(Effect::Reserve { target: target.name.clone(), address: target.control, ask });
+    }
+
+    fn granted(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(start) = self.start(now, id) else {
+            return;
+        };
+        self.unschedule(id.request);
+        let pending = self.requests.get_mut(&id.request).expect("a started request is pending");
+        pending.stage = Stage::Started(id);
+        let mut others = std::mem::take(&mut pending.open);
+        pending.open.extend(others.remove_entry(&id));
+        self.cancel(others, effects);
+        effects.push(Effect::Start(start));
+    }
+
+    /// What a grant starts; nothing where the request ended, started elsewhere, or the target is
+    /// no longer configured. A grant that isn't taken lapses at the agent.
+    fn start(&self, now: Instant, id: Id) -> Option<Start> {
+        let pending = self.requests.get(&id.request)?;
+        let target = self.config.target(pending.open.get(&id)?)?;
+        Some(Start {
+            id,
+            owner: pending.owner.clone(),
+            target: target.name.clone(),
+            control: target.control,
+            traffic: target.traffic,
+            remaining: pending.deadline.saturating_duration_since(now),
+        })
+    }
+
+    fn denied(&mut self, now: Instant, id: Id, denial: Option<Denial>, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get_mut(&id.request) else {
+            return;
+        };
+        if pending.open.remove(&id).is_none() {
+            return;
+        }
+        pending.denial = denial.or(pending.denial);
+        self.seek(now, id.request, effects);
+    }
+
+    fn not_started(&mut self, now: Instant, id: Id, unreachable: bool, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get_mut(&id.request) else {
+            return;
+        };
+        if pending.stage != Stage::Started(id) {
+            return;
+        }
+        pending.stage = Stage::Waiting;
+        let target = pending.open.remove(&id);
+        if let Some(target) = target.filter(|_| unreachable) {
+            self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
+        }
+        self.schedule(id.request);
+        self.seek(now, id.request, effects);
+    }
+
+    fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(timer) = self.timers.first().copied().filter(|timer| timer.at <= now) {
+            let Some(pending) = self.requests.get_mut(&timer.request) else {
+                self.timers.pop_first();
+                continue;
+            };
+            if pending.deadline <= now {
+                self.refuse_late(timer.request, effects);
+                continue;
+            }
+            self.timers.pop_first();
+            pending.widen_at = None;
+            let few = pending.open.len() < OPEN_LIMIT;
+            self.schedule(timer.request);
+            if few {
+                self.seek(now, timer.request, effects);
+            }
+        }
+    }
+
+    /// Refuses the request that is worth least: the lowest tier, there the latest deadline.
+    fn shed(&mut self, effects: &mut Vec<Effect>) {
+        let Some(worst) = self.waiting.last().copied() else {
+            return;
+        };
+        let refusal = Refusal::not_run(Reason::Overloaded, "too many requests wait here");
+        self.refuse(worst.request, refusal.retry_after(RETRY), effects);
+    }
+
+    fn refuse_full(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
+        let denial = self.requests.get(&id).and_then(|pending| pending.denial);
+        let refusal = match denial {
+            None => Refusal::not_run(Reason::NoTarget, "no target of the pool can be reached")
+                .retry_after(RETRY),
+            Some(denial) => Refusal::not_run(denial.reason, "no target of the pool has room")
+                .retry_after(denial.retry_after),
+        };
+        self.refuse(id, refusal, effects);
+    }
+
+    fn refuse_late(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
+        let wait = self.requests.get(&id).and_then(|pending| pending.denial);
+        let wait = wait.map_or(RETRY, |denial| denial.retry_after);
+        let refusal = Refusal::not_run(Reason::Deadline, "the deadline passed while it waited");
+        self.refuse(id, refusal.retry_after(wait), effects);
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.forget(id, effects) else {
+            return;
+        };
+        effects.push(Effect::Refuse { request: id, owner: pending.owner, refusal });
+    }
+
+    fn forget(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Pending> {
+        self.unschedule(id);
+        let mut pending = self.requests.remove(&id)?;
+        if pending.stage == Stage::Waiting {
+            self.cancel(std::mem::take(&mut pending.open), effects);
+        }
+        if let Some(usage) = self.usage.get_mut(&pending.owner.account) {
+            usage.release();
+        }
+        Some(pending)
+    }
+
+    fn cancel(&self, open: BTreeMap<Id, TargetName>, effects: &mut Vec<Effect>) {
+        for (id, target) in open {
+            if let Some(address) = self.control(&target) {
+                effects.push(Effect::Cancel { id, address });
+            }
+        }
+    }
+
+    fn control(&self, target: &str) -> Option<SocketAddr> {
+        self.config.target(target).map(|target| target.control)
+    }
+
+    fn insert(&mut self, pending: Pending) {
+        let id = pending.request.id;
+        self.requests.insert(id, pending);
+        self.schedule(id);
+    }
+
+    fn schedule(&mut self, id: RequestId) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        self.waiting.insert(pending.order());
+        if let Some(at) = pending.wake() {
+            self.timers.insert(Timer { at, request: id });
+        }
+    }
+
+    fn unschedule(&mut self, id: RequestId) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        self.waiting.remove(&pending.order());
+        if let Some(at) = pending.wake() {
+            self.timers.remove(&Timer { at, request: id });
+        }
+    }
+
+    fn apply(&mut self, records: Vec<Record>) {
+        for record in records {
+            // A record that was read before has no effect; a gap shows as an offset that stands
+            // still, which the reader sees and reports.
+            let _ = self.config.apply(record.offset, &record.payload);
+        }
+    }
+
+    fn list(&mut self, hosts: Vec<model::Host>) {
+        let leaving = hosts.into_iter().filter(|host| host.state == host::State::Leaving);
+        self.leaving = leaving.map(|host| host.name).collect();
+    }
+
+    fn hear(&mut self, now: Instant, id: Id, load: Load, effects: &mut Vec<Effect>) {
+        if load.offset > self.config.applied() {
+            effects.push(Effect::CatchUp(load.offset));
+        }
+        if let Some(target) = self.target_of(id) {
+            let shed = load.floor.map(|rank| Shed { rank, until: now + SHED_LIFE });
+            self.seen.insert(target, Seen { shed, down_until: None });
+        }
+    }
+
+    fn mark_down(&mut self, now: Instant, id: Id) {
+        if let Some(target) = self.target_of(id) {
+            self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
+        }
+    }
+
+    fn target_of(&self, id: Id) -> Option<TargetName> {
+        self.requests.get(&id.request)?.open.get(&id).cloned()
+    }
+
+    fn is_good(&self, now: Instant, target: &str, rank: Rank) -> bool {
+        let Some(seen) = self.seen.get(target) else {
+            return true;
+        };
+        let down = seen.down_until.is_some_and(|until| until > now);
+        let sheds = seen.shed.is_some_and(|shed| shed.rank <= rank && shed.until > now);
+        !down && !sheds
+    }
+}
+
+/// Requests that share their first blocks share this key; one without a prefix has its own.
+fn placement_key(pending: &Pending) -> BlockHash {
+    const SHARED_BLOCKS: usize = 4;
+    let prefix = &pending.request.prefix;
+    let shared = prefix.get(SHARED_BLOCKS - 1).or(prefix.last());
+    shared.copied().unwrap_or_else(|| pending.request.id.as_u64_pair().1)
+}
+
+/// The offset up to which a list of effects wants the log read.
+pub fn catch_up(effects: &[Effect]) -> Option<Offset> {
+    let wanted = effects.iter().filter_map(|effect| match effect {
+        Effect::CatchUp(offset) => Some(*offset),
+        _ => None,
+    });
+    wanted.max()
+}
--- /dev/null
+++ b/components/scheduler/src/entry/pending.rs
@@ -0,0 +1,84 @@
+//! A request between its arrival and its end.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use model::{
+    id::{PoolName, Rank, RequestId, TargetName},
+    reservation::{Denial, Id},
+};
+
+use super::event::{Owner, Request};
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// It was dispatched nowhere.
+    Waiting,
+    /// It was told to start under this reservation.
+    Started(Id),
+}
+
+/// A request that hasn't ended.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// As it arrived.
+    pub request: Request,
+    /// Whose it is.
+    pub owner: Owner,
+    /// Rank of its tier.
+    pub rank: Rank,
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// When the whole answer is due.
+    pub deadline: Instant,
+    /// When a second target is asked; `None` once that is done.
+    pub widen_at: Option<Instant>,
+    /// Where it is.
+    pub stage: Stage,
+    /// Reservations made so far; the last attempt's number.
+    pub attempts: u32,
+    /// Reservations that haven't ended, with their targets; only the started one once started.
+    pub open: BTreeMap<Id, TargetName>,
+    /// Targets that were asked.
+    pub tried: BTreeSet<TargetName>,
+    /// Last denial, for the refusal's reason and time.
+    pub denial: Option<Denial>,
+}
+
+impl Pending {
+    /// When this request needs a tick.
+    pub fn wake(&self) -> Option<Instant> {
+        match self.stage {
+            Stage::Started(_) => None,
+            Stage::Waiting => Some(self.widen_at.map_or(self.deadline, |at| at.min(self.deadline))),
+        }
+    }
+
+    /// Place among waiting requests: the last is shed first.
+    pub fn order(&self) -> Order {
+        Order { rank: self.rank, deadline: self.deadline, request: self.request.id }
+    }
+}
+
+/// Order of shedding: the greatest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Order {
+    /// Rank of the tier.
+    pub rank: Rank,
+    /// When the answer is due.
+    pub deadline: Instant,
+    /// Breaks ties.
+    pub request: RequestId,
+}
+
+/// A time at which a request needs attention.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Timer {
+    /// When.
+    pub at: Instant,
+    /// Which request.
+    pub request: RequestId,
+}
--- /dev/null
+++ b/components/scheduler/tests/config.rs
@@ -0,0 +1,90 @@
+//! The fold over the configuration stream.
+
+use std::time::Duration;
+
+use model::{
+    Change, Resource,
+    change::{Action, SCHEMA},
+    id::Offset,
+    resource::{Key, Kind, Tier},
+};
+use scheduler::config::{Error, Outcome, State};
+use uuid::Uuid;
+
+fn tier(name: &str, rank: u8) -> Resource {
+    Resource::Tier(Tier { name: name.to_owned(), rank, deadline: Duration::from_secs(1) })
+}
+
+fn put(id: u128, resource: Resource, expected: Offset) -> String {
+    record(id, Action::Put(resource), expected)
+}
+
+fn record(id: u128, action: Action, expected: Offset) -> String {
+    let change = Change { schema: SCHEMA, id: Uuid::from_u128(id), expected, action };
+    serde_json::to_string(&change).unwrap()
+}
+
+fn key(name: &str) -> Key {
+    Key { kind: Kind::Tier, name: name.to_owned() }
+}
+
+#[test]
+fn of_two_racing_operators_one_wins_and_one_conflicts() {
+    let mut state = State::default();
+    state.apply(1, &put(1, tier("crew", 0), 0)).unwrap();
+
+    let first = state.apply(2, &put(2, tier("crew", 1), 1)).unwrap();
+    let second = state.apply(3, &put(3, tier("crew", 2), 1)).unwrap();
+
+    assert_eq!(first, Outcome::Accepted(2));
+    assert_eq!(second, Outcome::Conflict { stands: 2 });
+    assert_eq!(state.tier("crew").unwrap().rank, 1);
+}
+
+#[test]
+fn a_repeated_change_has_no_second_effect() {
+    let mut state = State::default();
+    let create = put(1, tier("crew", 0), 0);
+    state.apply(1, &create).unwrap();
+    state.apply(2, &record(2, Action::Delete(key("crew")), 1)).unwrap();
+
+    let repeat = state.apply(3, &create).unwrap();
+
+    assert_eq!(repeat, Outcome::Accepted(1));
+    assert!(state.tier("crew").is_none());
+}
+
+#[test]
+fn a_process_never_steps_back_or_skips() {
+    let mut state = State::default();
+    state.apply(1, &put(1, tier("crew", 0), 0)).unwrap();
+
+    let stale = state.apply(1, &put(2, tier("crew", 3), 1));
+    let gap = state.apply(3, &put(3, tier("crew", 3), 1));
+
+    assert_eq!(stale, Err(Error::Stale(1)));
+    assert_eq!(gap, Err(Error::Gap { applied: 1, got: 3 }));
+    assert_eq!(state.tier("crew").unwrap().rank, 0);
+}
+
+#[test]
+fn a_record_that_is_no_change_is_rejected_and_passed() {
+    let mut state = State::default();
+
+    let outcome = state.apply(1, "{\"schema\": 1}").unwrap();
+
+    assert!(matches!(outcome, Outcome::Rejected(_)));
+    assert_eq!(state.applied(), 1);
+}
+
+#[test]
+fn references_and_ranks_are_checked_together() {
+    let mut state = State::default();
+    state.apply(1, &put(1, tier("crew", 0), 0)).unwrap();
+
+    let outcome = state.apply(2, &put(2, tier("Desk", 0), 0)).unwrap();
+
+    let Outcome::Rejected(findings) = outcome else { panic!("{outcome:?}") };
+    let places: Vec<&str> = findings.iter().map(|finding| finding.place.as_str()).collect();
+    assert_eq!(places, ["[0].name", "rank"]);
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,34 @@
+//! Settings files of both processes: JSON, checked as a whole, every finding with its place.
+
+pub mod agent;
+pub mod entry;
+mod parse;
+mod shared;
+
+use std::path::Path;
+
+use model::Finding;
+
+pub use agent::Agent;
+pub use entry::Entry;
+pub use shared::{Operator, Platform};
+
+/// Reads and checks the settings of an entry process.
+pub fn load_entry(path: &Path) -> Result<Entry, Vec<Finding>> {
+    parse_entry(&parse::read(path)?)
+}
+
+/// Reads and checks the settings of an agent.
+pub fn load_agent(path: &Path) -> Result<Agent, Vec<Finding>> {
+    parse_agent(&parse::read(path)?)
+}
+
+/// Checks the text of an entry process's settings.
+pub fn parse_entry(text: &str) -> Result<Entry, Vec<Finding>> {
+    parse::check(text)
+}
+
+/// Checks the text of an agent's settings.
+pub fn parse_agent(text: &str) -> Result<Agent, Vec<Finding>> {
+    parse::check(text)
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! The protocols between an entry process and an agent.
+//!
+//! Control goes by `tarpc`; an answer goes as a stream of frames in an HTTP response.
+
+pub mod answer;
+pub mod control;
+pub mod frame;
+
+pub use answer::Answer;
+pub use control::AgentClient;
+pub use frame::Frame;
--- /dev/null
+++ b/components/wire/tests/answer.rs
@@ -0,0 +1,106 @@
+//! Answers are put together whole, or end torn.
+
+use bytes::Bytes;
+use model::id::RequestId;
+use proptest::prelude::*;
+use test_case::test_case;
+use uuid::Uuid;
+use wire::{
+    answer::{self, Piece, Torn},
+    frame::{self, Frame, Part},
+};
+
+const REQUEST: RequestId = Uuid::from_u128(1);
+const OTHER: RequestId = Uuid::from_u128(2);
+
+fn frames(chunks: &[Vec<u8>]) -> Vec<Frame> {
+    let mut hasher = blake3::Hasher::new();
+    chunks.iter().for_each(|chunk| {
+        hasher.update(chunk);
+    });
+    let head = Part::Head { status: 200, content_type: "text/plain".to_owned() };
+    let end = Part::End { chunks: chunks.len() as u64, digest: *hasher.finalize().as_bytes() };
+    let body = chunks.iter().map(|chunk| Part::Chunk(Bytes::from(chunk.clone())));
+    let parts = std::iter::once(head).chain(body).chain(std::iter::once(end));
+    (0..).zip(parts).map(|(sequence, part)| Frame { request: REQUEST, sequence, part }).collect()
+}
+
+fn collect(frames: Vec<Frame>) -> Result<(Vec<u8>, bool), Torn> {
+    let mut answer = answer::open(REQUEST);
+    let mut bytes = Vec::new();
+    for frame in frames {
+        for piece in answer.push(frame)? {
+            if let Piece::Chunk(chunk) = piece {
+                bytes.extend_from_slice(&chunk);
+            }
+        }
+    }
+    Ok((bytes, answer.is_whole()))
+}
+
+fn two_chunks() -> Vec<Frame> {
+    frames(&[b"one".to_vec(), b"two".to_vec()])
+}
+
+#[test]
+fn frames_survive_any_cut_of_the_byte_stream() {
+    let sent = two_chunks();
+    let bytes: Vec<u8> = sent.iter().flat_map(|f| frame::encode(f).unwrap()).collect();
+    let mut reader = frame::reader();
+    let mut received = Vec::new();
+
+    for byte in bytes {
+        reader.push(&[byte]);
+        received.extend(reader.pull().unwrap());
+    }
+
+    assert_eq!(received, sent);
+}
+
+#[test]
+fn a_frame_over_the_limit_is_an_error() {
+    let mut reader = frame::reader();
+    reader.push(&u32::MAX.to_be_bytes());
+
+    assert!(matches!(reader.pull(), Err(frame::Error::Length(_))));
+}
+
+#[test_case(|f: &mut Vec<Frame>| f[1].request = OTHER => Err(Torn::Crossed(OTHER)); "crossed")]
+#[test_case(|f: &mut Vec<Frame>| { f[3].part = Part::End { chunks: 1, digest: [0; 32] } } => Err(Torn::Count); "count")]
+#[test_case(|f: &mut Vec<Frame>| f[2].part = Part::Chunk(Bytes::from_static(b"2wo")) => Err(Torn::Digest); "digest")]
+#[test_case(|f: &mut Vec<Frame>| { f.remove(0); f.iter_mut().for_each(|f| f.sequence -= 1) } => Err(Torn::Headless); "headless")]
+#[test_case(|f: &mut Vec<Frame>| { let mut late = f[1].clone(); late.sequence = 9; f.insert(1, late) } => Err(Torn::AfterEnd); "after the end")]
+#[test_case(|f: &mut Vec<Frame>| f.truncate(3) => Ok((b"onetwo".to_vec(), false)); "cut off")]
+#[test_case(|f: &mut Vec<Frame>| { let twice = f[2].clone(); f.push(twice) } => Ok((b"onetwo".to_vec(), true)); "doubled")]
+#[test_case(|f: &mut Vec<Frame>| f.swap(1, 2) => Ok((b"onetwo".to_vec(), true)); "out of order")]
+fn a_fault_never_passes_as_whole(fault: fn(&mut Vec<Frame>)) -> Result<(Vec<u8>, bool), Torn> {
+    let mut frames = two_chunks();
+    fault(&mut frames);
+
+    collect(frames)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Against the naive version, which sorts all frames and drops doubles before it reads.
+    #[test]
+    fn any_order_with_doubles_gives_the_sorted_answer(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..8), 0..8),
+        picks in prop::collection::vec(any::<prop::sample::Index>(), 0..40),
+    ) {
+        let sent = frames(&chunks);
+        let shuffled: Vec<Frame> = picks.iter().map(|pick| sent[pick.index(sent.len())].clone()).collect();
+        let mut sorted = shuffled.clone();
+        sorted.sort_by_key(|frame| frame.sequence);
+        sorted.dedup();
+        let naive_whole = sorted == sent;
+
+        let (bytes, whole) = collect(shuffled).unwrap();
+
+        prop_assert_eq!(whole, naive_whole);
+        if whole {
+            prop_assert_eq!(bytes, chunks.concat());
+        }
+    }
+}
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,71 @@
+//! `wagtailhill-agent`: the process beside a target.
+
+mod exit;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use tokio::{
+    runtime::Runtime,
+    signal::unix::{SignalKind, signal},
+};
+use tracing::error;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("settings").expect("clap requires it");
+    let settings = match settings::load_agent(path) {
+        Ok(settings) => settings,
+        Err(findings) => return exit::faulty(path, &findings),
+    };
+    if is_check(&matches) {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    metrics::log::init();
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return exit::failed(error),
+    };
+    match runtime.block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(%error, "the agent ends");
+            ExitCode::from(exit::FAILED)
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("wagtailhill-agent")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stands beside a target and is the only way to it")
+        .after_help("SIGTERM drains: running requests finish, new ones are refused.\nExit codes: 0 done, 1 failed, 2 faulty settings or arguments.")
+        .arg(
+            Arg::new("settings")
+                .help("Settings file (JSON); docs/operators.md lists every setting")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Only check the settings and print every finding with its place")
+                .num_args(0),
+        )
+}
+
+fn is_check(matches: &ArgMatches) -> bool {
+    matches.get_flag("check")
+}
+
+async fn run(settings: settings::Agent) -> Result<(), agent::Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let agent = agent::spawn(settings).await?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    agent.drain().await
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,23 @@
+//! `wagtailhill check`.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::ArgMatches;
+
+use crate::exit;
+
+/// Checks a settings file.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let path: &PathBuf = matches.get_one("settings").expect("clap requires it");
+    let checked = match matches.get_flag("agent") {
+        true => settings::load_agent(path).map(drop),
+        false => settings::load_entry(path).map(drop),
+    };
+    match checked {
+        Ok(()) => {
+            println!("{}: no findings", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(findings) => exit::faulty(path, &findings),
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! One file for each subcommand.
+
+pub mod check;
+pub mod hash;
+pub mod serve;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,114 @@
+//! Runs the two programs as processes against the stand-ins.
+
+#![allow(dead_code)]
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    thread,
+    time::Duration,
+};
+
+use serde::Serialize;
+use serde_json::Value;
+use tempfile::NamedTempFile;
+
+pub const ENTRY: &str = env!("CARGO_BIN_EXE_wagtailhill");
+pub const AGENT: &str = env!("CARGO_BIN_EXE_wagtailhill-agent");
+
+/// A running program; dropping it kills it.
+pub struct Process {
+    child: Child,
+    /// Fields of its `listening` line.
+    pub listening: Value,
+    _settings: NamedTempFile,
+}
+
+/// Starts `wagtailhill serve`.
+pub fn serve(settings: &settings::Entry) -> Process {
+    let file = write(settings);
+    let mut command = Command::new(ENTRY);
+    command.arg("serve").arg(file.path());
+    start(command, file)
+}
+
+/// Starts `wagtailhill-agent`.
+pub fn agent(settings: &settings::Agent) -> Process {
+    let file = write(settings);
+    let mut command = Command::new(AGENT);
+    command.arg(file.path());
+    start(command, file)
+}
+
+/// Writes settings to a file that lives as long as the handle.
+pub fn write(settings: &impl Serialize) -> NamedTempFile {
+    let file = NamedTempFile::new().unwrap();
+    serde_json::to_writer(&file, settings).unwrap();
+    file
+}
+
+impl Process {
+    /// An address of the `listening` line.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.listening[name].as_str().unwrap().parse().unwrap()
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for the end.
+    pub fn wait(mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    /// Kills it at once.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended on its own, which is as good.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until an entry process is ready for work.
+pub async fn ready(entry: &Process) {
+    let url = format!("http://{}/health/ready", entry.address("operators"));
+    loop {
+        if let Ok(answer) = reqwest::get(&url).await
+            && answer.status().is_success()
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn start(mut command: Command, settings: NamedTempFile) -> Process {
+    let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap());
+    let listening = find_listening(&mut lines);
+    thread::spawn(move || lines.lines().count());
+    Process { child, listening, _settings: settings }
+}
+
+fn find_listening(lines: &mut BufReader<ChildStdout>) -> Value {
+    loop {
+        let mut line = String::new();
+        assert_ne!(lines.read_line(&mut line).unwrap(), 0, "the program ended early");
+        let record: Value = serde_json::from_str(&line).unwrap();
+        if record["message"] == "listening" {
+            return record;
+        }
+    }
+}
