--- /dev/null
+++ b/components/api/src/lib.rs
@@ -0,0 +1,1 @@
+//! The resource API: operators declare what they want and follow changes.
--- /dev/null
+++ b/components/evidence/src/lib.rs
@@ -0,0 +1,1 @@
+//! Evidence: hash-chained batches of decisions, and the audit of them.
