Turn Nagle's algorithm off between our processes

Cause: neither `tarpc`'s TCP transport nor `dropshot`'s server sets TCP_NODELAY, so each small segment of an answer waited 40 ms for the acknowledgement of the one before. Ruled out: the debug build (release was no faster), the queue (calls one after another), patience (one target only).

Change: `set_nodelay` on `tarpc` connections at both ends. The agent's traffic server stands on `hyper`, whose sockets we own; its health and metrics move to a `dropshot` server at a new setting, `listen.operators`. A start is carried by a task of its own, so that a caller that goes away between the reducer's dispatch and the run can't leak a slot. The head of a streamed answer waits for its first piece; an answer that tears before it gets a status.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,28 +3,27 @@
 mod control;
 mod engine;
 mod events;
+mod operator;
+mod server;
 mod service;
 mod traffic;
 
 use std::{io, net::SocketAddr, sync::Arc};
 
 use displaydoc::Display;
-use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
 use thiserror::Error;
 use tracing::info;
 
 pub use control::Status;
 
-/// Largest body that an agent takes, in bytes; entries have a lower bound of their own.
-const BODY_LIMIT: usize = 64 << 20;
-
 /// Why an agent can't run.
 #[derive(Debug, Display, Error)]
 pub enum Error {
-    /// can't listen for control calls or start the control thread: {0}
-    Control(#[from] io::Error),
-    /// can't listen for traffic: {0}
-    Traffic(#[from] dropshot::BuildError),
+    /// can't listen or start the control thread: {0}
+    Start(#[from] io::Error),
+    /// can't listen for operators: {0}
+    Operators(#[from] dropshot::BuildError),
     /// the server failed: {0}
     Server(String),
 }
@@ -33,11 +32,14 @@
 pub struct Handle {
     /// Where entries make control calls.
     pub control_address: SocketAddr,
-    /// Where entries send bodies; health and metrics are here too.
+    /// Where entries send bodies.
     pub traffic_address: SocketAddr,
+    /// Where health and metrics are read.
+    pub operator_address: SocketAddr,
     control: control::Handle,
     calls: service::Handle,
-    server: HttpServer<Arc<traffic::Context>>,
+    traffic: server::Handle,
+    operators: HttpServer<Arc<operator::Context>>,
 }
 
 /// Starts an agent on the current `tokio` runtime, which becomes its traffic threads.
@@ -49,20 +51,41 @@
     let context = Arc::new(traffic::Context {
         control: control.clone(),
         engine: engine::open(settings.engine.address),
-        metrics,
+        metrics: Arc::clone(&metrics),
     });
-    let config = ConfigDropshot {
-        bind_address: settings.listen.traffic,
-        default_request_body_max_bytes: BODY_LIMIT,
-        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-        ..ConfigDropshot::default()
-    };
-    let server = ServerBuilder::new(traffic::api(), context, metrics::log::slog());
-    let server = server.config(config).start()?;
+    let traffic = server::bind(settings.listen.traffic, context).await?;
+    let operators = serve_operators(&settings, &control, metrics)?;
     let control_address = calls.address;
-    let traffic_address = server.local_addr();
-    info!(target = settings.target, control = %control_address, traffic = %traffic_address, "listening");
-    Ok(Handle { control_address, traffic_address, control, calls, server })
+    let traffic_address = traffic.address;
+    let operator_address = operators.local_addr();
+    info!(
+        target = settings.target,
+        control = %control_address,
+        traffic = %traffic_address,
+        operators = %operator_address,
+        "listening"
+    );
+    Ok(Handle {
+        control_address,
+        traffic_address,
+        operator_address,
+        control,
+        calls,
+        traffic,
+        operators,
+    })
+}
+
+fn serve_operators(
+    settings: &settings::Agent,
+    control: &control::Handle,
+    metrics: Arc<metrics::Agent>,
+) -> Result<HttpServer<Arc<operator::Context>>, Error> {
+    let context = Arc::new(operator::Context { control: control.clone(), metrics });
+    let config =
+        ConfigDropshot { bind_address: settings.listen.operators, ..ConfigDropshot::default() };
+    let server = ServerBuilder::new(operator::api(), context, metrics::log::slog()).config(config);
+    Ok(server.start()?)
 }
 
 impl Handle {
@@ -76,7 +99,8 @@
         info!(running = self.control.status().load.running, "draining");
         self.control.start_drain();
         self.control.drained().await;
-        self.server.close().await.map_err(Error::Server)?;
+        self.traffic.close().await;
+        self.operators.close().await.map_err(Error::Server)?;
         self.calls.stop();
         info!("drained");
         Ok(())
--- a/components/agent/src/service.rs
+++ b/components/agent/src/service.rs
@@ -44,6 +44,8 @@
         let connections = incoming.filter_map(|connection| future::ready(connection.ok()));
         connections
             .for_each(|connection| {
+                // A connection that is gone already shows itself at its first use.
+                let _ = connection.get_ref().set_nodelay(true);
                 let calls = BaseChannel::with_defaults(connection).execute(server.clone().serve());
                 tokio::spawn(calls.for_each(|call| {
                     tokio::spawn(call);
--- a/components/agent/src/traffic.rs
+++ b/components/agent/src/traffic.rs
@@ -1,19 +1,17 @@
-//! Takes bodies from entries and streams the answers back; health and metrics.
+//! Takes bodies from entries and streams the answers back.
 
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
-use dropshot::{ApiDescription, Body, HttpError, Query, RequestContext, UntypedBody, endpoint};
 use futures::StreamExt;
-use http::{HeaderMap, Method, Response, StatusCode, header};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::{self, Incoming};
 use model::{
     id::RequestId,
     refusal::Ran,
     reservation::{Fate, Id},
 };
-use schemars::JsonSchema;
 use serde::Deserialize;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -31,7 +29,10 @@
 /// Largest chunk of one frame, in bytes; below `wire::frame::LIMIT`.
 const CHUNK_LIMIT: usize = 1 << 20;
 
-/// What the endpoints share.
+/// Largest body that an agent takes, in bytes; entries have a lower bound of their own.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// What all requests share.
 pub struct Context {
     /// The control thread.
     pub control: control::Handle,
@@ -41,7 +42,10 @@
     pub metrics: Arc<metrics::Agent>,
 }
 
-#[derive(Deserialize, JsonSchema)]
+/// An answer to an entry.
+pub type Answer = Response<UnsyncBoxBody<Bytes, Infallible>>;
+
+#[derive(Deserialize)]
 struct Start {
     request: RequestId,
     attempt: u32,
@@ -61,40 +65,38 @@
 /// The entry went away: nobody reads the answer any more.
 struct Unread;
 
-/// Describes the endpoints.
-pub fn api() -> ApiDescription<Arc<Context>> {
-    let mut api = ApiDescription::new();
-    api.register(start_run).expect("the path is free");
-    api.register(live).expect("the path is free");
-    api.register(ready).expect("the path is free");
-    api.register(metrics_text).expect("the path is free");
-    api
+/// Answers one request of an entry: `POST /start?request=..&attempt=..&method=..&path=..`.
+pub async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Answer {
+    if (request.method(), request.uri().path()) != (&Method::POST, "/start") {
+        return text(StatusCode::NOT_FOUND, "only POST /start is served here");
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let start: Start = match serde_urlencoded::from_str(query) {
+        Ok(start) => start,
+        Err(error) => return text(StatusCode::BAD_REQUEST, &format!("query: {error}")),
+    };
+    let Ok(method) = Method::from_bytes(start.method.as_bytes()) else {
+        return text(StatusCode::BAD_REQUEST, "query.method: no HTTP method");
+    };
+    let headers = passed_on(request.headers());
+    let body = match Limited::new(request.into_body(), BODY_LIMIT).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return text(StatusCode::BAD_REQUEST, &format!("body: {error}")),
+    };
+    let id = Id { request: start.request, attempt: start.attempt };
+    let call = Call { method, path: start.path, headers, body };
+    // The entry may go away at any moment; a task of its own sees a start through to its end.
+    let started = tokio::spawn(start_run(context, id, call)).await;
+    started.unwrap_or_else(|_| text(StatusCode::INTERNAL_SERVER_ERROR, "the start failed"))
 }
 
-/// Starts a granted reservation with its body; answers with a stream of frames, or with the fate
-/// that forbids the start.
-#[endpoint { method = POST, path = "/start" }]
-async fn start_run(
-    context: RequestContext<Arc<Context>>,
-    query: Query<Start>,
-    body: UntypedBody,
-) -> Result<Response<Body>, HttpError> {
-    let query = query.into_inner();
-    let shared = context.context();
-    let id = Id { request: query.request, attempt: query.attempt };
-    let method = Method::from_bytes(query.method.as_bytes())
-        .map_err(|error| HttpError::for_bad_request(None, format!("query.method: {error}")))?;
-    let run = match shared.control.start(id).await {
+/// Starts a granted reservation; gives the stream of frames, or the fate that forbids the start.
+async fn start_run(context: Arc<Context>, id: Id, call: Call) -> Answer {
+    let run = match context.control.start(id).await {
         Ok(run) => run,
         Err(fate) => return denied(id, fate),
     };
     info!(request = %id.request, attempt = id.attempt, "dispatched");
-    let call = Call {
-        method,
-        path: query.path,
-        headers: passed_on(context.request.headers()),
-        body: Bytes::copy_from_slice(body.as_bytes()),
-    };
     let (sender, frames) = mpsc::channel(FRAMES_AHEAD);
     let writer = Writer {
         request: id.request,
@@ -103,31 +105,10 @@
         hasher: blake3::Hasher::new(),
         frames: sender,
     };
-    tokio::spawn(serve(Arc::clone(shared), run, call, writer));
-    let frames = ReceiverStream::new(frames)
-        .map(|bytes| Ok::<_, Infallible>(hyper::body::Frame::data(bytes)));
-    Ok(Response::new(Body::wrap(StreamBody::new(frames))))
-}
-
-/// Whether the process runs.
-#[endpoint { method = GET, path = "/health/live" }]
-async fn live(_context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    text(StatusCode::OK, "live\n".to_owned())
-}
-
-/// Whether reservations are taken.
-#[endpoint { method = GET, path = "/health/ready" }]
-async fn ready(context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    match context.context().control.status().draining {
-        true => text(StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned()),
-        false => text(StatusCode::OK, "ready\n".to_owned()),
-    }
-}
-
-/// All metrics in the text format of Prometheus.
-#[endpoint { method = GET, path = "/metrics" }]
-async fn metrics_text(context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    text(StatusCode::OK, context.context().metrics.render())
+    tokio::spawn(serve(context, run, call, writer));
+    let frames =
+        ReceiverStream::new(frames).map(|bytes| Ok::<_, Infallible>(body::Frame::data(bytes)));
+    Response::new(StreamBody::new(frames).boxed_unsync())
 }
 
 /// Runs one call to its end. The run is over when this returns, and dropping the answer's body
@@ -217,11 +198,9 @@
     }
 }
 
-fn denied(id: Id, fate: Fate) -> Result<Response<Body>, HttpError> {
+fn denied(id: Id, fate: Fate) -> Answer {
     warn!(request = %id.request, attempt = id.attempt, ?fate, "start denied");
-    let body = serde_json::to_string(&fate).expect("a fate is JSON");
-    let answer = Response::builder().status(StatusCode::CONFLICT);
-    Ok(answer.header(header::CONTENT_TYPE, "application/json").body(body.into())?)
+    text(StatusCode::CONFLICT, &serde_json::to_string(&fate).expect("a fate is JSON"))
 }
 
 /// Headers that came from the caller; those of the connection itself stay behind.
@@ -241,7 +220,9 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn text(status: StatusCode, content: String) -> Result<Response<Body>, HttpError> {
-    let answer = Response::builder().status(status).header(header::CONTENT_TYPE, "text/plain");
-    Ok(answer.body(content.into())?)
+fn text(status: StatusCode, content: &str) -> Answer {
+    let body = Full::new(Bytes::copy_from_slice(content.as_bytes()));
+    let mut answer = Response::new(body.boxed_unsync());
+    *answer.status_mut() = status;
+    answer
 }
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -91,6 +91,8 @@
             Ok(Ok(transport)) => transport,
             _ => return Err(Error::Connect),
         };
+        // Small messages that wait for the last one's acknowledgement cost 40 ms each.
+        transport.get_ref().set_nodelay(true).map_err(|_| Error::Connect)?;
         let client = AgentClient::new(client::Config::default(), transport).spawn();
         *slot = Some(client.clone());
         Ok(client)
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -149,7 +149,6 @@
         arrived,
         metrics: context.metrics.clone(),
     };
-    account.first_byte();
     info!(
         request = %account.id,
         account = account.owner.account,
@@ -159,7 +158,7 @@
         "answering"
     );
     if opened.is_event_stream() {
-        return stream::streamed(ticket, account, opened);
+        return stream::streamed(ticket, account, opened).await;
     }
     stream::whole(ticket, account, opened).await
 }
--- a/components/entry/src/stream.rs
+++ b/components/entry/src/stream.rs
@@ -35,8 +35,8 @@
 }
 
 impl Account {
-    /// Counts the head of the answer.
-    pub fn first_byte(&self) {
+    /// Counts the first piece of the answer.
+    fn first_byte(&self) {
         self.metrics.first_byte(&self.owner.tier, self.arrived.elapsed());
     }
 
@@ -66,17 +66,29 @@
             }
         }
     }
+    account.first_byte();
     account.whole();
     drop(ticket);
     respond(&account, &opened, Body::with_content(body.freeze()))
 }
 
 /// Passes the answer on as it comes; a torn one ends in an `error` event and never in `[DONE]`.
-pub fn streamed(ticket: Ticket, account: Account, opened: Opened) -> Response<Body> {
+///
+/// The head waits for the first piece, so that both leave in one segment: a second small one
+/// would wait 40 ms for the first one's acknowledgement (docs/design/0005-nodelay.md).
+pub async fn streamed(ticket: Ticket, account: Account, mut opened: Opened) -> Response<Body> {
+    let first = match opened.next().await {
+        Ok(first) => first,
+        Err(refusal) => {
+            account.torn(&refusal);
+            return fault::answer(account.id, refusal);
+        }
+    };
+    account.first_byte();
     let id = account.id;
     let status = opened.status;
     let content_type = opened.content_type.clone();
-    let events = events(ticket, account, opened);
+    let events = events(ticket, account, opened, first);
     Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, content_type)
@@ -90,13 +102,15 @@
     ticket: Ticket,
     account: Account,
     mut opened: Opened,
+    first: Piece,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
     async_stream::stream! {
         let _ticket = ticket;
         // The event that says `whole` is held back until the answer is known to be whole.
         let mut held = Bytes::new();
+        let mut next = Ok(first);
         loop {
-            match opened.next().await {
+            match next {
                 Ok(Piece::Head { .. }) => {}
                 Ok(Piece::Chunk(bytes)) if is_done(&bytes) => held = bytes,
                 Ok(Piece::Chunk(bytes)) => yield Ok(Frame::data(bytes)),
@@ -112,6 +126,7 @@
                     return;
                 }
             }
+            next = opened.next().await;
         }
     }
 }
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -47,8 +47,10 @@
 pub struct Listen {
     /// For control calls (`tarpc`).
     pub control: SocketAddr,
-    /// For bodies and answers, and for health and metrics (HTTP).
+    /// For bodies and answers (HTTP).
     pub traffic: SocketAddr,
+    /// For health and metrics (HTTP).
+    pub operators: SocketAddr,
 }
 
 /// The engine or plain service beside the agent.
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -17,7 +17,7 @@
 fn agent() -> Value {
     json!({
         "target": "t1", "host": "h1", "zone": "a",
-        "listen": {"control": "127.0.0.1:0", "traffic": "127.0.0.1:0"},
+        "listen": {"control": "127.0.0.1:0", "traffic": "127.0.0.1:0", "operators": "127.0.0.1:0"},
         "engine": {"address": "127.0.0.1:9", "backing": "model"},
         "platform": {"log": "http://127.0.0.1:1", "hosts": "http://127.0.0.1:2"}
     })
--- a/components/standin/examples/quickstart.rs
+++ b/components/standin/examples/quickstart.rs
@@ -3,6 +3,8 @@
 //!
 //! Exits with 0 only if every answer was whole.
 
+mod site;
+
 use std::{
     collections::BTreeMap,
     error::Error,
@@ -12,13 +14,12 @@
 };
 
 use futures::{StreamExt, future};
-use model::{Resource, resource::Backing};
+use model::Resource;
 use serde_json::{Value, json};
+use site::Site;
 use standin::{
-    engine::{self, Engine, Shape},
-    fixture, hosts,
-    log::{self, Log},
-    service::{self, Service},
+    engine::{self, Shape},
+    fixture, service,
 };
 
 const DRAWING: &str = "drawing-7b";
@@ -27,17 +28,6 @@
 const DECISIONS: usize = 12;
 const LOOKUPS: usize = 60;
 const TOKENS: u32 = 24;
-const READY_TRIES: u32 = 200;
-
-/// Everything that runs.
-struct Site {
-    entries: Vec<entry::Handle>,
-    agents: Vec<agent::Handle>,
-    engines: Vec<Engine>,
-    services: Vec<Service>,
-    log: Log,
-    hosts: hosts::Hosts,
-}
 
 /// What one request came to.
 struct Outcome {
@@ -80,38 +70,24 @@
     let whole = outcomes.iter().filter(|outcome| outcome.whole).count();
     summarise(&outcomes);
     println!("{whole} of {} answers were whole.", outcomes.len());
-    close(site).await?;
+    site.close().await?;
     Ok(whole == outcomes.len())
 }
 
 async fn open() -> Result<Site, Box<dyn Error>> {
-    let log = log::bind(fixture::ANY).await?;
-    let hosts = hosts::bind(fixture::ANY).await?;
-    let mut site = Site {
-        entries: Vec::new(),
-        agents: Vec::new(),
-        engines: Vec::new(),
-        services: Vec::new(),
-        log,
-        hosts,
-    };
-    fixture::seed(&site.log, resources());
-    add_engine(&mut site, "drawing-1", "drawings", 1).await?;
-    add_engine(&mut site, "drawing-2", "drawings", 3).await?;
-    add_engine(&mut site, "permit-1", "permits", 1).await?;
-    add_engine(&mut site, "permit-2", "permits", 2).await?;
-    add_service(&mut site, "status-1", "status").await?;
-    for name in ["entry-1", "entry-2"] {
-        let settings = fixture::entry(name, &site.log, &site.hosts);
-        site.entries.push(entry::spawn(settings).await?);
-    }
-    for _ in 0..READY_TRIES {
-        if site.entries.iter().all(|entry| entry.status().ready) {
-            return Ok(site);
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Err("the entries didn't read the configuration".into())
+    let mut site = site::open(resources()).await?;
+    site.add_engine("drawing-1", "drawings", step(1)).await?;
+    site.add_engine("drawing-2", "drawings", step(3)).await?;
+    site.add_engine("permit-1", "permits", step(1)).await?;
+    site.add_engine("permit-2", "permits", step(2)).await?;
+    site.add_service("status-1", "status").await?;
+    site.add_entry("entry-1").await?;
+    site.add_entry("entry-2").await?;
+    Ok(site)
+}
+
+fn step(millis: u64) -> Shape {
+    Shape { step: Duration::from_millis(millis), ..Shape::default() }
 }
 
 fn resources() -> Vec<Resource> {
@@ -127,41 +103,6 @@
     ]
 }
 
-async fn add_engine(
-    site: &mut Site,
-    name: &str,
-    pool: &str,
-    step_ms: u64,
-) -> Result<(), Box<dyn Error>> {
-    let shape = Shape { step: Duration::from_millis(step_ms), ..Shape::default() };
-    let engine = engine::bind(fixture::ANY, shape).await?;
-    add_agent(site, name, pool, engine.address, Backing::Model).await?;
-    site.engines.push(engine);
-    Ok(())
-}
-
-async fn add_service(site: &mut Site, name: &str, pool: &str) -> Result<(), Box<dyn Error>> {
-    let service = service::bind(fixture::ANY, Duration::from_millis(1)).await?;
-    add_agent(site, name, pool, service.address, Backing::Service).await?;
-    site.services.push(service);
-    Ok(())
-}
-
-async fn add_agent(
-    site: &mut Site,
-    name: &str,
-    pool: &str,
-    engine: SocketAddr,
-    backing: Backing,
-) -> Result<(), agent::Error> {
-    let settings = fixture::agent(name, engine, backing, &site.log, &site.hosts);
-    let agent = agent::spawn(settings).await?;
-    let target = fixture::target(name, pool, agent.control_address, agent.traffic_address);
-    fixture::seed(&site.log, vec![target]);
-    site.agents.push(agent);
-    Ok(())
-}
-
 fn jobs() -> Vec<Job> {
     let mut jobs = Vec::new();
     for number in 0..REVISIONS {
@@ -290,13 +231,3 @@
         println!("{tier:<6} {sent:>6} {whole:>6} {median:>9} {worst:>9}");
     }
 }
-
-async fn close(site: Site) -> Result<(), Box<dyn Error>> {
-    for entry in site.entries {
-        entry.drain().await?;
-    }
-    for agent in site.agents {
-        agent.drain().await?;
-    }
-    Ok(())
-}
--- a/components/standin/src/fixture.rs
+++ b/components/standin/src/fixture.rs
@@ -121,7 +121,7 @@
         target: target.to_owned(),
         host: target.to_owned(),
         zone: "a".to_owned(),
-        listen: agent::Listen { control: ANY, traffic: ANY },
+        listen: agent::Listen { control: ANY, traffic: ANY, operators: ANY },
         engine: agent::Engine { address: engine, backing },
         platform: platform(log, hosts),
         room: agent::Room::default(),
