Fold the membership stream and find the homes of a key

Cause: claims and leases need to know which agents take part, since when, and which ones held a key before. Nothing in the log said so.

Change: a membership stream of joins and leaves, folded by offset. The epoch is the last applied offset and a join's offset its fencing number.

Proof: 256 generated histories against a replay of every epoch.

Conclusion: whole as a fold; readers in the two processes come with claims.

--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -8,8 +8,12 @@
 pub type ChangeId = Uuid;
 /// A key chosen by the caller, scoped to its client account.
 pub type IdempotencyKey = String;
+/// Hash of a client account and an idempotency key of its own.
+pub type ClaimKey = u128;
 /// Name of a host as the platform's list gives it.
 pub type HostName = String;
+/// Id of one run of an agent, minted when its process starts.
+pub type IncarnationId = Uuid;
 /// Name of a model, as callers write it in a request.
 pub type ModelName = String;
 /// Position of a record in one stream of the platform's log; the first record has 1.
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -1,10 +1,12 @@
 //! The nouns that every process shares: ids, resources, changes, findings and refusals.
 
 pub mod change;
+pub mod claim;
 pub mod credential;
 pub mod finding;
 pub mod host;
 pub mod id;
+pub mod membership;
 pub mod refusal;
 pub mod reservation;
 pub mod resource;
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -2,6 +2,9 @@
 
 pub mod hosts;
 pub mod log;
+pub mod tail;
 
 /// Name of the stream that carries operators' configuration.
 pub const CONFIG: &str = "config";
+/// Name of the stream that carries the joins and leaves of agents.
+pub const MEMBERSHIP: &str = "membership";
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod config;
 pub mod entry;
 pub mod limit;
+pub mod membership;
 pub mod placement;
