Keep the agent's wake-ups and the list of a kind from scanning

Cause: the agent's `expire` and `next_wake` walked every live reservation on every event, and `config::State::list` walked every resource of every kind, so that replacing a tier cost time in proportion to the client accounts.

Change: grants are kept in a second set by the time at which they lapse, and `list` reads one range of the ordered map.

--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -4,7 +4,7 @@
 mod queue;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -47,6 +47,13 @@
     Running { since: Instant, tokens: u64 },
 }
 
+/// When a grant runs out.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Lapse {
+    at: Instant,
+    id: Id,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
     until: Instant,
@@ -67,6 +74,8 @@
     queue: Queue,
     /// Reservations that haven't ended.
     live: BTreeMap<Id, Stage>,
+    /// One for each `Stage::Granted` in `live`, so that time needs no scan.
+    lapses: BTreeSet<Lapse>,
     /// Reservations that ended and how; never in `live` too.
     ended: BTreeMap<Id, Fate>,
     /// The same by time of forgetting.
@@ -87,6 +96,7 @@
         room,
         queue: Queue::default(),
         live: BTreeMap::new(),
+        lapses: BTreeSet::new(),
         ended: BTreeMap::new(),
         tombstones: VecDeque::new(),
         held: 0,
@@ -119,11 +129,8 @@
 
 /// When the next `Event::Tick` is due, if nothing else happens before.
 pub fn next_wake(state: &State) -> Option<Instant> {
-    let grants = state.live.values().filter_map(|stage| match stage {
-        Stage::Granted { until, .. } => Some(*until),
-        _ => None,
-    });
-    grants.chain(state.queue.next_deadline()).min()
+    let lapse = state.lapses.first().map(|lapse| lapse.at);
+    lapse.into_iter().chain(state.queue.next_deadline()).min()
 }
 
 impl State {
@@ -162,9 +169,9 @@
     }
 
     fn start(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
-        match self.live.get(&id) {
-            Some(Stage::Granted { tokens, .. }) => {
-                let tokens = *tokens;
+        match self.live.get(&id).copied() {
+            Some(Stage::Granted { until, tokens }) => {
+                self.lapses.remove(&Lapse { at: until, id });
                 self.live.insert(id, Stage::Running { since: now, tokens });
                 effects.push(Effect::Dispatch(id));
             }
@@ -179,7 +186,8 @@
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
             }
-            Some(Stage::Granted { tokens, .. }) => {
+            Some(Stage::Granted { until, tokens }) => {
+                self.lapses.remove(&Lapse { at: until, id });
                 self.free(tokens);
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
@@ -220,18 +228,18 @@
             self.held_tokens += waiting.tokens;
             let until = now + self.room.grant;
             self.live.insert(waiting.id, Stage::Granted { until, tokens: waiting.tokens });
+            self.lapses.insert(Lapse { at: until, id: waiting.id });
             let grant = Grant { life: self.room.grant, load: self.load() };
             effects.push(Effect::Grant { id: waiting.id, grant });
         }
     }
 
     fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let lapsed: Vec<Id> =
-            self.live.iter().filter(|(_, s)| s.lapsed(now)).map(|(id, _)| *id).collect();
-        for id in lapsed {
-            if let Some(Stage::Granted { tokens, .. }) = self.live.remove(&id) {
+        while let Some(lapse) = self.lapses.first().copied().filter(|lapse| lapse.at <= now) {
+            self.lapses.pop_first();
+            if let Some(Stage::Granted { tokens, .. }) = self.live.remove(&lapse.id) {
                 self.free(tokens);
-                self.remember(now, id, Fate::Expired);
+                self.remember(now, lapse.id, Fate::Expired);
             }
         }
         while let Some(late) = self.queue.pop_late(now) {
@@ -297,9 +305,3 @@
         }
     }
 }
-
-impl Stage {
-    fn lapsed(&self, now: Instant) -> bool {
-        matches!(self, Stage::Granted { until, .. } if *until <= now)
-    }
-}
--- a/components/scheduler/src/config.rs
+++ b/components/scheduler/src/config.rs
@@ -118,7 +118,9 @@
 
     /// All resources of a kind, in the order of their names.
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Versioned> {
-        self.resources.values().filter(move |versioned| versioned.resource.key().kind == kind)
+        let first = Key { kind, name: String::new() };
+        let later = self.resources.range(first..);
+        later.take_while(move |(key, _)| key.kind == kind).map(|(_, versioned)| versioned)
     }
 
     /// The account that a key opens.
