Keep text that looks like the end of a stream, and take CR LF

Cause: read as a newcomer, the entry held back any chunk that contained `data: [DONE]` anywhere and forgot the one it held before. A model that writes these words lost every such token in an answer that still ended as whole. The agent cut events at LF LF only, so a stream with CR LF, which the format allows, was given out as torn.

Change: `wire::events` cuts events and finds the end by a whole line; both programs use it. The entry passes a held event on before it holds the next. The engine stand-in can say any text and end lines in CR LF.

Conclusion: a torn answer still never passes as whole, and neither does a whole one lose text.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod control;
 mod engine;
-mod events;
 mod operator;
 mod server;
 mod service;
--- a/components/agent/src/traffic.rs
+++ b/components/agent/src/traffic.rs
@@ -16,12 +16,14 @@
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tracing::{info, warn};
-use wire::frame::{self, Frame, Part};
+use wire::{
+    events::Cutter,
+    frame::{self, Frame, Part},
+};
 
 use crate::{
     control::{self, Run},
     engine::{Call, Engine},
-    events::Cutter,
 };
 
 /// Frames that wait for a slow entry before the target's answer is read on.
--- a/components/entry/src/stream.rs
+++ b/components/entry/src/stream.rs
@@ -11,7 +11,7 @@
 use model::{Refusal, id::RequestId};
 use scheduler::entry::Owner;
 use tracing::{info, warn};
-use wire::answer::Piece;
+use wire::{answer::Piece, events};
 
 use crate::{
     control::Ticket,
@@ -19,9 +19,6 @@
     relay::Opened,
 };
 
-/// The event that ends a whole stream of a completion.
-const DONE: &[u8] = b"data: [DONE]";
-
 /// For whom an answer counts.
 pub struct Account {
     /// The request.
@@ -88,7 +85,7 @@
     let id = account.id;
     let status = opened.status;
     let content_type = opened.content_type.clone();
-    let events = events(ticket, account, opened, first);
+    let events = relay_events(ticket, account, opened, first);
     Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, content_type)
@@ -98,7 +95,7 @@
         .expect("the target's content type was valid")
 }
 
-fn events(
+fn relay_events(
     ticket: Ticket,
     account: Account,
     mut opened: Opened,
@@ -112,8 +109,15 @@
         loop {
             match next {
                 Ok(Piece::Head { .. }) => {}
-                Ok(Piece::Chunk(bytes)) if is_done(&bytes) => held = bytes,
-                Ok(Piece::Chunk(bytes)) => yield Ok(Frame::data(bytes)),
+                Ok(Piece::Chunk(bytes)) => {
+                    if !held.is_empty() {
+                        yield Ok(Frame::data(std::mem::take(&mut held)));
+                    }
+                    match events::is_done(&bytes) {
+                        true => held = bytes,
+                        false => yield Ok(Frame::data(bytes)),
+                    }
+                }
                 Ok(Piece::Whole) => {
                     account.whole();
                     yield Ok(Frame::data(held));
@@ -131,10 +135,6 @@
     }
 }
 
-fn is_done(event: &[u8]) -> bool {
-    event.windows(DONE.len()).any(|window| window == DONE)
-}
-
 fn respond(account: &Account, opened: &Opened, body: Body) -> Response<Body> {
     Response::builder()
         .status(opened.status)
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -55,6 +55,10 @@
     pub frozen: bool,
     /// A prompt that contains this text crashes the engine.
     pub crash_on: Option<String>,
+    /// Every token of a stream is this text.
+    pub say: Option<String>,
+    /// Lines of a stream end in CR LF, as the format allows.
+    pub crlf: bool,
 }
 
 /// One request that reached the engine.
@@ -305,21 +309,29 @@
                 return;
             }
             let last = index + 1 == tokens;
-            yield Ok(event(&ask.model, &token(&prompt, index), last, is_chat));
+            let text = faults.say.unwrap_or_else(|| token(&prompt, index));
+            let event = event(&ask.model, &text, last, is_chat);
+            yield Ok(Frame::data(ended(event, faults.crlf)));
         }
         batched.finish();
-        yield Ok(Frame::data("data: [DONE]\n\n".into()));
+        let crlf = batched.shared.faults().crlf;
+        yield Ok(Frame::data(ended("data: [DONE]".to_owned(), crlf)));
     }
 }
 
-fn event(model: &str, text: &str, last: bool, is_chat: bool) -> Frame<Bytes> {
+fn event(model: &str, text: &str, last: bool, is_chat: bool) -> String {
     let reason = last.then_some("length");
     let choice = match is_chat {
         true => json!({"index": 0, "finish_reason": reason, "delta": {"content": text}}),
         false => json!({"index": 0, "finish_reason": reason, "text": text}),
     };
     let content = json!({"model": model, "choices": [choice]});
-    Frame::data(format!("data: {content}\n\n").into())
+    format!("data: {content}")
+}
+
+fn ended(event: String, crlf: bool) -> Bytes {
+    let end = if crlf { "\r\n\r\n" } else { "\n\n" };
+    (event + end).into()
 }
 
 fn prompt(ask: &Ask) -> String {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod control;
+pub mod events;
 pub mod frame;
 
 pub use answer::Answer;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -98,6 +98,19 @@
     assert!(site.engine.runs().iter().all(|run| run.whole));
 }
 
+#[test_case(|engine| engine.fault(|f| f.say = Some("data: [DONE]".to_owned())) => "data: [DONE]".repeat(12); "text that looks like the end")]
+#[test_case(|engine| engine.fault(|f| f.crlf = true) => engine::expected("p", TOKENS); "lines that end in CR LF")]
+#[tokio::test]
+async fn an_unusual_stream_is_whole(fault: fn(&Engine)) -> String {
+    let site = open().await;
+    fault(&site.engine);
+
+    let events = completion(&site, "p", true).send().await.unwrap().text().await.unwrap();
+
+    assert_eq!(events.lines().filter(|line| *line == "data: [DONE]").count(), 1, "{events}");
+    text(&events)
+}
+
 #[tokio::test]
 async fn a_plain_service_is_called_with_what_the_caller_sent() {
     let site = open().await;
