Take requests while the balancer finds out that an entry leaves

Cause: SIGTERM made the health check fail and refused new requests in the same moment, so every request that the balancer still sent within its check period was refused as `draining`.

Change: the reducer has an event of its own for leaving: the health check fails, requests that still come are taken for `timing.lame_ms`, and only then is the process drained. Besides: a reader of the log waits longer after each failed read, with jitter and up to 3 s, and logs an outage once instead of five times a second; a settings file that can't be read is named once, not twice.

--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -39,7 +39,7 @@
 /// What a process says of itself.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Status {
-    /// Whether it takes new requests.
+    /// Whether the balancer should send requests here.
     pub ready: bool,
     /// Configuration offset in force here.
     pub offset: Offset,
@@ -126,6 +126,11 @@
         *self.status.borrow()
     }
 
+    /// Lets the health check fail; requests that still come are taken.
+    pub fn leave(&self) {
+        self.event(Event::Leave);
+    }
+
     /// Asks the reducer to take no new request.
     pub fn start_drain(&self) {
         self.event(Event::Drain);
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -65,12 +65,14 @@
         self.control.status()
     }
 
-    /// Takes no new request, finishes all that are in progress, and ends.
+    /// Tells the balancer to send no more, then takes no new request, finishes all that are in
+    /// progress, and ends.
     pub async fn drain(self) -> Result<(), Error> {
-        let open = self.control.status().open;
-        info!(open, "draining: health fails, new requests are refused");
-        self.control.start_drain();
+        info!(open = self.control.status().open, "leaving: the health check fails from now on");
+        self.control.leave();
         tokio::time::sleep(self.settings.timing.lame).await;
+        info!(open = self.control.status().open, "draining: new requests are refused");
+        self.control.start_drain();
         self.control.drained().await;
         self.caller_server.close().await.map_err(Error::Server)?;
         self.operator_server.close().await.map_err(Error::Server)?;
--- a/components/platform/src/tail.rs
+++ b/components/platform/src/tail.rs
@@ -4,14 +4,16 @@
 
 use model::id::Offset;
 use tokio::{task::JoinHandle, time::sleep};
-use tracing::{error, warn};
+use tracing::{error, info, warn};
 
 use crate::log::{Client, Error, Record};
 
 /// Most records of one read.
 const PAGE: usize = 1_000;
-/// Wait after a failed read.
-const BACKOFF: Duration = Duration::from_millis(200);
+/// Wait after the first failed read; it doubles with each further one.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest wait after a failed read, so that an outage isn't answered with a flood.
+const BACKOFF_MAX: Duration = Duration::from_secs(3);
 
 /// What a reader learns.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,9 +35,14 @@
     tokio::spawn(async move {
         let mut next: Offset = 1;
         let mut wait = Duration::ZERO;
+        let mut backoff = BACKOFF_MIN;
         loop {
             match log.read(stream, next, PAGE, wait).await {
                 Ok(page) => {
+                    if backoff > BACKOFF_MIN {
+                        info!(stream, next, "the log can be read again");
+                    }
+                    backoff = BACKOFF_MIN;
                     if let Some(last) = page.records.last() {
                         next = last.offset + 1;
                         take(News::Records(page.records));
@@ -50,8 +57,11 @@
                     sleep(poll).await;
                 }
                 Err(error) => {
-                    warn!(stream, %error, next, "the log can't be read now");
-                    sleep(BACKOFF).await;
+                    if backoff == BACKOFF_MIN {
+                        warn!(stream, %error, next, "the log can't be read now");
+                    }
+                    sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
+                    backoff = (backoff * 2).min(BACKOFF_MAX);
                 }
             }
         }
--- a/components/scheduler/src/entry/event.rs
+++ b/components/scheduler/src/entry/event.rs
@@ -107,6 +107,8 @@
     CaughtUp,
     /// The platform's list of hosts was read.
     Hosts(Vec<Host>),
+    /// The process will be asked to leave soon: it says so, and still takes requests.
+    Leave,
     /// The process is asked to leave.
     Drain,
     /// Time has passed.
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -73,6 +73,8 @@
     usage: BTreeMap<AccountName, limit::Usage>,
     /// Whether the configuration was read once to its end.
     ready: bool,
+    /// Whether the balancer is told to send no more; requests that still come are taken.
+    unlisted: bool,
     draining: bool,
 }
 
@@ -88,6 +90,7 @@
         seen: BTreeMap::new(),
         usage: BTreeMap::new(),
         ready: false,
+        unlisted: false,
         draining: false,
     }
 }
@@ -115,6 +118,7 @@
         Event::Records(records) => state.apply(records),
         Event::CaughtUp => state.ready = true,
         Event::Hosts(hosts) => state.list(hosts),
+        Event::Leave => state.unlisted = true,
         Event::Drain => state.draining = true,
         Event::Tick => {}
     }
@@ -136,9 +140,9 @@
         &self.config
     }
 
-    /// Whether new requests are taken.
+    /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        self.ready && !self.draining
+        self.ready && !self.unlisted && !self.draining
     }
 
     /// Requests that haven't ended.
--- a/components/settings/src/parse.rs
+++ b/components/settings/src/parse.rs
@@ -11,8 +11,7 @@
 
 /// Reads a file as text.
 pub fn read(path: &Path) -> Result<String, Vec<Finding>> {
-    fs::read_to_string(path)
-        .map_err(|error| vec![Finding::new(path.display().to_string(), error.to_string())])
+    fs::read_to_string(path).map_err(|error| vec![Finding::new("file", error.to_string())])
 }
 
 /// Gives the settings, or every finding of the first pass that has any.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -230,6 +230,21 @@
     }
 }
 
+#[tokio::test]
+async fn an_entry_takes_requests_until_the_balancer_had_time_to_see_it_leave() {
+    let mut site = open().await;
+    let mut settings = fixture::entry("entry-2", &site._log, &site._hosts);
+    settings.timing.lame = Duration::from_secs(3_600);
+    site.entry = support::serve(&settings);
+    support::ready(&site.entry).await;
+    site.entry.signal("TERM");
+    support::unready(&site.entry).await;
+
+    let answer = completion(&site, "p", false).send().await.unwrap();
+
+    assert!(answer.status().is_success(), "{}", answer.status());
+}
+
 #[tokio::test]
 async fn metrics_tell_tiers_and_accounts() {
     let site = open().await;
