Grant a key once from its home's memory

Cause: a caller sends a request with an idempotency key again through other entries while the first copy runs. An append for each claim would be safe, but the log takes several hundred a second and has outages.

Change: the reducer of claims. A home grants a key once, and again only to the same attempt. A home that was lost leaves the key unsure, unless the key carries a time (UUIDv7) that is surely after the loss by the system's clocks. Claims are kept 4 hours and bounded in number.

Failed on the way: a key released after its home moved was refused for good, since the earlier home kept its claim; the differential test found it. The question now carries the attempt that never ran.

--- a/components/model/src/claim.rs
+++ b/components/model/src/claim.rs
@@ -1,10 +1,14 @@
 //! Claims: which attempt of a request with an idempotency key may run.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use serde::{Deserialize, Serialize};
+use uuid::Uuid;
 
-use crate::id::{ClaimKey, Offset, RequestId};
+use crate::id::{AccountName, ClaimKey, IdempotencyKey, IncarnationId, Offset, RequestId};
+
+/// Version of the UUIDs that begin with a time.
+const TIME_VERSION: usize = 7;
 
 /// What an entry asks of a key's home.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -55,11 +59,13 @@
 pub struct Question {
     /// The key.
     pub key: ClaimKey,
-    /// The run of the agent that is asked, by the offset of its join.
-    pub joined: Offset,
+    /// The run of the agent that is asked.
+    pub incarnation: IncarnationId,
     /// Epoch under which the asker is the key's home; the asked agent never grants the key
     /// under an earlier one after this question.
     pub epoch: Offset,
+    /// An attempt that provably never ran, as the asker was told: its claim is void.
+    pub free: Option<RequestId>,
 }
 
 /// What an agent remembers of a key.
@@ -102,6 +108,22 @@
     pub key: ClaimKey,
     /// What is remembered.
     pub mark: Mark,
-    /// Epoch up to which all earlier homes are accounted for in the mark.
-    pub known_at: Offset,
+}
+
+/// Names a caller's idempotency key across all client accounts.
+pub fn key(account: &AccountName, key: &IdempotencyKey) -> ClaimKey {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(account.len() as u64).to_le_bytes());
+    hasher.update(account.as_bytes());
+    hasher.update(key.as_bytes());
+    let mut bytes = [0; size_of::<ClaimKey>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    ClaimKey::from_le_bytes(bytes)
+}
+
+/// The time that a key carries: that of a version 7 UUID, by its caller's clock.
+pub fn minted(key: &IdempotencyKey) -> Option<SystemTime> {
+    let uuid = Uuid::try_parse(key).ok().filter(|uuid| uuid.get_version_num() == TIME_VERSION)?;
+    let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
+    SystemTime::UNIX_EPOCH.checked_add(Duration::new(seconds, nanoseconds))
 }
--- a/components/model/src/membership.rs
+++ b/components/model/src/membership.rs
@@ -24,7 +24,7 @@
     pub control: SocketAddr,
 }
 
-/// An agent that takes part no more.
+/// An agent that takes part no more: appended by itself once it grants nothing more.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Leave {
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 //! it carries the effects out and feeds their results back as events.
 
 pub mod agent;
+pub mod claim;
 pub mod config;
 pub mod entry;
 pub mod limit;
--- a/components/scheduler/src/membership.rs
+++ b/components/scheduler/src/membership.rs
@@ -48,8 +48,9 @@
 pub enum End {
     /// It handed its claims to those that stay.
     HandedOver,
-    /// Its successor listens at its address, so its process is gone; its claims are lost.
-    Replaced,
+    /// Its claims are lost, and it grants nothing any more: it said so itself, or its successor
+    /// listens at its address.
+    Ended,
     /// Its claims are lost, and its process may still run.
     Lost,
 }
@@ -175,7 +176,7 @@
             seed,
         };
         if let Some(old) = self.members.insert(join.target, incarnation) {
-            let end = if old.control == join.control { End::Replaced } else { End::Lost };
+            let end = if old.control == join.control { End::Ended } else { End::Lost };
             self.former.push_back(Former { incarnation: old, left: offset, left_at: at, end });
         }
         Outcome::Applied
@@ -187,7 +188,7 @@
         if !is_member || !is_current {
             return Outcome::Ignored;
         }
-        let end = if leave.handed_over.is_some() { End::HandedOver } else { End::Lost };
+        let end = if leave.handed_over.is_some() { End::HandedOver } else { End::Ended };
         if let Some(incarnation) = self.members.remove(&leave.target) {
             self.former.push_back(Former { incarnation, left: offset, left_at: at, end });
         }
--- a/components/scheduler/src/membership/home.rs
+++ b/components/scheduler/src/membership/home.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Ordering, collections::BinaryHeap};
 
-use model::id::{ClaimKey, Offset, TargetName};
+use model::id::{ClaimKey, IncarnationId, Offset};
 
 use super::{End, Former, Incarnation, State};
 
@@ -38,8 +38,8 @@
     }
 
     /// The key's home once an agent has left.
-    pub fn heir(&self, key: ClaimKey, leaving: &TargetName) -> Option<&Incarnation> {
-        best(self.members.values().filter(|member| member.target != *leaving), key)
+    pub fn heir(&self, key: ClaimKey, leaving: IncarnationId) -> Option<&Incarnation> {
+        best(self.members.values().filter(|member| member.id != leaving), key)
     }
 
     /// Every run that was the key's home at some epoch within the window, best score first.
--- /dev/null
+++ b/components/scheduler/tests/claim_fuzz.rs
@@ -0,0 +1,208 @@
+//! Claims under faults, against the oracle that each key ran at most once.
+
+mod support;
+
+use std::time::Duration;
+
+use model::id::{ClaimKey, Offset};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use support::{
+    cases,
+    world::{self, Stage, World},
+};
+
+const AGENTS: usize = 4;
+const KEYS: u128 = 3;
+
+/// What happens next; numbers choose among what there is, from its end.
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { key: u128, lag: usize, skew: Duration },
+    Repeat { attempt: usize, lag: usize },
+    Run(usize),
+    Release(usize),
+    Deliver(usize),
+    DeliverAll,
+    Lose { message: usize, after_effect: bool },
+    Double(usize),
+    Start(usize),
+    Kill(usize),
+    CatchUp { agent: usize, behind: Offset },
+    HandOver(usize),
+    Freeze(usize),
+    Leave(usize),
+    Thaw(usize),
+    Drain(usize),
+    Advance(Duration),
+}
+
+fn key(number: u128) -> ClaimKey {
+    (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)
+}
+
+fn step(longest: u64) -> BoxedStrategy<Step> {
+    let agent = || 0..AGENTS;
+    let recent = || 0..12_usize;
+    let lag = || prop_oneof![3 => Just(0), 1 => 0..6_usize];
+    prop_oneof![
+        10 => (0..KEYS, lag(), 0..40_u64).prop_map(|(key, lag, skew)| {
+            Step::Arrive { key, lag, skew: Duration::from_secs(skew) }
+        }),
+        5 => (recent(), lag()).prop_map(|(attempt, lag)| Step::Repeat { attempt, lag }),
+        6 => recent().prop_map(Step::Run),
+        4 => recent().prop_map(Step::Release),
+        14 => recent().prop_map(Step::Deliver),
+        6 => Just(Step::DeliverAll),
+        3 => (recent(), any::<bool>())
+            .prop_map(|(message, after_effect)| Step::Lose { message, after_effect }),
+        3 => recent().prop_map(Step::Double),
+        6 => agent().prop_map(Step::Start),
+        2 => agent().prop_map(Step::Kill),
+        3 => agent().prop_map(Step::Drain),
+        10 => (agent(), 0..3_u64).prop_map(|(agent, behind)| Step::CatchUp { agent, behind }),
+        4 => agent().prop_map(Step::HandOver),
+        3 => agent().prop_map(Step::Freeze),
+        3 => agent().prop_map(Step::Leave),
+        1 => agent().prop_map(Step::Thaw),
+        2 => (1..=longest).prop_map(|seconds| Step::Advance(Duration::from_secs(seconds))),
+    ]
+    .boxed()
+}
+
+/// Any step may come at any time: the reference keeps nothing.
+struct Opaque;
+struct Timed;
+
+impl ReferenceStateMachine for Opaque {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        step(20)
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+impl ReferenceStateMachine for Timed {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        prop_oneof![20 => step(20), 1 => step(12 * 3_600)].boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+fn from_end(len: usize, number: usize) -> Option<usize> {
+    len.checked_sub(1 + number)
+}
+
+fn take(world: &mut World, step: Step) {
+    let message = |world: &World, number| from_end(world.messages.len(), number);
+    let attempt = |world: &World, number| from_end(world.attempts.len(), number);
+    match step {
+        Step::Arrive { key: number, lag, skew } => world.arrive(key(number), lag, skew),
+        Step::Repeat { attempt: number, lag } => {
+            attempt(world, number).into_iter().for_each(|index| world.claim(index, lag));
+        }
+        Step::Run(number) => attempt(world, number).into_iter().for_each(|index| world.run(index)),
+        Step::Release(number) => {
+            attempt(world, number).into_iter().for_each(|index| release(world, index));
+        }
+        Step::Deliver(number) => {
+            message(world, number).into_iter().for_each(|index| world.deliver(index));
+        }
+        Step::DeliverAll => world.settle_down(),
+        Step::Lose { message: number, after_effect } => {
+            message(world, number).into_iter().for_each(|index| world.lose(index, after_effect));
+        }
+        Step::Double(number) => {
+            let doubled = message(world, number).map(|index| world.messages[index].clone());
+            // A hand-over that is doubled would be counted twice as unanswered.
+            let doubled = doubled.filter(|m| !matches!(m, world::Message::HandOver { .. }));
+            world.messages.extend(doubled);
+        }
+        Step::Start(agent) => world.start(agent),
+        Step::Kill(agent) => world.kill(agent),
+        Step::CatchUp { agent, behind } => {
+            world.catch_up(agent, world.epoch().saturating_sub(behind))
+        }
+        Step::HandOver(agent) => world.hand_over(agent),
+        Step::Freeze(agent) => world.freeze(agent),
+        Step::Leave(agent) => world.leave(agent),
+        Step::Thaw(agent) => world.thaw(agent),
+        Step::Drain(agent) => world.drain(agent),
+        Step::Advance(by) => world.advance(by),
+    }
+}
+
+/// An entry that gives up a request that holds its key says `not_run` of the key.
+fn release(world: &mut World, index: usize) {
+    let key = world.attempts[index].key;
+    if world.release(index) {
+        assert!(!world.ran.contains(&key), "`not_run` was said of a key that ran");
+    }
+}
+
+fn check(world: &World) {
+    for key in (0..KEYS).map(key) {
+        let ran = world.ran.iter().filter(|ran| **ran == key).count();
+        assert!(ran <= 1, "a key ran {ran} times");
+        let holders = world.attempts.iter().filter(|a| a.key == key && a.stage == Stage::Held);
+        assert!(holders.count() + ran <= 1 || world.is_late(key), "two attempts may run");
+    }
+}
+
+struct Opaquely;
+struct Timely;
+
+impl StateMachineTest for Opaquely {
+    type SystemUnderTest = World;
+    type Reference = Opaque;
+
+    fn init_test((): &()) -> World {
+        world::open(AGENTS, 2, false)
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        take(&mut world, step);
+        check(&world);
+        world
+    }
+}
+
+impl StateMachineTest for Timely {
+    type SystemUnderTest = World;
+    type Reference = Timed;
+
+    fn init_test((): &()) -> World {
+        world::open(AGENTS, 2, true)
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        take(&mut world, step);
+        check(&world);
+        world
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(cases(1_500))]
+
+    #[test]
+    fn an_opaque_key_runs_at_most_once(sequential 20..120 => Opaquely);
+
+    #[test]
+    fn a_key_with_a_time_runs_at_most_once(sequential 20..120 => Timely);
+}
--- a/components/scheduler/tests/support/mod.rs
+++ b/components/scheduler/tests/support/mod.rs
@@ -11,6 +11,8 @@
 use proptest::test_runner::{Config, RngSeed};
 use uuid::Uuid;
 
+pub mod world;
+
 const SEED: u64 = 7;
 
 /// The clock of all processes at the start of a test.
