Send a plain service the path that the caller wrote

Cause: the entry put the target's path together from decoded parts. A path with an escaped space or slash then was no URI; the agent couldn't send it, said that the target takes no connection, and the entry marked every target of the pool as down for 2 s. One caller could do that to all.

Change: the target gets what follows the pool in the caller's own URI. A pool's name with escapes is refused as bad input with its place.

--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use dropshot::{ApiDescription, Body, Path, RequestContext, UntypedBody, endpoint};
-use http::{HeaderMap, Method, Response};
+use http::{HeaderMap, Method, Response, Uri};
 use model::{
-    Refusal,
+    Finding, Refusal,
     id::{PoolName, RequestId},
     refusal::Ran,
 };
@@ -34,12 +34,17 @@
     pub relay: Relay,
 }
 
+/// What stands before the pool in the URI of a call to a plain service.
+const SERVICES: &str = "/v1/services/";
+
 type Answer = Result<Response<Body>, Fault>;
 
 #[derive(Deserialize, JsonSchema)]
 struct ServicePath {
     pool: PoolName,
-    path: Vec<String>,
+    /// Decoded, so not what the target is sent.
+    #[serde(rename = "path")]
+    _path: Vec<String>,
 }
 
 /// Describes the callers' endpoints.
@@ -100,12 +105,19 @@
     body: Bytes,
 ) -> Response<Body> {
     let headers = context.request.headers();
-    let mut target_path = format!("/{}", path.path.join("/"));
-    if let Some(query) = context.request.uri().query() {
-        target_path = format!("{target_path}?{query}");
+    let mut request = read::service(Uuid::new_v4(), headers, path.pool.clone(), &body);
+    let target_path = target_path(context.request.uri(), &path.pool);
+    if target_path.is_none() {
+        request.findings.push(Finding::new("path.pool", "write the pool's name without escapes"));
     }
-    let request = read::service(Uuid::new_v4(), headers, path.pool, &body);
-    run(context.context(), request, outgoing(headers, method, target_path, body)).await
+    let outgoing = outgoing(headers, method, target_path.unwrap_or_default(), body);
+    run(context.context(), request, outgoing).await
+}
+
+/// What follows the pool in the caller's URI, with its escapes as they are.
+fn target_path(uri: &Uri, pool: &str) -> Option<String> {
+    let rest = uri.path_and_query()?.as_str().strip_prefix(SERVICES)?.strip_prefix(pool)?;
+    rest.starts_with('/').then(|| rest.to_owned())
 }
 
 fn outgoing(headers: &HeaderMap, method: Method, path: String, body: Bytes) -> Outgoing {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -123,6 +123,27 @@
     assert_eq!(site.service.runs(), [run]);
 }
 
+#[tokio::test]
+async fn a_path_reaches_a_plain_service_as_the_caller_wrote_it() {
+    let site = open().await;
+    let path = "/huts/a%20b%2Fc/?day=1%262";
+
+    let answer = post(&site, &format!("/v1/services/status{path}")).send().await.unwrap();
+
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(site.service.runs()[0].path, path);
+}
+
+#[tokio::test]
+async fn a_pool_with_escapes_in_its_name_is_refused() {
+    let site = open().await;
+
+    let answer = post(&site, "/v1/services/%73tatus/huts/7").send().await.unwrap();
+
+    assert_eq!(refusal(answer).await["findings"][0]["place"], "path.pool");
+    assert!(site.service.runs().is_empty());
+}
+
 #[test_case("{\"model\": ", "body.model"; "broken JSON")]
 #[test_case("{\"model\": \"drawing-7b\", \"prompt\": \"p\", \"max_tokens\": -1}", "body.max_tokens"; "wrong type")]
 #[test_case("{\"model\": \"none\", \"prompt\": \"p\"}", "body.model"; "unknown model")]
