Start a request once although messages are doubled

Cause: the entry's reducer took a second grant, and a denial of a doubled call for room, for a request that had started; the denial made it ask another target, whose grant was a second dispatch. A request with two open reservations counted the one it cancelled as tried, so that a start without effect ended in a refusal while that target had room. A call for room that came after its cancel took room for a grant's life.

Change: grants and denials count only while a request waits; cancelled targets, and a target whose grant only lapsed, may be asked again; a cancel of an unknown reservation keeps it from waiting later. What a reservation's fate proves stands once, in Fate::never_starts.

Proof: a stateful fuzz drives two entries and three agents over a network that loses, doubles and reorders, with restarts, frozen entries, closed targets and drains; the oracle is that each request reaches a target at most once and that `not_run` is true. Not caught by it: a doubled NotStarted, which the shell can't send.

--- a/components/model/src/reservation.rs
+++ b/components/model/src/reservation.rs
@@ -59,6 +59,13 @@
     Unknown,
 }
 
+impl Fate {
+    /// Whether this proves that the reservation did not start and never will.
+    pub fn never_starts(self) -> bool {
+        matches!(self, Fate::Cancelled | Fate::Expired | Fate::Evicted)
+    }
+}
+
 /// Room for a request, for a short time.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Grant {
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -192,6 +192,9 @@
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
             }
+            // A call for room that comes after this one must not wait; whether it ever started
+            // stays unknown.
+            None if !self.ended.contains_key(&id) => self.remember(now, id, Fate::Unknown),
             Some(Stage::Running { .. }) | None => {}
         }
         effects.push(Effect::Tell { id, fate: self.fate(id) });
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -256,14 +256,16 @@
         pending.stage = Stage::Started(id);
         let mut others = std::mem::take(&mut pending.open);
         pending.open.extend(others.remove_entry(&id));
+        // Should the start have no effect, these may be asked again: they denied nothing.
+        pending.tried.retain(|target| !others.values().any(|other| other == target));
         self.cancel(others, effects);
         effects.push(Effect::Start(start));
     }
 
-    /// What a grant starts; nothing where the request ended, started elsewhere, or the target is
-    /// no longer configured. A grant that isn't taken lapses at the agent.
+    /// What a grant starts; nothing where the request ended, has started already, even under this
+    /// reservation, or the target is no longer configured. A grant that isn't taken lapses.
     fn start(&self, now: Instant, id: Id) -> Option<Start> {
-        let pending = self.requests.get(&id.request)?;
+        let pending = self.requests.get(&id.request).filter(|pending| pending.is_waiting())?;
         let target = self.config.target(pending.open.get(&id)?)?;
         Some(Start {
             id,
@@ -279,7 +281,8 @@
         let Some(pending) = self.requests.get_mut(&id.request) else {
             return;
         };
-        if pending.open.remove(&id).is_none() {
+        // A denial that comes after the start, doubled or late, proves nothing about the start.
+        if !pending.is_waiting() || pending.open.remove(&id).is_none() {
             return;
         }
         pending.denial = denial.or(pending.denial);
@@ -295,8 +298,13 @@
         }
         pending.stage = Stage::Waiting;
         let target = pending.open.remove(&id);
-        if let Some(target) = target.filter(|_| unreachable) {
-            self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
+        if let Some(target) = target {
+            if unreachable {
+                self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
+            } else {
+                // A grant that lapsed speaks for the delay on the way, not against the target.
+                pending.tried.remove(&target);
+            }
         }
         self.schedule(id.request);
         self.seek(now, id.request, effects);
@@ -359,7 +367,7 @@
     fn forget(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Pending> {
         self.unschedule(id);
         let mut pending = self.requests.remove(&id)?;
-        if pending.stage == Stage::Waiting {
+        if pending.is_waiting() {
             self.cancel(std::mem::take(&mut pending.open), effects);
         }
         if let Some(usage) = self.usage.get_mut(&pending.owner.account) {
--- a/components/scheduler/src/entry/pending.rs
+++ b/components/scheduler/src/entry/pending.rs
@@ -49,6 +49,11 @@
 }
 
 impl Pending {
+    /// Whether it was dispatched nowhere.
+    pub fn is_waiting(&self) -> bool {
+        self.stage == Stage::Waiting
+    }
+
     /// When this request needs a tick.
     pub fn wake(&self) -> Option<Instant> {
         match self.stage {
--- a/components/scheduler/tests/agent.rs
+++ b/components/scheduler/tests/agent.rs
@@ -134,3 +134,16 @@
     assert!(denied(&late, id(3)), "{late:?}");
     assert_eq!(ended, [Effect::Drained]);
 }
+
+#[test]
+fn a_call_for_room_that_comes_after_its_cancel_takes_no_room() {
+    let now = Instant::now();
+    let mut state = open(1, 8);
+
+    let told = agent::reduce(&mut state, now, Event::Cancel(id(1)));
+    let late = agent::reduce(&mut state, now, Event::Reserve(ask(1, 0)));
+
+    assert_eq!(told, [Effect::Tell { id: id(1), fate: Fate::Unknown }]);
+    assert_eq!(granted(&late), []);
+    assert_eq!(state.load().running, 0);
+}
--- /dev/null
+++ b/components/scheduler/tests/world/mod.rs
@@ -0,0 +1,448 @@
+//! Entries and agents over a network that loses, doubles and reorders messages.
+//!
+//! A message to a process dies with it, as it would in a connection. The part of an entry's shell
+//! that waits for one start stands here too: it hears one reply, or that there is none.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use model::{
+    Change, Host, Resource,
+    change::{Action, SCHEMA},
+    credential, host,
+    id::{Rank, RequestId},
+    refusal::Ran,
+    reservation::{Ask, Denial, Fate, Grant, Id},
+    resource::{Account, Backing, Desired, Pool, Target, Tier},
+};
+use scheduler::{
+    agent::{self, Room},
+    entry::{self, Call, Event, Record, Request, Settings},
+};
+use uuid::Uuid;
+
+pub const ENTRIES: usize = 2;
+pub const TARGETS: usize = 3;
+pub const TIERS: [&str; 3] = ["crew", "desk", "bulk"];
+const CONTROL_PORT: u16 = 1_000;
+const TRAFFIC_PORT: u16 = 2_000;
+
+/// What travels.
+#[derive(Clone, Debug)]
+pub enum Packet {
+    Reserve { target: usize, ask: Ask },
+    Cancel { target: usize, id: Id },
+    Start { target: usize, id: Id },
+    Settle { target: usize, id: Id },
+    Granted { id: Id, grant: Grant },
+    Denied { id: Id, denial: Denial },
+    Broken { id: Id },
+    Answered { id: Id, answer: Answer },
+    Silent { id: Id },
+    Told { id: Id, fate: Fate },
+    Unsettled { id: Id },
+}
+
+/// How a start ended, as its entry's shell learns it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    Whole,
+    NotRun,
+    Denied(Fate),
+}
+
+/// Everything, and what the oracle needs to judge it.
+pub struct World {
+    pub now: Instant,
+    pub entries: Vec<entry::State>,
+    pub agents: Vec<agent::State>,
+    pub network: Vec<Packet>,
+    /// How often each request reached a target.
+    pub ran: BTreeMap<RequestId, u32>,
+    pub refused: BTreeMap<RequestId, Ran>,
+    pub answered: BTreeSet<RequestId>,
+    /// Rank of each request that was sent.
+    pub ranks: BTreeMap<RequestId, Rank>,
+    frozen: BTreeSet<usize>,
+    /// Targets that take no connection from their agent.
+    closed: BTreeSet<usize>,
+    /// Calls for room that have no reply yet, and starts whose reply is waited for.
+    calls: BTreeMap<Id, usize>,
+    starts: BTreeMap<Id, usize>,
+    running: BTreeMap<Id, usize>,
+    serial: u64,
+    room: Room,
+    waiting: usize,
+}
+
+pub fn open(room: Room, waiting: usize) -> World {
+    let now = Instant::now();
+    World {
+        now,
+        entries: (0..ENTRIES).map(|_| ready(now, waiting)).collect(),
+        agents: (0..TARGETS).map(|_| agent::open(room)).collect(),
+        network: Vec::new(),
+        ran: BTreeMap::new(),
+        refused: BTreeMap::new(),
+        answered: BTreeSet::new(),
+        ranks: BTreeMap::new(),
+        frozen: BTreeSet::new(),
+        closed: BTreeSet::new(),
+        calls: BTreeMap::new(),
+        starts: BTreeMap::new(),
+        running: BTreeMap::new(),
+        serial: 0,
+        room,
+        waiting,
+    }
+}
+
+impl World {
+    pub fn arrive(&mut self, entry: usize, rank: Rank, deadline: Duration) -> RequestId {
+        self.serial += 1;
+        let id = Uuid::from_u64_pair(entry as u64, self.serial);
+        self.ranks.insert(id, rank);
+        self.entry(entry, Event::Arrived(request(id, rank, deadline)));
+        id
+    }
+
+    /// Delivers a message; a frozen entry leaves it where it is.
+    pub fn deliver(&mut self, index: usize) {
+        if !self.is_deaf(&self.network[index]) {
+            let packet = self.network.swap_remove(index);
+            self.receive(packet);
+        }
+    }
+
+    /// Delivers a copy and keeps the message.
+    pub fn double(&mut self, index: usize) {
+        let packet = self.network[index].clone();
+        if !self.is_deaf(&packet) {
+            self.receive(packet);
+        }
+    }
+
+    /// Drops a message; who waits for a reply learns that its connection broke.
+    pub fn lose(&mut self, index: usize) {
+        let lost = self.network.swap_remove(index);
+        self.network.extend(after_loss(lost));
+    }
+
+    pub fn advance(&mut self, time: Duration) {
+        self.now += time;
+        for target in 0..TARGETS {
+            self.agent(target, agent::Event::Tick);
+        }
+        for entry in 0..ENTRIES {
+            if !self.frozen.contains(&entry) {
+                self.entry(entry, Event::Tick);
+            }
+        }
+    }
+
+    pub fn freeze(&mut self, entry: usize) {
+        if !self.frozen.remove(&entry) {
+            self.frozen.insert(entry);
+        }
+    }
+
+    pub fn close(&mut self, target: usize) {
+        if !self.closed.remove(&target) {
+            self.closed.insert(target);
+        }
+    }
+
+    pub fn end_run(&mut self, index: usize) {
+        let Some((id, target)) = self.running.iter().nth(index).map(|(id, t)| (*id, *t)) else {
+            return;
+        };
+        self.running.remove(&id);
+        self.agent(target, agent::Event::Ended(id));
+        self.network.push(Packet::Answered { id, answer: Answer::Whole });
+    }
+
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A caller that gives up closes its connection; the target stops the run.
+    pub fn give_up(&mut self, request: RequestId) {
+        let entry = entry_of(request);
+        if self.frozen.contains(&entry) {
+            return;
+        }
+        self.starts.retain(|id, _| id.request != request);
+        self.entry(entry, Event::Ended { request });
+    }
+
+    /// A new process in the place of an agent: it knows nothing.
+    pub fn restart_agent(&mut self, target: usize) {
+        self.agents[target] = agent::open(self.room);
+        self.running.retain(|_, at| *at != target);
+        let (dead, kept) = self.network.drain(..).partition(|p| to_target(p) == Some(target));
+        self.network = kept;
+        self.network.extend(dead.into_iter().filter_map(after_loss));
+        let broken = self.calls.iter().filter(|(_, at)| **at == target);
+        self.network.extend(broken.map(|(id, _)| Packet::Broken { id: *id }));
+        let silent = self.starts.iter().filter(|(_, at)| **at == target);
+        self.network.extend(silent.map(|(id, _)| Packet::Silent { id: *id }));
+    }
+
+    pub fn restart_entry(&mut self, entry: usize) {
+        self.entries[entry] = ready(self.now, self.waiting);
+        self.frozen.remove(&entry);
+        self.starts.retain(|id, _| entry_of(id.request) != entry);
+        self.calls.retain(|id, _| entry_of(id.request) != entry);
+        self.network.retain(|p| to_entry(p) != Some(entry));
+    }
+
+    pub fn drain_agent(&mut self, target: usize) {
+        self.agent(target, agent::Event::Drain);
+    }
+
+    /// What the platform's list shows, told to one entry.
+    pub fn show_leaving(&mut self, entry: usize, leaving: &[usize]) {
+        let row = |target: &usize| Host {
+            name: name(*target),
+            zone: "a".to_owned(),
+            state: host::State::Leaving,
+        };
+        self.entry(entry, Event::Hosts(leaving.iter().map(row).collect()));
+    }
+
+    pub fn entry(&mut self, entry: usize, event: Event) {
+        for effect in entry::reduce(&mut self.entries[entry], self.now, event) {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: entry::Effect) {
+        match effect {
+            entry::Effect::Reserve { address, ask, .. } => {
+                let target = index(address);
+                self.calls.insert(ask.id, target);
+                self.network.push(Packet::Reserve { target, ask });
+            }
+            entry::Effect::Cancel { id, address } => {
+                self.calls.remove(&id);
+                self.network.push(Packet::Cancel { target: index(address), id });
+            }
+            entry::Effect::Start(start) => {
+                let target = index(start.control);
+                self.starts.insert(start.id, target);
+                self.network.push(Packet::Start { target, id: start.id });
+            }
+            entry::Effect::Refuse { request, refusal, .. } => {
+                self.refused.insert(request, refusal.ran);
+            }
+            _ => {}
+        }
+    }
+
+    fn agent(&mut self, target: usize, event: agent::Event) {
+        let settles = matches!(event, agent::Event::Settle(_));
+        for effect in agent::reduce(&mut self.agents[target], self.now, event) {
+            match effect {
+                agent::Effect::Grant { id, grant } => {
+                    self.network.push(Packet::Granted { id, grant });
+                }
+                agent::Effect::Deny { id, denial } => {
+                    self.network.push(Packet::Denied { id, denial });
+                }
+                agent::Effect::Dispatch(id) => self.dispatch(target, id),
+                agent::Effect::DenyStart { id, fate } => {
+                    self.network.push(Packet::Answered { id, answer: Answer::Denied(fate) });
+                }
+                agent::Effect::Tell { id, fate } if settles => {
+                    self.network.push(Packet::Told { id, fate });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn dispatch(&mut self, target: usize, id: Id) {
+        if self.closed.contains(&target) {
+            self.agent(target, agent::Event::Ended(id));
+            return self.network.push(Packet::Answered { id, answer: Answer::NotRun });
+        }
+        *self.ran.entry(id.request).or_default() += 1;
+        self.running.insert(id, target);
+    }
+
+    fn receive(&mut self, packet: Packet) {
+        match packet {
+            Packet::Reserve { target, ask } => self.agent(target, agent::Event::Reserve(ask)),
+            Packet::Cancel { target, id } => self.agent(target, agent::Event::Cancel(id)),
+            Packet::Start { target, id } => self.agent(target, agent::Event::Start(id)),
+            Packet::Settle { target, id } => self.agent(target, agent::Event::Settle(id)),
+            Packet::Granted { id, grant } => self.hear(id, Event::Granted { id, grant }),
+            Packet::Denied { id, denial } => self.hear(id, Event::Denied { id, denial }),
+            Packet::Broken { id } if self.calls.contains_key(&id) => {
+                self.hear(id, Event::Unreachable { id });
+            }
+            Packet::Broken { .. } => {}
+            Packet::Silent { id } => {
+                if let Some(target) = self.starts.get(&id).copied() {
+                    self.network.push(Packet::Settle { target, id });
+                }
+            }
+            Packet::Answered { .. } | Packet::Told { .. } | Packet::Unsettled { .. } => {
+                self.end_start(packet);
+            }
+        }
+    }
+
+    fn hear(&mut self, id: Id, event: Event) {
+        self.calls.remove(&id);
+        self.entry(entry_of(id.request), event);
+    }
+
+    /// What the entry's shell does with the one reply that it waits for.
+    fn end_start(&mut self, packet: Packet) {
+        let (id, proven) = match packet {
+            Packet::Answered { id, answer: Answer::Whole } => (id, None),
+            Packet::Answered { id, answer: Answer::NotRun } => (id, Some(true)),
+            Packet::Answered { id, answer: Answer::Denied(fate) } | Packet::Told { id, fate } => {
+                (id, Some(fate.never_starts()))
+            }
+            Packet::Unsettled { id } => (id, Some(false)),
+            _ => return,
+        };
+        if self.starts.remove(&id).is_none() {
+            return;
+        }
+        let entry = entry_of(id.request);
+        match proven {
+            Some(true) => return self.entry(entry, Event::NotStarted { id, unreachable: false }),
+            Some(false) => {
+                self.refused.insert(id.request, Ran::MayHaveRun);
+            }
+            None => {
+                self.answered.insert(id.request);
+            }
+        }
+        self.entry(entry, Event::Ended { request: id.request });
+    }
+
+    fn is_deaf(&self, packet: &Packet) -> bool {
+        to_entry(packet).is_some_and(|entry| self.frozen.contains(&entry))
+    }
+}
+
+fn after_loss(packet: Packet) -> Option<Packet> {
+    match packet {
+        Packet::Reserve { ask, .. } => Some(Packet::Broken { id: ask.id }),
+        Packet::Granted { id, .. } | Packet::Denied { id, .. } => Some(Packet::Broken { id }),
+        Packet::Start { id, .. } | Packet::Answered { id, .. } => Some(Packet::Silent { id }),
+        Packet::Settle { id, .. } | Packet::Told { id, .. } => Some(Packet::Unsettled { id }),
+        Packet::Cancel { .. } => None,
+        known => Some(known),
+    }
+}
+
+fn to_target(packet: &Packet) -> Option<usize> {
+    match packet {
+        Packet::Reserve { target, .. }
+        | Packet::Cancel { target, .. }
+        | Packet::Start { target, .. }
+        | Packet::Settle { target, .. } => Some(*target),
+        _ => None,
+    }
+}
+
+fn to_entry(packet: &Packet) -> Option<usize> {
+    match packet {
+        Packet::Granted { id, .. }
+        | Packet::Denied { id, .. }
+        | Packet::Broken { id }
+        | Packet::Answered { id, .. }
+        | Packet::Silent { id }
+        | Packet::Told { id, .. }
+        | Packet::Unsettled { id } => Some(entry_of(id.request)),
+        _ => None,
+    }
+}
+
+pub fn entry_of(request: RequestId) -> usize {
+    usize::try_from(request.as_u64_pair().0).unwrap()
+}
+
+fn index(address: SocketAddr) -> usize {
+    usize::from(address.port() - CONTROL_PORT)
+}
+
+fn name(target: usize) -> String {
+    format!("t{target}")
+}
+
+fn ready(now: Instant, waiting: usize) -> entry::State {
+    let mut state = entry::open(Settings { waiting, zone: "a".to_owned() });
+    let records = (1..).zip(resources());
+    let records = records.map(|(offset, resource)| Record { offset, payload: create(resource) });
+    entry::reduce(&mut state, now, Event::Records(records.collect()));
+    entry::reduce(&mut state, now, Event::CaughtUp);
+    state
+}
+
+fn create(resource: Resource) -> String {
+    let action = Action::Put(resource);
+    let change = Change { schema: SCHEMA, id: Uuid::new_v4(), expected: 0, action };
+    serde_json::to_string(&change).unwrap()
+}
+
+fn resources() -> Vec<Resource> {
+    let tier = |(rank, name): (Rank, &&str)| {
+        Resource::Tier(Tier { name: (*name).to_owned(), rank, deadline: Duration::from_secs(10) })
+    };
+    let account = Resource::Account(Account {
+        name: "viewer".to_owned(),
+        key_hash: credential::hash("key"),
+        tiers: TIERS.iter().map(|tier| (*tier).to_owned()).collect(),
+        limit: None,
+    });
+    let pool = Resource::Pool(Pool {
+        name: "drawings".to_owned(),
+        backing: Backing::Model,
+        models: vec!["m".to_owned()],
+        patience: Duration::from_millis(100),
+        idempotent: true,
+    });
+    let tiers = (0..).zip(TIERS.iter()).map(tier);
+    tiers.chain([account, pool]).chain((0..TARGETS).map(target)).collect()
+}
+
+fn target(index: usize) -> Resource {
+    let offset = u16::try_from(index).unwrap();
+    Resource::Target(Target {
+        name: name(index),
+        pool: "drawings".to_owned(),
+        host: name(index),
+        zone: "a".to_owned(),
+        control: ([127, 0, 0, 1], CONTROL_PORT + offset).into(),
+        traffic: ([127, 0, 0, 1], TRAFFIC_PORT + offset).into(),
+        speed_percent: 100,
+        desired: Desired::Serving,
+    })
+}
+
+fn request(id: RequestId, rank: Rank, deadline: Duration) -> Request {
+    Request {
+        id,
+        credential: Some(credential::hash("key")),
+        tier: Some(TIERS[usize::from(rank)].to_owned()),
+        call: Some(Call::Completion("m".to_owned())),
+        deadline: Some(deadline),
+        idempotent: None,
+        key: None,
+        prefill: 10,
+        decode: 10,
+        prefix: Vec::new(),
+        findings: Vec::new(),
+    }
+}
