Prove at-most-once dispatch with processes killed, frozen and cut off

(2) A control connection that broke failed the next call for room, refused as no_target; it is now forgotten when it ends. (3) A pooled connection that was closed before a byte was written left a start in doubt; it is replaced, and the agent starts a reservation once in any case. (4) A failure after the answer's head that says `not_run` counts as ran; a crossed or headless answer says only that it may have run. (5) The question after a start without reply waits at most 0.5 s, not 2.

First failed: an agent killed between grant and start (`may_have_run`, then `no_target` with a second target idle).

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -31,11 +31,11 @@
 }
 
 type Granted = Result<Grant, Denial>;
-type Started = Result<(), Fate>;
+type Started = Result<Run, Fate>;
 
 enum Message {
     Reserve { ask: Ask, reply: oneshot::Sender<Granted> },
-    Start { id: Id, reply: oneshot::Sender<Started> },
+    Start { run: Run, reply: oneshot::Sender<Started> },
     Cancel { id: Id, reply: Option<oneshot::Sender<Fate>> },
     Settle { id: Id, reply: oneshot::Sender<Fate> },
     Event(Event),
@@ -44,7 +44,7 @@
 /// Who waits for the answer to the message that is being reduced.
 enum Reply {
     Nobody,
-    Start(oneshot::Sender<Started>),
+    Start { run: Run, reply: oneshot::Sender<Started> },
     Fate(oneshot::Sender<Fate>),
 }
 
@@ -55,10 +55,12 @@
     status: watch::Receiver<Status>,
 }
 
-/// A dispatched request; dropping it tells the reducer that the target is done with it.
+/// A request that may be dispatched; once it is, dropping it tells the reducer that the target is
+/// done with it. It travels in its own reply, so that a reader who went away frees the room too.
 pub struct Run {
     id: Id,
     control: Handle,
+    dispatched: bool,
 }
 
 /// A reservation that is waited for; dropping it cancels the reservation.
@@ -115,9 +117,9 @@
     /// Takes a granted reservation to its start, or tells why it may not start.
     pub async fn start(&self, id: Id) -> Result<Run, Fate> {
         let (reply, answer) = oneshot::channel();
-        self.send(Message::Start { id, reply });
-        answer.await.unwrap_or(Err(Fate::Unknown))?;
-        Ok(Run { id, control: self.clone() })
+        let run = Run { id, control: self.clone(), dispatched: false };
+        self.send(Message::Start { run, reply });
+        answer.await.unwrap_or(Err(Fate::Unknown))
     }
 
     /// Gives a reservation up.
@@ -159,7 +161,9 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        self.control.send(Message::Event(Event::Ended(self.id)));
+        if self.dispatched {
+            self.control.send(Message::Event(Event::Ended(self.id)));
+        }
     }
 }
 
@@ -200,7 +204,7 @@
                 self.granting.insert(ask.id, reply);
                 (Event::Reserve(ask), Reply::Nobody)
             }
-            Message::Start { id, reply } => (Event::Start(id), Reply::Start(reply)),
+            Message::Start { run, reply } => (Event::Start(run.id), Reply::Start { run, reply }),
             Message::Cancel { id, reply } => {
                 self.granting.remove(&id);
                 (Event::Cancel(id), reply.map_or(Reply::Nobody, Reply::Fate))
@@ -222,13 +226,14 @@
                 self.answer(id, Err(denial));
                 reply
             }
-            (Effect::Dispatch(_), Reply::Start(sender)) => {
+            (Effect::Dispatch(_), Reply::Start { mut run, reply }) => {
                 self.metrics.dispatched.inc();
-                let _ = sender.send(Ok(()));
+                run.dispatched = true;
+                let _ = reply.send(Ok(run));
                 Reply::Nobody
             }
-            (Effect::DenyStart { fate, .. }, Reply::Start(sender)) => {
-                let _ = sender.send(Err(fate));
+            (Effect::DenyStart { fate, .. }, Reply::Start { reply, .. }) => {
+                let _ = reply.send(Err(fate));
                 Reply::Nobody
             }
             (Effect::Tell { fate, .. }, Reply::Fate(sender)) => {
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -10,7 +10,11 @@
 use displaydoc::Display;
 use model::reservation::{Ask, Fate, Id};
 use scheduler::entry::Event;
-use tarpc::{client, client::RpcError, context, tokio_serde::formats::Bincode};
+use tarpc::{
+    client::{self, NewClient, RpcError},
+    context,
+    tokio_serde::formats::Bincode,
+};
 use thiserror::Error;
 use tokio::{sync::Mutex, time::timeout};
 use tracing::debug;
@@ -19,7 +23,7 @@
 /// Time beyond a request's deadline for which a call is still answered.
 const GRACE: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a short call.
-const SHORT_CALL: Duration = Duration::from_secs(2);
+const SHORT_CALL: Duration = Duration::from_millis(500);
 
 /// Why a call had no answer.
 #[derive(Debug, Display, Error)]
@@ -81,8 +85,8 @@
     }
 
     async fn client(&self, address: SocketAddr) -> Result<AgentClient, Error> {
-        let slot = Arc::clone(self.slots.lock().await.entry(address).or_default());
-        let mut slot = slot.lock().await;
+        let shared = Arc::clone(self.slots.lock().await.entry(address).or_default());
+        let mut slot = shared.lock().await;
         if let Some(client) = slot.as_ref() {
             return Ok(client.clone());
         }
@@ -93,8 +97,9 @@
         };
         // Small messages that wait for the last one's acknowledgement cost 40 ms each.
         transport.get_ref().set_nodelay(true).map_err(|_| Error::Connect)?;
-        let client = AgentClient::new(client::Config::default(), transport).spawn();
+        let NewClient { client, dispatch } = AgentClient::new(client::Config::default(), transport);
         *slot = Some(client.clone());
+        tokio::spawn(forget_at_end(dispatch, Arc::clone(&shared)));
         Ok(client)
     }
 
@@ -103,6 +108,12 @@
     }
 }
 
+/// Runs a connection to its end, so that the next call opens another instead of failing on it.
+async fn forget_at_end(connection: impl Future<Output: Send> + Send, slot: Slot) {
+    connection.await;
+    slot.lock().await.take();
+}
+
 fn context(wait: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + wait;
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -96,8 +96,9 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect));
-    let http =
-        Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+    // A pooled connection that turns out closed before a byte was written is replaced. Were the
+    // start sent twice in spite of that, its agent would start the reservation once.
+    let http = Client::builder(TokioExecutor::new()).retry_canceled_requests(true).build(connector);
     Relay { http, agents }
 }
 
@@ -133,12 +134,9 @@
     /// Asks the agent whether the reservation started; tombstones it where it didn't.
     async fn settle(&self, start: &Start, otherwise: Refusal) -> Error {
         match self.agents.settle(start.control, start.id).await {
-            Ok(Fate::Cancelled | Fate::Expired | Fate::Evicted) => {
-                Error::NotStarted { unreachable: false }
-            }
-            Ok(Fate::Waiting | Fate::Granted | Fate::Started | Fate::Unknown) | Err(_) => {
-                Error::Lost(otherwise)
-            }
+            // The way to the agent is at fault: another target comes first.
+            Ok(fate) if fate.never_starts() => Error::NotStarted { unreachable: true },
+            _ => Error::Lost(otherwise),
         }
     }
 }
@@ -204,9 +202,9 @@
         Ok(body) => serde_json::from_slice(&body.to_bytes()).unwrap_or(Fate::Unknown),
         Err(_) => Fate::Unknown,
     };
-    match fate {
-        Fate::Cancelled | Fate::Expired | Fate::Evicted => Error::NotStarted { unreachable: false },
-        Fate::Waiting | Fate::Granted | Fate::Started | Fate::Unknown => Error::Lost(lost()),
+    match fate.never_starts() {
+        true => Error::NotStarted { unreachable: false },
+        false => Error::Lost(lost()),
     }
 }
 
@@ -228,7 +226,11 @@
 fn refusal(torn: Torn) -> Refusal {
     match torn {
         Torn::Failed { ran, message } => Refusal::new(Reason::TargetLost, ran, message),
-        other => Refusal::new(Reason::TornAnswer, Ran::Yes, other.to_string()),
+        // Only after the head can these be found, and the head shows that it ran.
+        Torn::Count | Torn::Digest | Torn::AfterEnd => {
+            Refusal::new(Reason::TornAnswer, Ran::Yes, torn.to_string())
+        }
+        Torn::Crossed(_) | Torn::Headless | Torn::Gap => self::torn(&torn.to_string()),
     }
 }
 
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fixture;
 pub mod hosts;
 pub mod log;
+pub mod proxy;
 pub mod server;
 pub mod service;
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -134,6 +134,10 @@
                 self.whole = true;
                 Ok(Piece::Whole)
             }
+            // The head shows that the target had the request, whatever the agent says after it.
+            Part::Failed { ran: Ran::NotRun, message } if self.next > 0 => {
+                Err(Torn::Failed { ran: Ran::Yes, message })
+            }
             Part::Failed { ran, message } => Err(Torn::Failed { ran, message }),
         }
     }
--- a/components/wire/tests/answer.rs
+++ b/components/wire/tests/answer.rs
@@ -1,7 +1,7 @@
 //! Answers are put together whole, or end torn.
 
 use bytes::Bytes;
-use model::id::RequestId;
+use model::{id::RequestId, refusal::Ran};
 use proptest::prelude::*;
 use test_case::test_case;
 use uuid::Uuid;
@@ -42,6 +42,10 @@
     frames(&[b"one".to_vec(), b"two".to_vec()])
 }
 
+fn failed(ran: Ran) -> Part {
+    Part::Failed { ran, message: String::new() }
+}
+
 #[test]
 fn frames_survive_any_cut_of_the_byte_stream() {
     let sent = two_chunks();
@@ -73,6 +77,8 @@
 #[test_case(|f: &mut Vec<Frame>| f.truncate(3) => Ok((b"onetwo".to_vec(), false)); "cut off")]
 #[test_case(|f: &mut Vec<Frame>| { let twice = f[2].clone(); f.push(twice) } => Ok((b"onetwo".to_vec(), true)); "doubled")]
 #[test_case(|f: &mut Vec<Frame>| f.swap(1, 2) => Ok((b"onetwo".to_vec(), true)); "out of order")]
+#[test_case(|f: &mut Vec<Frame>| { f[2].part = failed(Ran::NotRun) } => Err(Torn::Failed { ran: Ran::Yes, message: String::new() }); "not run after the head")]
+#[test_case(|f: &mut Vec<Frame>| { f[0].part = failed(Ran::NotRun) } => Err(Torn::Failed { ran: Ran::NotRun, message: String::new() }); "not run before the head")]
 fn a_fault_never_passes_as_whole(fault: fn(&mut Vec<Frame>)) -> Result<(Vec<u8>, bool), Torn> {
     let mut frames = two_chunks();
     fault(&mut frames);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod site;
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -61,6 +63,16 @@
         assert!(sent.success());
     }
 
+    /// Stops it from running until it is woken; its connections stay open.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets it run on.
+    pub fn wake(&self) {
+        self.signal("CONT");
+    }
+
     /// Waits for the end.
     pub fn wait(mut self) -> ExitStatus {
         self.child.wait().unwrap()
@@ -81,6 +93,13 @@
     }
 }
 
+/// Waits until something holds.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Waits until an entry process is ready for work.
 pub async fn ready(entry: &Process) {
     while !is_ready(entry).await {
