--- a/components/scheduler/src/config.rs
+++ b/components/scheduler/src/config.rs
@@ -1,6 +1,12 @@
 //! The fold over the configuration stream: every process comes to the same state.
 
-use std::collections::{BTreeMap, BTreeSet};
+pub mod outcomes;
+pub mod snapshot;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
 use displaydoc::Display;
 use garde::Validate;
@@ -11,10 +17,16 @@
     id::{AccountName, ChangeId, ModelName, Offset, PoolName, TargetName, TierName},
     resource::{Account, Key, Kind, Pool, Target, Tier},
 };
+use outcomes::Outcomes;
+use serde::{Deserialize, Serialize};
+pub use snapshot::Snapshot;
 use thiserror::Error;
 
+/// What `garde` puts before the path of a value within an enum's variant.
+const VARIANT: &str = "[0].";
+
 /// A resource with the version that stands.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Versioned {
     /// Offset of its last accepted change.
     pub version: Offset,
@@ -23,7 +35,8 @@
 }
 
 /// What a change came to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// It is in force from this offset on.
     Accepted(Offset),
@@ -36,6 +49,17 @@
     Rejected(Vec<Finding>),
 }
 
+/// A record that was applied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Step {
+    /// Its offset.
+    pub offset: Offset,
+    /// What it came to.
+    pub outcome: Outcome,
+    /// What it would do; `None` where it isn't a change.
+    pub action: Option<Action>,
+}
+
 /// Why a record can't be applied.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum Error {
@@ -56,8 +80,8 @@
     /// Highest offset that is applied; never falls.
     applied: Offset,
     resources: BTreeMap<Key, Versioned>,
-    /// What each change came to, for repeats of the same id.
-    outcomes: BTreeMap<ChangeId, Outcome>,
+    /// What recent changes came to, for repeats of the same id.
+    outcomes: Outcomes,
     /// Indices over `resources`.
     accounts: BTreeMap<KeyHash, AccountName>,
     models: BTreeMap<ModelName, PoolName>,
@@ -72,6 +96,11 @@
 
     /// Applies the next record; a record that isn't a change counts as rejected.
     pub fn apply(&mut self, offset: Offset, payload: &str) -> Result<Outcome, Error> {
+        Ok(self.step(offset, payload)?.outcome)
+    }
+
+    /// Applies the next record and tells what it did.
+    pub fn step(&mut self, offset: Offset, payload: &str) -> Result<Step, Error> {
         if offset <= self.applied {
             return Err(Error::Stale(offset));
         }
@@ -79,16 +108,23 @@
             return Err(Error::Gap { applied: self.applied, got: offset });
         }
         self.applied = offset;
+        self.outcomes.trim(offset);
         match serde_json::from_str::<Change>(payload) {
-            Ok(change) => Ok(self.decide(offset, change)),
-            Err(error) => Ok(Outcome::Rejected(vec![Finding::new("record", error.to_string())])),
+            Ok(change) => {
+                let outcome = self.decide(offset, &change);
+                Ok(Step { offset, outcome, action: Some(change.action) })
+            }
+            Err(error) => {
+                let outcome = Outcome::Rejected(vec![Finding::new("record", error.to_string())]);
+                Ok(Step { offset, outcome, action: None })
+            }
         }
     }
 
     /// Says what a change would come to if it were the next record; changes nothing.
     pub fn preview(&self, change: &Change) -> Outcome {
-        if let Some(outcome) = self.outcomes.get(&change.id) {
-            return outcome.clone();
+        if let Some(outcome) = self.outcomes.repeat(change) {
+            return outcome;
         }
         let stands = self.version(&change.action.key());
         if change.expected != stands {
@@ -123,6 +159,13 @@
         later.take_while(move |(key, _)| key.kind == kind).map(|(_, versioned)| versioned)
     }
 
+    /// The resources of a kind whose names come after one, in the order of their names.
+    pub fn list_after(&self, kind: Kind, name: &str) -> impl Iterator<Item = &Versioned> {
+        let from = Bound::Excluded(Key { kind, name: name.to_owned() });
+        let after = self.resources.range((from, Bound::Unbounded));
+        after.take_while(move |(key, _)| key.kind == kind).map(|(_, versioned)| versioned)
+    }
+
     /// The account that a key opens.
     pub fn account_by_key(&self, hash: &KeyHash) -> Option<&Account> {
         let name = self.accounts.get(hash)?;
@@ -171,18 +214,18 @@
         self.resources.get(&Key { kind, name: name.to_owned() })
     }
 
-    fn decide(&mut self, offset: Offset, change: Change) -> Outcome {
-        if let Some(outcome) = self.outcomes.get(&change.id) {
-            return outcome.clone();
+    fn decide(&mut self, offset: Offset, change: &Change) -> Outcome {
+        if let Some(outcome) = self.outcomes.repeat(change) {
+            return outcome;
         }
-        let outcome = match self.preview(&change) {
+        let outcome = match self.preview(change) {
             Outcome::Accepted(_) => Outcome::Accepted(offset),
             other => other,
         };
         if matches!(outcome, Outcome::Accepted(_)) {
-            self.put(offset, change.action);
+            self.put(offset, change.action.clone());
         }
-        self.outcomes.insert(change.id, outcome.clone());
+        self.outcomes.insert(offset, change, outcome.clone());
         outcome
     }
 
@@ -226,8 +269,10 @@
                 }
             }
             Resource::Target(target) => {
-                if let Some(names) = self.targets.get_mut(&target.pool) {
-                    names.remove(&target.name);
+                let names = self.targets.entry(target.pool.clone()).or_default();
+                names.remove(&target.name);
+                if names.is_empty() {
+                    self.targets.remove(&target.pool);
                 }
             }
             Resource::Tier(_) => {}
@@ -322,13 +367,15 @@
 }
 
 fn values(resource: &Resource) -> Vec<Finding> {
-    match resource.validate() {
-        Ok(()) => Vec::new(),
-        Err(report) => report
-            .iter()
-            .map(|(path, error)| Finding::new(path.to_string(), error.message().to_string()))
-            .collect(),
-    }
+    let Err(report) = resource.validate() else {
+        return Vec::new();
+    };
+    let finding = |(path, error): &(garde::Path, garde::Error)| {
+        let path = path.to_string();
+        let place = path.strip_prefix(VARIANT).unwrap_or(&path);
+        Finding::new(place, error.message().to_string())
+    };
+    report.iter().map(finding).collect()
 }
 
 /// The tier that an account may use under this name, or its default.
--- /dev/null
+++ b/components/scheduler/tests/config_naive.rs
@@ -0,0 +1,218 @@
+//! The fold against a naive version that keeps a plain list and searches it for everything.
+
+use std::{env, time::Duration};
+
+use model::{
+    Change, Resource,
+    change::{Action, SCHEMA},
+    credential,
+    id::Offset,
+    resource::{Account, Backing, Desired, Key, Kind, Pool, Target, Tier},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use scheduler::config::{Outcome, State};
+use uuid::Uuid;
+
+const SEED: u64 = 4_207;
+const CASES: u32 = 256;
+
+/// What a change came to, without the words of its findings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verdict {
+    Accepted(Offset),
+    Conflict(Offset),
+    Rejected,
+}
+
+/// Keeps everything, indexes nothing, forgets nothing.
+#[derive(Default)]
+struct Naive {
+    resources: Vec<(Offset, Resource)>,
+    decided: Vec<(Change, Verdict)>,
+}
+
+impl Naive {
+    fn apply(&mut self, offset: Offset, change: &Change) -> Verdict {
+        if let Some((earlier, verdict)) = self.decided.iter().find(|(c, _)| c.id == change.id) {
+            return if earlier == change { *verdict } else { Verdict::Rejected };
+        }
+        let verdict = self.judge(offset, change);
+        if verdict == Verdict::Accepted(offset) {
+            self.resources.retain(|(_, resource)| resource.key() != change.action.key());
+            if let Action::Put(resource) = &change.action {
+                self.resources.push((offset, resource.clone()));
+            }
+        }
+        self.decided.push((change.clone(), verdict));
+        verdict
+    }
+
+    fn judge(&self, offset: Offset, change: &Change) -> Verdict {
+        let key = change.action.key();
+        let standing = self.resources.iter().find(|(_, resource)| resource.key() == key);
+        let stands = standing.map_or(0, |(version, _)| *version);
+        if stands != change.expected {
+            return Verdict::Conflict(stands);
+        }
+        let sound = match &change.action {
+            Action::Put(resource) => self.is_sound(resource),
+            Action::Delete(key) => !self.others().any(|resource| uses(resource, key)),
+        };
+        if sound { Verdict::Accepted(offset) } else { Verdict::Rejected }
+    }
+
+    fn is_sound(&self, resource: &Resource) -> bool {
+        let name = resource.key().name;
+        let named = name.chars().all(|c| c.is_ascii_lowercase());
+        let exists = |kind, name: &str| self.others().any(|r| r.key() == key(kind, name));
+        let mut others = self.others().filter(|other| other.key() != resource.key());
+        named
+            && match resource {
+                Resource::Account(account) => {
+                    account.tiers.iter().all(|tier| exists(Kind::Tier, tier))
+                        && !others.any(|other| has_key(other, account))
+                }
+                Resource::Tier(tier) => !others
+                    .any(|other| matches!(other, Resource::Tier(other) if other.rank == tier.rank)),
+                Resource::Pool(pool) => !others.any(|other| shares_model(other, pool)),
+                Resource::Target(target) => exists(Kind::Pool, &target.pool),
+            }
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Resource> {
+        self.resources.iter().map(|(_, resource)| resource)
+    }
+}
+
+fn uses(resource: &Resource, key: &Key) -> bool {
+    match (key.kind, resource) {
+        (Kind::Tier, Resource::Account(account)) => account.tiers.contains(&key.name),
+        (Kind::Pool, Resource::Target(target)) => target.pool == key.name,
+        _ => false,
+    }
+}
+
+fn has_key(other: &Resource, account: &Account) -> bool {
+    matches!(other, Resource::Account(other) if other.key_hash == account.key_hash)
+}
+
+fn shares_model(other: &Resource, pool: &Pool) -> bool {
+    matches!(other, Resource::Pool(other) if other.models.iter().any(|m| pool.models.contains(m)))
+}
+
+fn key(kind: Kind, name: &str) -> Key {
+    Key { kind, name: name.to_owned() }
+}
+
+fn name() -> impl Strategy<Value = String> {
+    prop_oneof![9 => prop::sample::select(vec!["a", "b", "c"]), 1 => Just("Bad")]
+        .prop_map(str::to_owned)
+}
+
+fn resource() -> impl Strategy<Value = Resource> {
+    let account =
+        (name(), 0..3_u8, prop::collection::vec(name(), 1..3)).prop_map(|(name, k, t)| {
+            let key_hash = credential::hash(&k.to_string());
+            Resource::Account(Account { name, key_hash, tiers: t, limit: None })
+        });
+    let tier = (name(), 0..3_u8).prop_map(|(name, rank)| {
+        Resource::Tier(Tier { name, rank, deadline: Duration::from_secs(1) })
+    });
+    let pool = (name(), prop::collection::vec(name(), 0..2)).prop_map(|(name, models)| {
+        let patience = Duration::ZERO;
+        Resource::Pool(Pool { name, backing: Backing::Model, models, patience, idempotent: true })
+    });
+    let target = (name(), name()).prop_map(|(name, pool)| Resource::Target(target(name, pool)));
+    prop_oneof![account, tier, pool, target]
+}
+
+fn target(name: String, pool: String) -> Target {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let (host, zone) = (name.clone(), "z".to_owned());
+    let (speed_percent, desired) = (100, Desired::Serving);
+    let (control, traffic) = (address, address);
+    Target { name, pool, host, zone, control, traffic, speed_percent, desired }
+}
+
+/// A change; `None` as the expected version stands for the one that stands.
+#[derive(Clone, Debug)]
+struct Draft {
+    id: u128,
+    expected: Option<Offset>,
+    action: Action,
+}
+
+fn draft() -> impl Strategy<Value = Draft> {
+    let kind = prop::sample::select(vec![Kind::Account, Kind::Tier, Kind::Pool, Kind::Target]);
+    let delete = (kind, name()).prop_map(|(kind, name)| Action::Delete(Key { kind, name }));
+    let action = prop_oneof![3 => resource().prop_map(Action::Put), 1 => delete];
+    let expected = prop_oneof![4 => Just(None), 1 => (0..20_u64).prop_map(Some)];
+    let id = prop_oneof![4 => any::<u128>(), 1 => 0..6_u128];
+    (id, expected, action).prop_map(|(id, expected, action)| Draft { id, expected, action })
+}
+
+fn change(state: &State, draft: Draft) -> Change {
+    let expected = draft.expected.unwrap_or_else(|| state.version(&draft.action.key()));
+    Change { schema: SCHEMA, id: Uuid::from_u128(draft.id), expected, action: draft.action }
+}
+
+fn verdict(outcome: Outcome) -> Verdict {
+    match outcome {
+        Outcome::Accepted(offset) => Verdict::Accepted(offset),
+        Outcome::Conflict { stands } => Verdict::Conflict(stands),
+        Outcome::Rejected(_) => Verdict::Rejected,
+    }
+}
+
+fn listed(state: &State) -> Vec<(Offset, Resource)> {
+    let kinds = [Kind::Account, Kind::Tier, Kind::Pool, Kind::Target];
+    let all = kinds.into_iter().flat_map(|kind| state.list(kind));
+    let mut all: Vec<_> = all.map(|found| (found.version, found.resource.clone())).collect();
+    all.sort_by_key(|(version, _)| *version);
+    all
+}
+
+fn config() -> Config {
+    let cases = env::var("WAGTAILHILL_CASES").ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: cases.unwrap_or(CASES),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn the_fold_decides_as_the_naive_version_does(
+        drafts in prop::collection::vec(draft(), 1..60),
+        cut in 0..60_usize,
+    ) {
+        let mut state = State::default();
+        let mut restarted = State::default();
+        let mut naive = Naive::default();
+
+        for (index, draft) in drafts.into_iter().enumerate() {
+            let change = change(&state, draft);
+            let offset = index as Offset + 1;
+            let record = serde_json::to_string(&change).unwrap();
+            let outcome = state.apply(offset, &record).unwrap();
+            if index < cut {
+                restarted = State::default();
+                restarted.restore(state.snapshot()).unwrap();
+            } else {
+                prop_assert_eq!(&restarted.apply(offset, &record).unwrap(), &outcome);
+            }
+            prop_assert_eq!(verdict(outcome), naive.apply(offset, &change));
+        }
+
+        naive.resources.sort_by_key(|(version, _)| *version);
+        prop_assert_eq!(listed(&state), naive.resources);
+        prop_assert_eq!(restarted, state);
+    }
+}
