--- /dev/null
+++ b/components/agent/src/config.rs
@@ -0,0 +1,160 @@
+//! The agent's copy of the configuration, and the reports that it keeps for other processes.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use follower::{Sink, Source, Update, Waker, report};
+use model::{
+    id::{HostName, Offset},
+    presence::{Report, Summary},
+    snapshot::{self, Head, Part},
+};
+use platform::log;
+use scheduler::{
+    agent::Event,
+    config::{Snapshot, State},
+    presence,
+};
+use tokio::{sync::watch, task::JoinHandle};
+use tracing::{error, info};
+
+use crate::control;
+
+#[derive(Default)]
+struct Shared {
+    fold: Mutex<State>,
+    reports: Mutex<presence::State>,
+    /// Parts of the last snapshot that was offered.
+    offered: Mutex<Vec<Part>>,
+    applied: watch::Sender<Offset>,
+}
+
+/// The running copy; clones share it.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    wake: Waker,
+    tasks: Arc<Vec<JoinHandle<()>>>,
+}
+
+/// Starts to follow the configuration and to report how far it has come.
+pub fn spawn(settings: &settings::Agent, control: &control::Handle) -> Handle {
+    let shared = Arc::new(Shared::default());
+    let source = Source {
+        log: log::open(&settings.platform.log),
+        poll: settings.poll,
+        peers: settings.platform.peers.clone(),
+    };
+    let follower = follower::spawn(source, sink(&shared, control));
+    let wake = follower.waker();
+    let reporter = report::Reporter {
+        host: settings.host.clone(),
+        process: settings.target.clone(),
+        applied: shared.applied.subscribe(),
+    };
+    let waker = wake.clone();
+    let heard: Sink = Arc::new(move |update| {
+        if let Update::Confirmed { highest, .. } = update {
+            waker.catch_up(highest);
+        }
+    });
+    let reporting = report::spawn(reporter, keepers(&shared, settings.host.clone()), heard);
+    let tasks = Arc::new(vec![reporting]);
+    Handle { shared, wake, tasks }
+}
+
+impl Handle {
+    /// Offset that is applied here.
+    pub fn applied(&self) -> Offset {
+        *self.shared.applied.borrow()
+    }
+
+    /// Reads the log at once where an offset is higher than what is applied.
+    pub fn hear(&self, offset: Offset) {
+        if offset > self.applied() {
+            self.wake.catch_up(offset);
+        }
+    }
+
+    /// Keeps a process's report; gives the highest offset that was heard of.
+    pub fn report(&self, report: Report) -> Offset {
+        self.hear(report.offset);
+        let highest = lock(&self.shared.reports).report(Instant::now(), report);
+        highest.max(self.applied())
+    }
+
+    /// What processes reported within the lease.
+    pub fn presence(&self) -> Summary {
+        lock(&self.shared.reports).summary(Instant::now())
+    }
+
+    /// Offers a snapshot, if one is above an offset.
+    pub fn offer(&self, above: Offset) -> Option<Head> {
+        if self.applied() <= above {
+            return None;
+        }
+        let snapshot: Snapshot = lock(&self.shared.fold).snapshot();
+        let parts = snapshot::split(snapshot.applied, &snapshot.render());
+        let head = parts.first().map(|part| part.head.clone());
+        *lock(&self.shared.offered) = parts;
+        head
+    }
+
+    /// One part of the last offer.
+    pub fn part(&self, head: &Head, index: u32) -> Option<Part> {
+        let offered = lock(&self.shared.offered);
+        offered.get(index as usize).filter(|part| part.head == *head).cloned()
+    }
+
+    /// Ends the reports; the process is leaving.
+    pub fn stop(&self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn sink(shared: &Arc<Shared>, control: &control::Handle) -> Sink {
+    let shared = Arc::clone(shared);
+    let control = control.clone();
+    Arc::new(move |update| {
+        let mut fold = lock(&shared.fold);
+        match update {
+            Update::Restored(snapshot) => {
+                if let Err(error) = fold.restore(*snapshot) {
+                    error!(%error, "a snapshot was not applied");
+                }
+            }
+            Update::Records(records) => apply(&mut fold, &records),
+            Update::Confirmed { .. } | Update::CaughtUp | Update::Nothing => return,
+        }
+        let applied = fold.applied();
+        drop(fold);
+        info!(applied, "configuration applied");
+        control.event(Event::Heard(applied));
+        shared.applied.send_replace(applied);
+    })
+}
+
+fn apply(fold: &mut State, records: &[log::Record]) {
+    for record in records {
+        if let Err(error) = fold.apply(record.offset, &record.payload) {
+            error!(%error, "a record was not applied");
+        }
+    }
+}
+
+fn keepers(shared: &Arc<Shared>, host: HostName) -> report::Keepers {
+    let shared = Arc::clone(shared);
+    Arc::new(move || {
+        let fold = lock(&shared.fold);
+        let keepers = presence::keepers_for(&fold, &host);
+        let keepers: Vec<SocketAddr> = keepers.into_iter().map(|target| target.control).collect();
+        Box::pin(async { keepers })
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -136,6 +136,11 @@
         answer.await.unwrap_or(Fate::Unknown)
     }
 
+    /// Feeds an event to the reducer that nobody waits for.
+    pub fn event(&self, event: Event) {
+        self.send(Message::Event(event));
+    }
+
     /// What the agent says of itself.
     pub fn status(&self) -> Status {
         *self.status.borrow()
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,5 +1,6 @@
 //! The agent: the process beside a target, and the only way to it.
 
+mod config;
 mod control;
 mod engine;
 mod operator;
@@ -36,6 +37,7 @@
     /// Where health and metrics are read.
     pub operator_address: SocketAddr,
     control: control::Handle,
+    config: config::Handle,
     calls: service::Handle,
     traffic: server::Handle,
     operators: HttpServer<Arc<operator::Context>>,
@@ -45,8 +47,13 @@
 pub async fn spawn(settings: settings::Agent) -> Result<Handle, Error> {
     let metrics = Arc::new(metrics::agent::open());
     let control = control::spawn(&settings, Arc::clone(&metrics))?;
-    let calls =
-        service::bind(settings.listen.control, settings.target.clone(), control.clone()).await?;
+    let copy = config::spawn(&settings, &control);
+    let server = service::Server {
+        target: settings.target.clone(),
+        control: control.clone(),
+        config: copy.clone(),
+    };
+    let calls = service::bind(settings.listen.control, server).await?;
     let context = Arc::new(traffic::Context {
         control: control.clone(),
         engine: engine::open(settings.engine.address),
@@ -69,6 +76,7 @@
         traffic_address,
         operator_address,
         control,
+        config: copy,
         calls,
         traffic,
         operators,
@@ -101,6 +109,7 @@
         self.traffic.close().await;
         self.operators.close().await.map_err(Error::Server)?;
         self.calls.stop();
+        self.config.stop();
         info!("drained");
         Ok(())
     }
--- a/components/agent/src/service.rs
+++ b/components/agent/src/service.rs
@@ -4,9 +4,11 @@
 
 use futures::{StreamExt, future};
 use model::{
-    id::TargetName,
+    id::{Offset, TargetName},
+    presence::{Report, Summary},
     refusal::Reason,
     reservation::{Ask, Denial, Fate, Grant, Id},
+    snapshot::{Head, Part},
 };
 use tarpc::{
     context::Context,
@@ -16,7 +18,7 @@
 use tokio::task::JoinHandle;
 use wire::control::{Agent, Status};
 
-use crate::control;
+use crate::{config, control};
 
 /// The running server.
 pub struct Handle {
@@ -25,21 +27,21 @@
     task: JoinHandle<()>,
 }
 
+/// What answers the calls.
 #[derive(Clone)]
-struct Server {
-    target: TargetName,
-    control: control::Handle,
+pub struct Server {
+    /// The target that the agent stands beside.
+    pub target: TargetName,
+    /// The control thread.
+    pub control: control::Handle,
+    /// The configuration, and reports of other processes.
+    pub config: config::Handle,
 }
 
 /// Starts to serve at an address.
-pub async fn bind(
-    address: SocketAddr,
-    target: TargetName,
-    control: control::Handle,
-) -> io::Result<Handle> {
+pub async fn bind(address: SocketAddr, server: Server) -> io::Result<Handle> {
     let incoming = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
     let address = incoming.local_addr();
-    let server = Server { target, control };
     let task = tokio::spawn(async move {
         let connections = incoming.filter_map(|connection| future::ready(connection.ok()));
         connections
@@ -72,6 +74,7 @@
             retry_after: std::time::Duration::ZERO,
             load: self.control.status().load,
         };
+        self.config.hear(ask.offset);
         self.control.reserve(ask).await.unwrap_or(Err(stopped))
     }
 
@@ -87,4 +90,20 @@
         let status = self.control.status();
         Status { target: self.target, draining: status.draining, load: status.load }
     }
+
+    async fn report(self, _: Context, report: Report) -> Offset {
+        self.config.report(report)
+    }
+
+    async fn presence(self, _: Context) -> Summary {
+        self.config.presence()
+    }
+
+    async fn snapshot(self, _: Context, above: Offset) -> Option<Head> {
+        self.config.offer(above)
+    }
+
+    async fn snapshot_part(self, _: Context, head: Head, index: u32) -> Option<Part> {
+        self.config.part(&head, index)
+    }
 }
--- /dev/null
+++ b/components/api/src/body.rs
@@ -0,0 +1,67 @@
+//! Reads a resource from a request's body, with every finding at once.
+
+use garde::Validate;
+use model::{
+    Finding, Resource, finding,
+    resource::{Account, Key, Kind, Pool, Target, Tier},
+};
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Reads the resource that a path names.
+pub fn read(key: &Key, body: &[u8]) -> Result<Resource, Vec<Finding>> {
+    let resource = read_kind(key.kind, body)?;
+    let name = resource.key().name;
+    if name != key.name {
+        let message = format!("is `{name}`, but the path says `{}`", key.name);
+        return Err(vec![Finding::new("body.name", message)]);
+    }
+    Ok(resource)
+}
+
+/// Reads a resource of a kind.
+pub fn read_kind(kind: Kind, body: &[u8]) -> Result<Resource, Vec<Finding>> {
+    let mut value: Value = serde_json::from_slice(body).map_err(|error| vec![syntax(&error)])?;
+    check_kind(kind, &mut value)?;
+    let read = match kind {
+        Kind::Account => check::<Account>(value).map(Resource::Account),
+        Kind::Tier => check::<Tier>(value).map(Resource::Tier),
+        Kind::Pool => check::<Pool>(value).map(Resource::Pool),
+        Kind::Target => check::<Target>(value).map(Resource::Target),
+    };
+    read.map_err(in_body)
+}
+
+/// Puts findings of the fold below the body.
+pub fn in_body(findings: Vec<Finding>) -> Vec<Finding> {
+    let place = |found: Finding| {
+        let path = found.place.trim_start_matches('$').trim_start_matches('.');
+        Finding::new(finding::place("body", path), found.message)
+    };
+    findings.into_iter().map(place).collect()
+}
+
+/// Takes the kind out of the body; it may be left out, but not differ from the path's.
+fn check_kind(kind: Kind, value: &mut Value) -> Result<(), Vec<Finding>> {
+    let Some(given) = value.as_object_mut().and_then(|fields| fields.remove("kind")) else {
+        return Ok(());
+    };
+    let wanted = serde_json::to_value(kind).expect("a kind is JSON");
+    if given == wanted {
+        return Ok(());
+    }
+    Err(vec![Finding::new("body.kind", format!("is {given}, but the path says {wanted}"))])
+}
+
+fn check<T>(value: Value) -> Result<T, Vec<Finding>>
+where
+    T: DeserializeOwned + JsonSchema + Validate<Context = ()>,
+{
+    settings::check_value(value)
+}
+
+fn syntax(error: &serde_json::Error) -> Finding {
+    let place = format!("body, line {}, column {}", error.line(), error.column());
+    Finding::new(place, format!("not JSON: {error}"))
+}
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::HashMap,
     io,
-    sync::Arc,
+    sync::{Arc, OnceLock},
     thread,
     time::{Duration, Instant},
 };
 
+use api::{History, Question};
+use follower::Waker;
 use model::{Refusal, id::Offset, id::RequestId, reservation::Id};
 use scheduler::entry::{self, Effect, Event, Owner, Request, Start, State};
 use tokio::{
@@ -17,6 +19,8 @@
     time::sleep_until,
 };
 
+use tracing::{debug, error};
+
 use crate::agents::Agents;
 
 /// Longest sleep of the control thread, in case no timer is due.
@@ -52,6 +56,7 @@
 enum Message {
     Arrive { request: Box<Request>, verdicts: mpsc::UnboundedSender<Verdict> },
     Event(Event),
+    Inspect(Question),
 }
 
 /// Speaks to the control thread; clones speak to the same one.
@@ -59,6 +64,9 @@
 pub struct Handle {
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Receiver<Status>,
+    applied: watch::Receiver<Offset>,
+    history: Arc<History>,
+    wake: Arc<OnceLock<Waker>>,
 }
 
 /// One request's place at the control thread; dropping it ends the request.
@@ -72,6 +80,9 @@
     state: State,
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Sender<Status>,
+    applied: watch::Sender<Offset>,
+    history: Arc<History>,
+    wake: Arc<OnceLock<Waker>>,
     metrics: Arc<metrics::Entry>,
     agents: Arc<Agents>,
     traffic: runtime::Handle,
@@ -88,11 +99,17 @@
 ) -> io::Result<Handle> {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, status_reader) = watch::channel(Status::default());
+    let (applied, applied_reader) = watch::channel(0);
+    let history = Arc::new(History::default());
+    let wake = Arc::new(OnceLock::new());
     let reducer = entry::Settings { waiting: settings.bounds.waiting, zone: settings.zone.clone() };
     let thread = Thread {
         state: entry::open(reducer),
         messages: messages.clone(),
         status,
+        applied,
+        history: Arc::clone(&history),
+        wake: Arc::clone(&wake),
         metrics,
         agents,
         traffic: runtime::Handle::current(),
@@ -104,7 +121,7 @@
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    Ok(Handle { messages, status: status_reader })
+    Ok(Handle { messages, status: status_reader, applied: applied_reader, history, wake })
 }
 
 impl Handle {
@@ -121,6 +138,27 @@
         self.send(Message::Event(event));
     }
 
+    /// Runs a question on the configuration in force.
+    pub fn inspect(&self, question: Question) {
+        self.send(Message::Inspect(question));
+    }
+
+    /// The configuration offset in force here.
+    pub fn applied(&self) -> watch::Receiver<Offset> {
+        self.applied.clone()
+    }
+
+    /// Recent changes of the configuration.
+    pub fn history(&self) -> Arc<History> {
+        Arc::clone(&self.history)
+    }
+
+    /// Tells what to wake when a higher offset is heard of.
+    pub fn set_waker(&self, wake: Waker) {
+        // The feed is started once; a second waker would wake the same.
+        let _ = self.wake.set(wake);
+    }
+
     /// What the process says of itself.
     pub fn status(&self) -> Status {
         *self.status.borrow()
@@ -185,6 +223,7 @@
     fn take(&mut self, message: Message) {
         let event = match message {
             Message::Event(event) => event,
+            Message::Inspect(question) => return question(self.state.config()),
             Message::Arrive { request, verdicts } => {
                 self.verdicts.insert(request.id, verdicts);
                 Event::Arrived(*request)
@@ -234,8 +273,14 @@
                 self.tell(request, Verdict::Refuse { owner, refusal });
             }
             Effect::CatchUp(offset) => {
-                tracing::debug!(offset, applied = self.state.config().applied(), "behind");
+                debug!(offset, applied = self.state.config().applied(), "behind");
+                if let Some(wake) = self.wake.get() {
+                    wake.catch_up(offset);
+                }
             }
+            Effect::Applied(step) => self.history.push(step),
+            Effect::Restored(applied) => self.history.reset(applied),
+            Effect::NotApplied(error) => error!(%error, "the configuration was not applied"),
             Effect::Drained => self.drained = true,
         }
     }
@@ -256,6 +301,7 @@
         };
         self.metrics.open.set(i64::try_from(status.open).unwrap_or(i64::MAX));
         self.metrics.offset.set(i64::try_from(status.offset).unwrap_or(i64::MAX));
+        self.applied.send_if_modified(|old| std::mem::replace(old, status.offset) != status.offset);
         self.status.send_if_modified(|old| std::mem::replace(old, status) != status);
     }
 }
--- a/components/entry/src/feed.rs
+++ b/components/entry/src/feed.rs
@@ -1,84 +1,126 @@
-//! Reads the platform's log and list of hosts and feeds both to the control thread.
+//! Feeds the configuration, the list of hosts and reports of other processes to the control
+//! thread.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use model::id::Offset;
+use follower::{
+    Sink, Source, Update, report,
+    writer::{self, Schedule},
+};
+use model::{Host, host, id::HostName};
 use platform::{hosts, log};
 use scheduler::entry::{Event, Record};
-use tokio::{task::JoinHandle, time::sleep};
-use tracing::{error, warn};
+use tokio::{
+    sync::{oneshot, watch},
+    task::JoinHandle,
+    time::sleep,
+};
+use tracing::warn;
 
-use crate::control;
+use crate::{control, presence};
 
-/// Most records of one read.
-const PAGE: usize = 1_000;
-/// Wait after a failed read.
-const BACKOFF: Duration = Duration::from_millis(200);
-
-/// The running readers.
+/// The running feeds.
 pub struct Handle {
-    config: JoinHandle<()>,
-    hosts: JoinHandle<()>,
+    config: follower::Handle,
+    others: Vec<JoinHandle<()>>,
+    listed: watch::Receiver<u32>,
 }
 
-/// Starts both readers.
-pub fn spawn(settings: &settings::Entry, control: control::Handle) -> Handle {
+/// Starts all feeds.
+pub fn spawn(settings: &settings::Entry, control: &control::Handle) -> Handle {
     let log = log::open(&settings.platform.log);
+    let source = Source {
+        log: log.clone(),
+        poll: settings.timing.poll,
+        peers: settings.platform.peers.clone(),
+    };
+    let config = follower::spawn(source, sink(control));
+    control.set_waker(config.waker());
     let list = hosts::open(&settings.platform.hosts);
-    let poll = settings.timing.poll;
-    let period = settings.timing.hosts;
-    let config = tokio::spawn(read_config(log, poll, control.clone()));
-    let hosts = tokio::spawn(read_hosts(list, period, control));
-    Handle { config, hosts }
+    let (listed_writer, listed) = watch::channel(0);
+    let reading = read_hosts(list, settings.timing.hosts, control.clone(), listed_writer);
+    let reporter = report::Reporter {
+        host: settings.host.clone(),
+        process: settings.name.clone(),
+        applied: control.applied(),
+    };
+    let keepers = presence::keepers(control, settings.host.clone());
+    let others = vec![
+        tokio::spawn(reading),
+        report::spawn(reporter, keepers, sink(control)),
+        writer::spawn(log, schedule(settings), snapshots(control)),
+    ];
+    Handle { config, others, listed }
 }
 
 impl Handle {
-    /// Ends both readers.
+    /// Live hosts that the platform's list shows.
+    pub fn hosts(&self) -> watch::Receiver<u32> {
+        self.listed.clone()
+    }
+
+    /// Ends all feeds.
     pub fn stop(&self) {
-        self.config.abort();
-        self.hosts.abort();
+        self.config.stop();
+        self.others.iter().for_each(JoinHandle::abort);
     }
 }
 
-async fn read_config(log: log::Client, poll: Duration, control: control::Handle) {
-    let mut next: Offset = 1;
-    let mut wait = Duration::ZERO;
-    loop {
-        match log.read(platform::CONFIG, next, PAGE, wait).await {
-            Ok(page) => {
-                next = feed(&control, next, page.records);
-                if next >= page.next {
-                    control.event(Event::CaughtUp);
-                    wait = poll;
-                }
-            }
-            Err(log::Error::Expired(first)) => {
-                error!(next, first, "configuration records are gone from the log; still waiting");
-                sleep(poll).await;
-            }
-            Err(error) => {
-                warn!(%error, next, "the configuration can't be read now");
-                sleep(BACKOFF).await;
-            }
-        }
-    }
+fn sink(control: &control::Handle) -> Sink {
+    let control = control.clone();
+    Arc::new(move |update| control.event(event(update)))
 }
 
-fn feed(control: &control::Handle, next: Offset, records: Vec<log::Record>) -> Offset {
-    let Some(last) = records.last().map(|record| record.offset) else {
-        return next;
-    };
+fn event(update: Update) -> Event {
     let record = |record: log::Record| Record { offset: record.offset, payload: record.payload };
-    control.event(Event::Records(records.into_iter().map(record).collect()));
-    last + 1
+    match update {
+        Update::Restored(snapshot) => Event::Restored(snapshot),
+        Update::Records(records) => Event::Records(records.into_iter().map(record).collect()),
+        Update::Confirmed { asked, highest } => Event::Confirmed { asked, highest },
+        Update::CaughtUp => Event::CaughtUp,
+        Update::Nothing => Event::Tick,
+    }
+}
+
+fn schedule(settings: &settings::Entry) -> Schedule {
+    let hash = blake3::hash(settings.name.as_bytes());
+    let share = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
+    Schedule { period: settings.timing.snapshot, share }
 }
 
-async fn read_hosts(list: hosts::Client, period: Duration, control: control::Handle) {
+fn snapshots(control: &control::Handle) -> writer::Take {
+    let control = control.clone();
+    Arc::new(move || {
+        let (sender, answer) = oneshot::channel();
+        control.inspect(Box::new(move |config| {
+            let _ = sender.send((config.applied() > 0).then(|| config.snapshot()));
+        }));
+        Box::pin(async { answer.await.ok().flatten() })
+    })
+}
+
+async fn read_hosts(
+    list: hosts::Client,
+    period: Duration,
+    control: control::Handle,
+    listed: watch::Sender<u32>,
+) {
     loop {
         match list.list().await {
-            Ok(hosts) => control.event(Event::Hosts(hosts)),
+            Ok(hosts) => {
+                listed.send_replace(count_live(&hosts));
+                control.event(Event::Hosts(hosts));
+            }
             Err(error) => warn!(%error, "the list of hosts can't be read now"),
         }
         sleep(period).await;
     }
 }
+
+fn count_live(hosts: &[Host]) -> u32 {
+    let live = hosts.iter().filter(|host| host.state == host::State::Live);
+    let mut names: Vec<&HostName> = live.map(|host| &host.name).collect();
+    names.sort_unstable();
+    names.dedup();
+    u32::try_from(names.len()).unwrap_or(u32::MAX)
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod feed;
 mod operator;
+mod presence;
 mod read;
 mod relay;
 mod stream;
@@ -41,7 +42,7 @@
     control: control::Handle,
     feeds: feed::Handle,
     caller_server: HttpServer<Arc<caller::Context>>,
-    operator_server: HttpServer<Arc<operator::Context>>,
+    operator_server: HttpServer<Arc<api::Context>>,
 }
 
 /// Starts an entry process on the current `tokio` runtime, which becomes its traffic threads.
@@ -50,9 +51,10 @@
     let agents = Arc::new(Agents::open(settings.timing.connect));
     let relay = relay::open(settings.timing.connect, Arc::clone(&agents));
     let control = control::spawn(&settings, Arc::clone(&metrics), agents)?;
-    let feeds = feed::spawn(&settings, control.clone());
+    let feeds = feed::spawn(&settings, &control);
     let caller_server = serve_callers(&settings, &control, &metrics, relay)?;
-    let operator_server = serve_operators(&settings, &control, &metrics)?;
+    let context = operator::context(&settings, &control, &metrics, &feeds);
+    let operator_server = api::spawn(settings.listen.operators, context)?;
     let callers = caller_server.local_addr();
     let operators = operator_server.local_addr();
     info!(name = settings.name, %callers, %operators, "listening");
@@ -99,16 +101,3 @@
     let server = ServerBuilder::new(caller::api(), context, metrics::log::slog()).config(config);
     Ok(server.start()?)
 }
-
-fn serve_operators(
-    settings: &settings::Entry,
-    control: &control::Handle,
-    metrics: &Arc<metrics::Entry>,
-) -> Result<HttpServer<Arc<operator::Context>>, Error> {
-    let context =
-        Arc::new(operator::Context { control: control.clone(), metrics: Arc::clone(metrics) });
-    let config =
-        ConfigDropshot { bind_address: settings.listen.operators, ..ConfigDropshot::default() };
-    let server = ServerBuilder::new(operator::api(), context, metrics::log::slog()).config(config);
-    Ok(server.start()?)
-}
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -1,51 +1,30 @@
-//! The operators' server: health for the balancer, and metrics.
+//! What the operators' server asks of this process.
 
 use std::sync::Arc;
 
-use dropshot::{ApiDescription, Body, HttpError, RequestContext, endpoint};
-use http::{Response, StatusCode, header};
-
-use crate::control;
-
-/// What the endpoints share.
-pub struct Context {
-    /// The control thread.
-    pub control: control::Handle,
-    /// The metrics.
-    pub metrics: Arc<metrics::Entry>,
-}
-
-/// Describes the operators' endpoints.
-pub fn api() -> ApiDescription<Arc<Context>> {
-    let mut api = ApiDescription::new();
-    api.register(live).expect("the path is free");
-    api.register(ready).expect("the path is free");
-    api.register(metrics_text).expect("the path is free");
-    api
-}
-
-/// Whether the process runs.
-#[endpoint { method = GET, path = "/health/live" }]
-async fn live(_context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    text(StatusCode::OK, "live\n".to_owned())
-}
-
-/// Whether the balancer should send requests here.
-#[endpoint { method = GET, path = "/health/ready" }]
-async fn ready(context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    if context.context().control.status().ready {
-        return text(StatusCode::OK, "ready\n".to_owned());
+use platform::log;
+
+use crate::{control, feed, presence};
+
+/// Ties the operators' server to the control thread.
+pub fn context(
+    settings: &settings::Entry,
+    control: &control::Handle,
+    metrics: &Arc<metrics::Entry>,
+    feeds: &feed::Handle,
+) -> api::Context {
+    let ready = control.clone();
+    let inspect = control.clone();
+    let metrics = Arc::clone(metrics);
+    api::Context {
+        operators: settings.operators.clone(),
+        process: settings.name.clone(),
+        ready: Box::new(move || ready.status().ready),
+        metrics: Box::new(move || metrics.render()),
+        inspect: Box::new(move |question| inspect.inspect(question)),
+        presence: presence::gatherer(control, feeds.hosts()),
+        applied: control.applied(),
+        history: control.history(),
+        log: log::open(&settings.platform.log),
     }
-    text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
-}
-
-/// All metrics in the text format of Prometheus.
-#[endpoint { method = GET, path = "/metrics" }]
-async fn metrics_text(context: RequestContext<Arc<Context>>) -> Result<Response<Body>, HttpError> {
-    text(StatusCode::OK, context.context().metrics.render())
-}
-
-fn text(status: StatusCode, content: String) -> Result<Response<Body>, HttpError> {
-    let answer = Response::builder().status(status).header(header::CONTENT_TYPE, "text/plain");
-    Ok(answer.body(content.into())?)
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod host;
 pub mod id;
 pub mod membership;
+pub mod presence;
 pub mod refusal;
 pub mod reservation;
 pub mod resource;
+pub mod snapshot;
 
 pub use change::Change;
 pub use finding::Finding;
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -8,3 +8,5 @@
 pub const CONFIG: &str = "config";
 /// Name of the stream that carries the joins and leaves of agents.
 pub const MEMBERSHIP: &str = "membership";
+/// Name of the stream that carries snapshots of the configuration, in parts.
+pub const SNAPSHOTS: &str = "config-snapshots";
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -1,6 +1,9 @@
 //! Events that the agent's reducer takes and effects that it gives.
 
-use model::reservation::{Ask, Denial, Fate, Grant, Id};
+use model::{
+    id::Offset,
+    reservation::{Ask, Denial, Fate, Grant, Id},
+};
 
 /// What happened.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -15,6 +18,8 @@
     Settle(Id),
     /// The target is done with a request, in whatever way.
     Ended(Id),
+    /// A configuration offset was heard of or applied.
+    Heard(Offset),
     /// The process is asked to leave.
     Drain,
     /// Time has passed.
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -117,6 +117,7 @@
         Event::Start(id) => state.start(now, id, &mut effects),
         Event::Cancel(id) | Event::Settle(id) => state.cancel(now, id, &mut effects),
         Event::Ended(id) => state.end(now, id),
+        Event::Heard(offset) => state.heard = state.heard.max(offset),
         Event::Drain => state.drain(now, &mut effects),
         Event::Tick => {}
     }
--- a/components/scheduler/src/entry/event.rs
+++ b/components/scheduler/src/entry/event.rs
@@ -1,6 +1,9 @@
 //! Events that the entry's reducer takes and effects that it gives.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::{
     Finding, Host, Refusal,
@@ -11,6 +14,8 @@
     reservation::{Ask, BlockHash, Denial, Grant, Id, Load},
 };
 
+use crate::config;
+
 /// What a caller wants to reach.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Call {
@@ -103,6 +108,15 @@
     },
     /// Records of the configuration stream were read, in order.
     Records(Vec<Record>),
+    /// A snapshot of the configuration was read, from the log or from another process.
+    Restored(Box<config::Snapshot>),
+    /// The log or another process told the highest offset that it knows.
+    Confirmed {
+        /// When it was asked.
+        asked: Instant,
+        /// The offset.
+        highest: Offset,
+    },
     /// All records that stood at the log's last answer are applied.
     CaughtUp,
     /// The platform's list of hosts was read.
@@ -147,6 +161,12 @@
     },
     /// A higher offset was heard of: read the log up to it.
     CatchUp(Offset),
+    /// A record of the configuration was applied.
+    Applied(config::Step),
+    /// The configuration stepped forward to a snapshot as of this offset.
+    Restored(Offset),
+    /// A record or a snapshot was not applied.
+    NotApplied(config::Error),
     /// No request is left and none will be taken.
     Drained,
 }
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -2,6 +2,8 @@
 
 mod admit;
 pub mod event;
+mod feed;
+pub mod freshness;
 mod pending;
 
 use std::{
@@ -20,6 +22,7 @@
 
 pub use admit::{DEADLINE_LIMIT, KEY_LIMIT};
 pub use event::{Call, Effect, Event, Owner, Record, Request, Start};
+use freshness::Freshness;
 use pending::{Order, Pending, Stage, Timer};
 
 use crate::{config, limit, placement};
@@ -71,6 +74,7 @@
     timers: BTreeSet<Timer>,
     seen: BTreeMap<TargetName, Seen>,
     usage: BTreeMap<AccountName, limit::Usage>,
+    freshness: Freshness,
     /// Whether the configuration was read once to its end.
     ready: bool,
     /// Whether the balancer is told to send no more; requests that still come are taken.
@@ -89,6 +93,7 @@
         timers: BTreeSet::new(),
         seen: BTreeMap::new(),
         usage: BTreeMap::new(),
+        freshness: Freshness::default(),
         ready: false,
         unlisted: false,
         draining: false,
@@ -98,10 +103,12 @@
 /// Takes one event in and gives what has to be done about it.
 pub fn reduce(state: &mut State, now: Instant, event: Event) -> Vec<Effect> {
     let mut effects = Vec::new();
+    state.pass(now, &mut effects);
     if let Some((id, load)) = event::load(&event) {
         state.hear(now, id, load, &mut effects);
     }
     match event {
+        Event::Arrived(request) if state.must_hold() => state.hold(now, request, &mut effects),
         Event::Arrived(request) => state.arrive(now, request, &mut effects),
         Event::Granted { id, .. } => state.granted(now, id, &mut effects),
         Event::Denied { id, denial } => state.denied(now, id, Some(denial), &mut effects),
@@ -113,17 +120,21 @@
             state.not_started(now, id, unreachable, &mut effects);
         }
         Event::Ended { request } => {
+            state.freshness.forget(request);
             state.forget(request, &mut effects);
         }
-        Event::Records(records) => state.apply(records),
+        Event::Records(records) => state.apply(records, &mut effects),
+        Event::Restored(snapshot) => state.restore(*snapshot, &mut effects),
+        Event::Confirmed { asked, highest } => state.confirm(now, asked, highest, &mut effects),
         Event::CaughtUp => state.ready = true,
         Event::Hosts(hosts) => state.list(hosts),
         Event::Leave => state.unlisted = true,
         Event::Drain => state.draining = true,
         Event::Tick => {}
     }
+    state.settle_held(now, &mut effects);
     state.expire(now, &mut effects);
-    if state.draining && state.requests.is_empty() {
+    if state.draining && state.is_empty() {
         effects.push(Effect::Drained);
     }
     effects
@@ -131,7 +142,8 @@
 
 /// When the next `Event::Tick` is due, if nothing else happens before.
 pub fn next_wake(state: &State) -> Option<Instant> {
-    state.timers.first().map(|timer| timer.at)
+    let timer = state.timers.first().map(|timer| timer.at);
+    timer.into_iter().chain(state.freshness.next_wake()).min()
 }
 
 impl State {
@@ -147,12 +159,12 @@
 
     /// Requests that haven't ended.
     pub fn len(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.freshness.waiting()
     }
 
     /// Whether no request is left.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.len() == 0
     }
 
     fn arrive(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
@@ -414,20 +426,13 @@
         }
     }
 
-    fn apply(&mut self, records: Vec<Record>) {
-        for record in records {
-            // A record that was read before has no effect; a gap shows as an offset that stands
-            // still, which the reader sees and reports.
-            let _ = self.config.apply(record.offset, &record.payload);
-        }
-    }
-
     fn list(&mut self, hosts: Vec<model::Host>) {
         let leaving = hosts.into_iter().filter(|host| host.state == host::State::Leaving);
         self.leaving = leaving.map(|host| host.name).collect();
     }
 
     fn hear(&mut self, now: Instant, id: Id, load: Load, effects: &mut Vec<Effect>) {
+        self.freshness.hear(load.offset);
         if load.offset > self.config.applied() {
             effects.push(Effect::CatchUp(load.offset));
         }
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod limit;
 pub mod membership;
 pub mod placement;
+pub mod presence;
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -14,6 +14,7 @@
 use crate::shared::{Platform, positive};
 
 /// Everything that an agent is told at its start.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Agent {
@@ -35,12 +36,22 @@
     /// The platform's services.
     #[garde(dive)]
     pub platform: Platform,
+    /// Longest wait of one read of the log for a new record.
+    #[garde(custom(positive))]
+    #[serde(rename = "poll_ms", default = "poll")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub poll: Duration,
     /// Room at the target.
     #[garde(dive)]
     #[serde(default)]
     pub room: Room,
 }
 
+fn poll() -> Duration {
+    Duration::from_secs(2)
+}
+
 /// Addresses of an agent; port 0 takes a free one.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -91,6 +91,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(with = "u64")]
     pub poll: Duration,
+    /// Period of snapshots of the configuration; well below the time that the log keeps records.
+    #[garde(custom(positive))]
+    #[serde(rename = "snapshot_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub snapshot: Duration,
     /// Time between the health check's failure and closing the listener.
     #[garde(skip)]
     #[serde(rename = "lame_ms")]
@@ -110,6 +116,7 @@
         Timing {
             hosts: Duration::from_millis(1_000),
             poll: Duration::from_millis(2_000),
+            snapshot: Duration::from_secs(600),
             lame: Duration::from_millis(500),
             connect: Duration::from_millis(250),
         }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use agent::Agent;
 pub use entry::Entry;
+pub use parse::check_value;
 pub use shared::{Operator, Platform};
 
 /// Reads and checks the settings of an entry process.
--- a/components/settings/src/parse.rs
+++ b/components/settings/src/parse.rs
@@ -19,7 +19,14 @@
 where
     T: DeserializeOwned + JsonSchema + Validate<Context = ()>,
 {
-    let value: Value = serde_json::from_str(text).map_err(|error| vec![syntax(&error)])?;
+    check_value(serde_json::from_str(text).map_err(|error| vec![syntax(&error)])?)
+}
+
+/// Gives what a JSON value holds, or every finding of the first pass that has any.
+pub fn check_value<T>(value: Value) -> Result<T, Vec<Finding>>
+where
+    T: DeserializeOwned + JsonSchema + Validate<Context = ()>,
+{
     let findings = shape::<T>(&value);
     if !findings.is_empty() {
         return Err(findings);
--- a/components/settings/src/shared.rs
+++ b/components/settings/src/shared.rs
@@ -1,5 +1,7 @@
 //! Parts that both files have.
 
+use std::net::SocketAddr;
+
 use garde::Validate;
 use model::credential::KeyHash;
 use schemars::JsonSchema;
@@ -15,6 +17,11 @@
     /// Base URL of the list of hosts.
     #[garde(custom(base))]
     pub hosts: String,
+    /// Control addresses of some agents. A process that starts while the log is out takes the
+    /// configuration from the one that is furthest.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<SocketAddr>,
 }
 
 /// Somebody who may use the resource API.
--- a/components/standin/src/fixture.rs
+++ b/components/standin/src/fixture.rs
@@ -124,10 +124,11 @@
         listen: agent::Listen { control: ANY, traffic: ANY, operators: ANY },
         engine: agent::Engine { address: engine, backing },
         platform: platform(log, hosts),
+        poll: Duration::from_secs(2),
         room: agent::Room::default(),
     }
 }
 
 fn platform(log: &Log, hosts: &Hosts) -> Platform {
-    Platform { log: log.base(), hosts: hosts.base() }
+    Platform { log: log.base(), hosts: hosts.base(), peers: Vec::new() }
 }
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,8 +1,10 @@
 //! Control calls that an agent serves.
 
 use model::{
-    id::TargetName,
+    id::{Offset, TargetName},
+    presence::{Report, Summary},
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
+    snapshot::{Head, Part},
 };
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +19,7 @@
     pub load: Load,
 }
 
-/// Calls from an entry process to an agent.
+/// Calls to an agent from entry processes and from other agents.
 #[tarpc::service]
 pub trait Agent {
     /// Waits for room; dropping the call cancels the reservation.
@@ -28,4 +30,12 @@
     async fn settle(id: Id) -> Fate;
     /// Tells who the agent is and how loaded.
     async fn status() -> Status;
+    /// Keeps a process's report for a lease, and tells the highest offset that was heard of.
+    async fn report(report: Report) -> Offset;
+    /// Tells what processes reported within the lease.
+    async fn presence() -> Summary;
+    /// Offers a snapshot of the configuration as of an offset above the given one.
+    async fn snapshot(above: Offset) -> Option<Head>;
+    /// Gives one part of an offered snapshot, while the agent still holds it.
+    async fn snapshot_part(head: Head, index: u32) -> Option<Part>;
 }
