Work the capacity of each role out from measured slopes

Cause: docs/CAPACITY.md said that nothing was measured, and the size of two years from now decides the design.

A second example gives the resident memory of the reducers' states, and a benchmark the cost of finding a key's homes.

--- /dev/null
+++ b/components/scheduler/benches/membership.rs
@@ -0,0 +1,62 @@
+//! Time to find a key's homes and to apply a replacement as members and former members grow.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const MEMBERS: [usize; 4] = [20, 100, 1_000, 10_000];
+/// Replacements within the window, for each hundred members: a day's at the target size.
+const REPLACED_PERCENT: usize = 44;
+
+fn home(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("membership/home");
+    for members in MEMBERS {
+        let state = support::membership(members, members * REPLACED_PERCENT / 100);
+        let mut key = 0;
+        group.bench_function(BenchmarkId::from_parameter(members), |bencher| {
+            bencher.iter(|| {
+                key += 1;
+                state.home(support::claim_key(key)).map(|home| home.joined)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn homes(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("membership/homes");
+    for members in MEMBERS {
+        let state = support::membership(members, members * REPLACED_PERCENT / 100);
+        let mut key = 0;
+        group.bench_function(BenchmarkId::from_parameter(members), |bencher| {
+            bencher.iter(|| {
+                key += 1;
+                state.homes(support::claim_key(key)).len()
+            });
+        });
+    }
+    group.finish();
+}
+
+fn replace(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("membership/replace");
+    for members in MEMBERS {
+        let mut state = support::membership(members, 0);
+        group.bench_function(BenchmarkId::from_parameter(members), |bencher| {
+            bencher.iter(|| {
+                let offset = state.epoch() + 1;
+                let number = offset as usize % members;
+                state.apply(offset, &support::join(number, offset)).expect("no gap")
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = membership;
+    config = support::criterion();
+    targets = home, homes, replace
+}
+criterion_main!(membership);
--- a/components/scheduler/benches/support/mod.rs
+++ b/components/scheduler/benches/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use criterion::Criterion;
@@ -12,7 +12,8 @@
     Change, Resource,
     change::{Action, SCHEMA},
     credential,
-    id::{Offset, Rank},
+    id::{ClaimKey, Offset, Rank},
+    membership,
     reservation::{Ask, Grant, Id, Load},
     resource::{Account, Backing, Desired, Pool, Target, Tier},
 };
@@ -20,6 +21,7 @@
     agent::{self, Room},
     config,
     entry::{self, Call, Event, Record, Request},
+    membership as fold,
 };
 use uuid::Uuid;
 
@@ -247,3 +249,47 @@
 fn hash(account: usize) -> credential::KeyHash {
     credential::hash(&format!("account-{account}-key"))
 }
+
+/// Members, after as many of them were replaced as asked.
+pub fn membership(members: usize, replaced: usize) -> fold::State {
+    let mut state = fold::State::default();
+    for number in 0..members + replaced {
+        let offset = state.epoch() + 1;
+        let record = join(number % members, offset);
+        state.apply(offset, &record).expect("offsets have no gap");
+    }
+    state
+}
+
+/// The record of an agent's join, as text; the offset makes it a run of its own.
+pub fn join(number: usize, offset: Offset) -> String {
+    let record = membership::Record {
+        schema: membership::SCHEMA,
+        at: SystemTime::UNIX_EPOCH + Duration::from_secs(offset),
+        action: membership::Action::Join(membership::Join {
+            target: format!("target-{number}"),
+            host: format!("host-{number}"),
+            incarnation: Uuid::from_u128(offset.into()),
+            control: SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_000)),
+        }),
+    };
+    serde_json::to_string(&record).expect("a record is JSON")
+}
+
+/// A claim key, spread as a hash is.
+pub fn claim_key(number: u64) -> ClaimKey {
+    let hash = *blake3::hash(&number.to_le_bytes()).as_bytes();
+    ClaimKey::from_le_bytes(hash[..size_of::<ClaimKey>()].try_into().expect("a hash is longer"))
+}
+
+/// A configuration in which one account was changed again and again.
+pub fn changed(changes: usize) -> config::State {
+    let mut state = configuration(Shape { accounts: 1, targets: 1, waiting: 0 });
+    for serial in 0..changes {
+        let resource = account(0, serial as u32);
+        let expected = state.version(&resource.key());
+        let offset = state.applied() + 1;
+        state.apply(offset, &change(Action::Put(resource), expected)).expect("no gap");
+    }
+    state
+}
--- a/components/scheduler/examples/memory.rs
+++ b/components/scheduler/examples/memory.rs
@@ -15,7 +15,7 @@
 use support::Shape;
 
 const KIB: usize = 1_024;
-const USAGE: &str = "usage: memory accounts|targets|requests|reservations COUNT";
+const USAGE: &str = "usage: memory accounts|targets|changes|members|requests|reservations COUNT";
 const EMPTY: Shape = Shape { accounts: 1, targets: 1, waiting: 0 };
 const SLOTS: usize = 64;
 
@@ -27,6 +27,8 @@
     let grown = match kind.as_str() {
         "accounts" => grow(|| support::configuration(Shape { accounts: count, ..EMPTY }))?,
         "targets" => grow(|| support::configuration(Shape { targets: count, ..EMPTY }))?,
+        "changes" => grow(|| support::changed(count))?,
+        "members" => grow(|| support::membership(count, 0))?,
         "requests" => grow(|| support::entry(Shape { waiting: count, ..EMPTY }))?,
         "reservations" => grow(|| support::agent(SLOTS, count))?,
         _ => return Err(Error::other(USAGE)),
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod hosts;
 pub mod log;
 pub mod proxy;
+pub mod relay;
 pub mod server;
 pub mod service;
