Read the list of hosts by its changes

Cause: docs/CAPACITY.md: an entry reads the whole list once a second, 614 KB/s at 11,800 hosts, 20 times the budget for control, though a host changes only every 19 s.

Change: a read names the version that the reader has, and the platform answers with the rows that changed and the names that are gone, or with the whole list where it doesn't know that version. An outage of the list is logged once.

A platform whose list has no versions needs an adapter that makes them, as docs/platform.md says.

--- a/components/entry/src/feed.rs
+++ b/components/entry/src/feed.rs
@@ -7,8 +7,11 @@
     Sink, Source, Update, report,
     writer::{self, Schedule},
 };
-use model::{Host, host, id::HostName};
-use platform::{hosts, log};
+use model::host;
+use platform::{
+    hosts::{self, List},
+    log,
+};
 use scheduler::entry::{Event, Record};
 use tokio::{
     sync::{oneshot, watch},
@@ -100,27 +103,33 @@
 }
 
 async fn read_hosts(
-    list: hosts::Client,
+    client: hosts::Client,
     period: Duration,
     control: control::Handle,
     listed: watch::Sender<u32>,
 ) {
+    let mut list = List::default();
+    let mut failed = false;
     loop {
-        match list.list().await {
-            Ok(hosts) => {
-                listed.send_replace(count_live(&hosts));
-                control.event(Event::Hosts(hosts));
+        match client.refresh(&mut list).await {
+            Ok(changed) => {
+                if changed {
+                    listed.send_replace(count_live(&list));
+                    control.event(Event::Hosts(list.hosts().cloned().collect()));
+                }
+                failed = false;
+            }
+            Err(error) if !failed => {
+                warn!(%error, "the list of hosts can't be read now");
+                failed = true;
             }
-            Err(error) => warn!(%error, "the list of hosts can't be read now"),
+            Err(_) => {}
         }
         sleep(period).await;
     }
 }
 
-fn count_live(hosts: &[Host]) -> u32 {
-    let live = hosts.iter().filter(|host| host.state == host::State::Live);
-    let mut names: Vec<&HostName> = live.map(|host| &host.name).collect();
-    names.sort_unstable();
-    names.dedup();
-    u32::try_from(names.len()).unwrap_or(u32::MAX)
+fn count_live(list: &List) -> u32 {
+    let live = list.hosts().filter(|host| host.state == host::State::Live);
+    u32::try_from(live.count()).unwrap_or(u32::MAX)
 }
