Shed no tier while a lower one waits at the same entry

Cause: an entry refused a request once every target had denied it, even while a lower tier waited at the entry for the same pool, and however old those denials were. An agent evicted before it granted, so that a request was shed for a place that the best waiting one was about to leave.

Change: before a refusal for want of room the entry asks denials older than 20 ms again, at most 8 times, then sheds the lowest tier that waits there for the pool and asks where it waited.

--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -143,6 +143,11 @@
         Load { running, waiting, floor, offset: self.heard }
     }
 
+    /// The lowest tier's rank among those that wait.
+    pub fn lowest_waiting(&self) -> Option<Rank> {
+        self.queue.last().map(|waiting| waiting.rank)
+    }
+
     /// Whether no new reservations are taken.
     pub fn is_draining(&self) -> bool {
         self.draining
@@ -164,6 +169,8 @@
         }
         let order = self.queue.push(now, &ask);
         self.live.insert(ask.id, Stage::Waiting { order });
+        // Room comes first: nobody is evicted for a place that the best no longer needs.
+        self.fill(now, effects);
         if self.queue.len() > self.room.waiting {
             self.evict(now, effects);
         }
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -63,6 +63,11 @@
         self.waiting.first_key_value().map(|(_, waiting)| *waiting)
     }
 
+    /// The worst reservation: the lowest tier, there the latest deadline.
+    pub fn last(&self) -> Option<Waiting> {
+        self.waiting.last_key_value().map(|(_, waiting)| *waiting)
+    }
+
     /// Takes the best reservation out.
     pub fn pop(&mut self) -> Option<Waiting> {
         let order = *self.waiting.first_key_value()?.0;
--- a/components/scheduler/src/entry/admit.rs
+++ b/components/scheduler/src/entry/admit.rs
@@ -64,6 +64,7 @@
         attempts: 0,
         open: Default::default(),
         tried: Default::default(),
+        rounds: 0,
         denial: None,
         request,
     }
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -33,6 +33,11 @@
 const DOWN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that shed a tier is asked last for that tier.
 const SHED_LIFE: Duration = Duration::from_secs(1);
+/// Time for which a denial counts. A refusal rests on none that is older, so that no lower tier
+/// can have waited longer than this, and a way there, at a target that denied a higher one.
+pub const DENIAL_LIFE: Duration = Duration::from_millis(20);
+/// Most rounds in which old denials are asked again, so that far targets don't put a refusal off.
+const ROUNDS: u32 = 8;
 /// Wait that is advised where nothing better is known.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -157,6 +162,11 @@
         self.ready && !self.unlisted && !self.draining
     }
 
+    /// The lowest tier's rank among those that wait here.
+    pub fn lowest_waiting(&self) -> Option<Rank> {
+        self.waiting.last().map(|order| order.rank)
+    }
+
     /// Requests that haven't ended.
     pub fn len(&self) -> usize {
         self.requests.len() + self.freshness.waiting()
@@ -219,7 +229,7 @@
         };
         match self.choose(now, pending).cloned() {
             Some(target) => self.reserve(now, id, &target, effects),
-            None if pending.open.is_empty() => self.refuse_full(id, effects),
+            None if pending.open.is_empty() => self.give_up(now, id, effects),
             None => {}
         }
     }
@@ -229,7 +239,7 @@
         let usable = |target: &&Target| {
             target.desired == Desired::Serving
                 && !self.leaving.contains(&target.host)
-                && !pending.tried.contains(&target.name)
+                && !pending.tried.contains_key(&target.name)
         };
         let targets = self.config.targets(&pending.pool).filter(usable);
         let ordered = placement::order(placement_key(pending), targets);
@@ -246,7 +256,7 @@
         pending.attempts += 1;
         let reservation = Id { request: id, attempt: pending.attempts };
         pending.open.insert(reservation, target.name.clone());
-        pending.tried.insert(target.name.clone());
+        pending.tried.insert(target.name.clone(), now);
         let ask = Ask {
             id: reservation,
             rank: pending.rank,
@@ -269,7 +279,7 @@
         let mut others = std::mem::take(&mut pending.open);
         pending.open.extend(others.remove_entry(&id));
         // Should the start have no effect, these may be asked again: they denied nothing.
-        pending.tried.retain(|target| !others.values().any(|other| other == target));
+        pending.tried.retain(|target, _| !others.values().any(|other| other == target));
         self.cancel(others, effects);
         effects.push(Effect::Start(start));
     }
@@ -294,9 +304,13 @@
             return;
         };
         // A denial that comes after the start, doubled or late, proves nothing about the start.
-        if !pending.is_waiting() || pending.open.remove(&id).is_none() {
+        if !pending.is_waiting() {
             return;
         }
+        let Some(target) = pending.open.remove(&id) else {
+            return;
+        };
+        pending.tried.insert(target, now);
         pending.denial = denial.or(pending.denial);
         self.seek(now, id.request, effects);
     }
@@ -351,6 +365,55 @@
         self.refuse(worst.request, refusal.retry_after(RETRY), effects);
     }
 
+    /// Refuses a request that no target has room for, unless that would pass over its tier: old
+    /// denials are asked again, and then a lower tier that waits here goes first.
+    fn give_up(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
+        if !self.forget_old_denials(now, id) && !self.displace(id, effects) {
+            return self.refuse_full(id, effects);
+        }
+        self.seek(now, id, effects);
+    }
+
+    /// Says whether there is a target to ask again.
+    fn forget_old_denials(&mut self, now: Instant, id: RequestId) -> bool {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        if pending.rounds == ROUNDS {
+            return false;
+        }
+        pending.rounds += 1;
+        pending.tried.retain(|_, at| now.saturating_duration_since(*at) < DENIAL_LIFE);
+        self.requests.get(&id).is_some_and(|pending| self.choose(now, pending).is_some())
+    }
+
+    /// Sheds the lowest tier that waits here for the same pool, where it is below the request's
+    /// own; gives the request another try where that one waited.
+    fn displace(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> bool {
+        let Some(worst) = self.lowest_below(id) else {
+            return false;
+        };
+        let targets: Vec<TargetName> = match self.requests.get(&worst) {
+            Some(pending) => pending.open.values().cloned().collect(),
+            None => Vec::new(),
+        };
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.tried.retain(|target, _| !targets.contains(target));
+        }
+        let refusal = Refusal::not_run(Reason::Overloaded, "a higher tier took its place");
+        self.refuse(worst, refusal.retry_after(RETRY), effects);
+        true
+    }
+
+    fn lowest_below(&self, id: RequestId) -> Option<RequestId> {
+        let pending = self.requests.get(&id)?;
+        let lower = self.waiting.iter().rev().take_while(|order| order.rank > pending.rank);
+        let same_pool = |order: &&Order| {
+            self.requests.get(&order.request).is_some_and(|other| other.pool == pending.pool)
+        };
+        lower.filter(same_pool).map(|order| order.request).next()
+    }
+
     fn refuse_full(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         let denial = self.requests.get(&id).and_then(|pending| pending.denial);
         let refusal = match denial {
--- a/components/scheduler/src/entry/pending.rs
+++ b/components/scheduler/src/entry/pending.rs
@@ -1,9 +1,6 @@
 //! A request between its arrival and its end.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Instant,
-};
+use std::{collections::BTreeMap, time::Instant};
 
 use model::{
     id::{PoolName, Rank, RequestId, TargetName},
@@ -42,8 +39,10 @@
     pub attempts: u32,
     /// Reservations that haven't ended, with their targets; only the started one once started.
     pub open: BTreeMap<Id, TargetName>,
-    /// Targets that were asked.
-    pub tried: BTreeSet<TargetName>,
+    /// Targets that were asked, and when they last were or denied.
+    pub tried: BTreeMap<TargetName, Instant>,
+    /// Times that old denials were forgotten, to ask again.
+    pub rounds: u32,
     /// Last denial, for the refusal's reason and time.
     pub denial: Option<Denial>,
 }
--- a/components/scheduler/tests/world/mod.rs
+++ b/components/scheduler/tests/world/mod.rs
@@ -16,7 +16,7 @@
     change::{Action, SCHEMA},
     credential, host,
     id::{Rank, RequestId},
-    refusal::Ran,
+    refusal::{Ran, Reason},
     reservation::{Ask, Denial, Fate, Grant, Id},
     resource::{Account, Backing, Desired, Pool, Target, Tier},
 };
@@ -56,6 +56,16 @@
     Denied(Fate),
 }
 
+/// A request that was refused for want of room, and what waited then.
+#[derive(Clone, Copy, Debug)]
+pub struct Shed {
+    pub rank: Rank,
+    /// Lowest tier that still waited at the same entry.
+    pub lowest_here: Option<Rank>,
+    /// Longest time since a target denied it at which a lower tier waited now.
+    pub window: Option<Duration>,
+}
+
 /// Everything, and what the oracle needs to judge it.
 pub struct World {
     pub now: Instant,
@@ -66,6 +76,8 @@
     pub ran: BTreeMap<RequestId, u32>,
     pub refused: BTreeMap<RequestId, Ran>,
     pub answered: BTreeSet<RequestId>,
+    /// Requests that were refused for want of room, in their order.
+    pub sheds: Vec<Shed>,
     /// Rank of each request that was sent.
     pub ranks: BTreeMap<RequestId, Rank>,
     frozen: BTreeSet<usize>,
@@ -73,6 +85,8 @@
     closed: BTreeSet<usize>,
     /// Calls for room that have no reply yet, and starts whose reply is waited for.
     calls: BTreeMap<Id, usize>,
+    /// When each target last denied each request.
+    denials: BTreeMap<RequestId, BTreeMap<usize, Instant>>,
     starts: BTreeMap<Id, usize>,
     running: BTreeMap<Id, usize>,
     serial: u64,
@@ -93,7 +107,9 @@
         ranks: BTreeMap::new(),
         frozen: BTreeSet::new(),
         closed: BTreeSet::new(),
+        sheds: Vec::new(),
         calls: BTreeMap::new(),
+        denials: BTreeMap::new(),
         starts: BTreeMap::new(),
         running: BTreeMap::new(),
         serial: 0,
@@ -119,6 +135,12 @@
         }
     }
 
+    /// Delivers the oldest message.
+    pub fn deliver_first(&mut self) {
+        let packet = self.network.remove(0);
+        self.receive(packet);
+    }
+
     /// Delivers a copy and keeps the message.
     pub fn double(&mut self, index: usize) {
         let packet = self.network[index].clone();
@@ -239,11 +261,26 @@
             }
             entry::Effect::Refuse { request, refusal, .. } => {
                 self.refused.insert(request, refusal.ran);
+                if matches!(refusal.reason, Reason::Overloaded | Reason::NoTarget) {
+                    self.note_shed(request);
+                }
             }
             _ => {}
         }
     }
 
+    fn note_shed(&mut self, request: RequestId) {
+        let rank = self.ranks[&request];
+        let denials = self.denials.remove(&request).unwrap_or_default();
+        let passed = |(target, at): (&usize, &Instant)| {
+            let lower = self.agents[*target].lowest_waiting().is_some_and(|lowest| lowest > rank);
+            lower.then(|| self.now.duration_since(*at))
+        };
+        let window = denials.iter().filter_map(passed).max();
+        let lowest_here = self.entries[entry_of(request)].lowest_waiting();
+        self.sheds.push(Shed { rank, lowest_here, window });
+    }
+
     fn agent(&mut self, target: usize, event: agent::Event) {
         let settles = matches!(event, agent::Event::Settle(_));
         for effect in agent::reduce(&mut self.agents[target], self.now, event) {
@@ -252,6 +289,7 @@
                     self.network.push(Packet::Granted { id, grant });
                 }
                 agent::Effect::Deny { id, denial } => {
+                    self.denials.entry(id.request).or_default().insert(target, self.now);
                     self.network.push(Packet::Denied { id, denial });
                 }
                 agent::Effect::Dispatch(id) => self.dispatch(target, id),
@@ -431,7 +469,7 @@
     })
 }
 
-fn request(id: RequestId, rank: Rank, deadline: Duration) -> Request {
+pub fn request(id: RequestId, rank: Rank, deadline: Duration) -> Request {
     Request {
         id,
         credential: Some(credential::hash("key")),
