Give operators a command line that applies, watches and survives lost answers

Cause: the resource API could only be reached by hand-written HTTP calls, and a watch's promise to lose and double nothing had no test.

Change: `get`, `apply -f`, `delete`, `watch` and `status` with tables for people and JSON for scripts. `apply` sorts a file so that what is referred to comes first, tells every finding with its place in the file, and goes on after a refusal; exit codes tell a conflict (3), an open fate (4), nothing there (5) and a watch that is too old (6) apart. A write whose fate is unknown is sent again under its change id; `watch` opens a broken connection again where it was.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -18,6 +18,7 @@
 use scheduler::config;
 use tokio::sync::{oneshot, watch as channel};
 
+pub use body::read_kind as read_resource;
 pub use fault::{Failure, Reason};
 pub use history::History;
 pub use view::{Event, Item, Page, Status, Wait, Written};
--- a/components/api/src/write.rs
+++ b/components/api/src/write.rs
@@ -51,7 +51,7 @@
     let payload = serde_json::to_string(change).expect("a change is JSON");
     let mut lost = false;
     while Instant::now() < due {
-        match timeout_at(due, context.log.append(platform::CONFIG, &payload)).await {
+        match timeout_at(due, append(context, &payload)).await {
             Ok(Ok(offset)) => return read_back(context, change, offset, due).await,
             Ok(Err(log::Error::Unknown)) => lost = true,
             Ok(Err(error)) if !lost => return Err(unavailable(&error)),
@@ -66,6 +66,15 @@
     Err(unknown(change.id, None))
 }
 
+/// Appends in a task of its own, which goes on where the operator's time runs out or its
+/// connection breaks: a repeat with the same change id then finds the change.
+async fn append(context: &Context, payload: &str) -> Result<Offset, log::Error> {
+    let log = context.log.clone();
+    let payload = payload.to_owned();
+    let appending = tokio::spawn(async move { log.append(platform::CONFIG, &payload).await });
+    appending.await.unwrap_or(Err(log::Error::Unknown))
+}
+
 /// Catches up with the end of the log, so that nothing is decided on an old state.
 async fn refresh(context: &Context, due: Instant) -> Result<(), Failure> {
     let applied = *context.applied.borrow();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,14 @@
 //! Arguments of the command line.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, time::Duration};
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use model::resource::Kind;
 
-const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 faulty settings, input or arguments.";
+use crate::client::{KEY, SERVER};
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 faulty settings, input or arguments, \
+3 conflict, 4 may be accepted or isn't in force yet, 5 not found, 6 gone.";
 
 /// Describes the whole command line.
 pub fn command() -> Command {
@@ -16,9 +20,148 @@
         .arg_required_else_help(true)
         .subcommand(serve())
         .subcommand(check())
+        .subcommand(get())
+        .subcommand(apply())
+        .subcommand(delete())
+        .subcommand(watch())
+        .subcommand(status())
         .subcommand(hash())
 }
 
+/// The kind that was asked for.
+pub fn kind(matches: &ArgMatches) -> Kind {
+    some_kind(matches).expect("clap requires it")
+}
+
+/// The kind that was asked for, if any.
+pub fn some_kind(matches: &ArgMatches) -> Option<Kind> {
+    match matches.get_one::<String>("kind")?.as_str() {
+        "account" => Some(Kind::Account),
+        "tier" => Some(Kind::Tier),
+        "pool" => Some(Kind::Pool),
+        _ => Some(Kind::Target),
+    }
+}
+
+/// Whether the output is for scripts.
+pub fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("output").is_some_and(|output| output == "json")
+}
+
+/// What a write waits for.
+pub fn wait(matches: &ArgMatches) -> &str {
+    matches.get_one::<String>("wait").map_or("accepted", String::as_str)
+}
+
+/// Time for a write's answer.
+pub fn timeout(matches: &ArgMatches) -> Duration {
+    let seconds = matches.get_one::<u64>("timeout").copied();
+    Duration::from_secs(seconds.unwrap_or(10))
+}
+
+fn get() -> Command {
+    remote(Command::new("get").about("Print one resource, or all of a kind"))
+        .arg(kind_argument().required(true))
+        .arg(Arg::new("name").help("Name of the resource; all of the kind where absent"))
+}
+
+fn apply() -> Command {
+    writing(Command::new("apply").about("Create or replace the resources of a file"))
+        .after_help(
+            "The file holds one resource or an array, as `get --output json` prints them. A\n\
+             resource with a version is written only while that version stands. Every finding is\n\
+             told with its place; a resource that is refused doesn't keep the others back.",
+        )
+        .arg(
+            Arg::new("file")
+                .short('f')
+                .long("file")
+                .help("File of resources (JSON)")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn delete() -> Command {
+    writing(Command::new("delete").about("Delete a resource"))
+        .arg(kind_argument().required(true))
+        .arg(Arg::new("name").help("Name of the resource").required(true))
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .help("Version that must stand; the one that stands now where absent")
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+fn watch() -> Command {
+    remote(Command::new("watch").about("Print changes as they happen"))
+        .arg(kind_argument())
+        .arg(
+            Arg::new("from")
+                .long("from")
+                .help("First offset to tell; the next one where absent")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("until")
+                .long("until")
+                .help("Offset after which to end")
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+fn status() -> Command {
+    remote(Command::new("status").about("Print how far the configuration has come"))
+}
+
+/// Arguments of every call to an entry process.
+fn remote(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("server")
+                .long("server")
+                .help(format!("Operators' address of an entry process [env: {SERVER}]")),
+        )
+        .arg(
+            Arg::new("key-file")
+                .long("key-file")
+                .help(format!("File with the operator's key [env: {KEY} has the key itself]"))
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("output")
+                .short('o')
+                .long("output")
+                .help("Form of the output")
+                .value_parser(["table", "json"])
+                .default_value("table"),
+        )
+}
+
+/// Arguments of every call that changes something.
+fn writing(command: Command) -> Command {
+    remote(command)
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .help("What to wait for")
+                .value_parser(["accepted", "in_force"])
+                .default_value("accepted"),
+        )
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .help("Seconds to wait")
+                .value_parser(value_parser!(u64).range(1..=300))
+                .default_value("10"),
+        )
+}
+
+fn kind_argument() -> Arg {
+    Arg::new("kind").help("Kind of resource").value_parser(["account", "tier", "pool", "target"])
+}
+
 fn serve() -> Command {
     Command::new("serve")
         .about("Run an entry process")
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,10 @@
 //! `wagtailhill`: the entry process and the operators' command line.
 
 mod cli;
+mod client;
 mod cmd;
 mod exit;
+mod table;
 
 use std::process::ExitCode;
 
@@ -11,6 +13,11 @@
     match matches.subcommand() {
         Some(("serve", matches)) => cmd::serve::run(matches),
         Some(("check", matches)) => cmd::check::run(matches),
+        Some(("get", matches)) => cmd::get::run(matches),
+        Some(("apply", matches)) => cmd::apply::run(matches),
+        Some(("delete", matches)) => cmd::delete::run(matches),
+        Some(("watch", matches)) => cmd::watch::run(matches),
+        Some(("status", matches)) => cmd::status::run(matches),
         Some(("hash", _)) => cmd::hash::run(),
         _ => unreachable!("clap requires a known subcommand"),
     }
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -305,3 +305,68 @@
     assert_eq!((&status["in_force"], &status["listed"]), (&Value::Null, &json!(3)));
     assert_eq!(after.body["reached"], "in_force");
 }
+
+/// Offsets of the changes among a watch's lines.
+fn offsets(lines: &[Value]) -> Vec<u64> {
+    let changes = lines.iter().filter(|line| line["type"] != "bookmark");
+    changes.map(|line| line["offset"].as_u64().unwrap()).collect()
+}
+
+/// The last bookmark among a watch's lines.
+fn bookmark(lines: &[Value]) -> u64 {
+    let last = lines.iter().rfind(|line| line["type"] == "bookmark").unwrap();
+    last["offset"].as_u64().unwrap()
+}
+
+#[tokio::test]
+async fn a_watch_goes_on_through_another_entry_without_loss_or_doubles() {
+    let platform = platform().await;
+    let entries = [entry("entry-1", &platform).await, entry("entry-2", &platform).await];
+    let mut seen = Vec::new();
+    let mut next = 1;
+
+    for round in 0..6_u8 {
+        let entry = &entries[usize::from(round % 2)];
+        put(entry, &tier("crew", round), 0, "").await;
+        // Records that aren't accepted are passed over, and covered by the bookmark.
+        fixture::seed(&platform.log, vec![tier("crew", 9)]);
+        platform.log.append(platform::CONFIG, "no change".to_owned());
+        delete(entry, "/v1/resources/tier/crew", u64::from(round) * 4 + 1).await;
+        let lines = operator::watch(entry, next, u64::from(round) * 4 + 4).await;
+        next = bookmark(&lines) + 1;
+        seen.extend(offsets(&lines));
+    }
+
+    let expected: Vec<u64> = (0..6).flat_map(|round| [round * 4 + 1, round * 4 + 4]).collect();
+    assert_eq!(seen, expected);
+}
+
+#[tokio::test]
+async fn a_watch_tells_what_changed_as_it_happens() {
+    let platform = platform().await;
+    let entry = entry("entry-1", &platform).await;
+    let watching = operator::watch(&entry, 1, 2);
+    let writing = async {
+        put(&entry, &tier("crew", 0), 0, "").await;
+        delete(&entry, "/v1/resources/tier/crew", 1).await
+    };
+
+    let (lines, _) = tokio::join!(watching, writing);
+
+    let changes: Vec<&Value> = lines.iter().filter(|line| line["type"] != "bookmark").collect();
+    let resource = serde_json::to_value(tier("crew", 0)).unwrap();
+    let key = json!({"kind": "tier", "name": "crew"});
+    assert_eq!(changes[0], &json!({"type": "put", "offset": 1, "resource": resource}));
+    assert_eq!(changes[1], &json!({"type": "delete", "offset": 2, "key": key}));
+}
+
+#[tokio::test]
+async fn a_watch_of_one_kind_tells_no_other() {
+    let platform = platform().await;
+    fixture::seed(&platform.log, vec![tier("crew", 0), fixture::service_pool("status")]);
+    let entry = entry("entry-1", &platform).await;
+
+    let lines = operator::watch_with(&entry, "from=1&kind=pool", 2).await;
+
+    assert_eq!(offsets(&lines), [2]);
+}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -27,6 +27,30 @@
     Client::new().request(method, url).bearer_auth(KEY)
 }
 
+/// Reads a watch's lines up to the bookmark of an offset, and then breaks the connection.
+pub async fn watch(entry: &Process, from: Offset, until: Offset) -> Vec<Value> {
+    watch_with(entry, &format!("from={from}"), until).await
+}
+
+/// The same with a query.
+pub async fn watch_with(entry: &Process, query: &str, until: Offset) -> Vec<Value> {
+    let request = call(entry, Method::GET, &format!("/v1/watch?{query}"));
+    let mut answer = request.send().await.unwrap();
+    let mut text = String::new();
+    loop {
+        let chunk = answer.chunk().await.unwrap().expect("a watch goes on until it is broken");
+        text.push_str(std::str::from_utf8(&chunk).unwrap());
+        let whole = text.lines().filter_map(|line| serde_json::from_str(line).ok());
+        let lines: Vec<Value> = whole.collect();
+        let seen = lines.iter().any(|line| {
+            line["type"] == "bookmark" && line["offset"].as_u64().is_some_and(|o| o >= until)
+        });
+        if seen {
+            return lines;
+        }
+    }
+}
+
 /// Sends a call and reads its answer.
 pub async fn send(request: RequestBuilder) -> Answer {
     read(request.send().await.unwrap()).await
