--- a/components/evidence/src/lib.rs
+++ b/components/evidence/src/lib.rs
@@ -1,1 +1,14 @@
-//! Evidence: hash-chained batches of decisions, and the audit of them.
+//! Evidence of what was decided: records in hash-chained batches, and the audit that reads them.
+//!
+//! Each run of a process writes a chain of its own to the `evidence` stream of the platform's log.
+//! What is missing shows as a gap, and the audit never takes a gap for proof.
+
+pub mod audit;
+pub mod batch;
+pub mod history;
+pub mod record;
+
+pub use audit::{Report, audit};
+pub use batch::Batch;
+pub use history::History;
+pub use record::{Fact, Record};
--- /dev/null
+++ b/components/evidence/tests/differential.rs
@@ -0,0 +1,363 @@
+//! The audit against a naive checker that compares all records with all others.
+
+mod support;
+
+use std::time::{Duration, SystemTime};
+
+use evidence::{
+    Fact, audit,
+    audit::{Rule, Verdict},
+    batch::{Process, Role},
+    history::{self, Span},
+    record::{Departure, Eviction, Outcome, Request, Run, Start, Subject},
+};
+use model::{
+    refusal::{Ran, Reason},
+    reservation::Id,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use support::{Writer, at};
+use uuid::Uuid;
+
+const CASES: u32 = 400;
+const END: u64 = 40_000;
+const RULES: [Rule; 8] = [
+    Rule::DispatchedOnce,
+    Rule::TierOrder,
+    Rule::WholeAnswers,
+    Rule::NotRun,
+    Rule::RunsOnce,
+    Rule::LeavingTargets,
+    Rule::GracefulShutdown,
+    Rule::Configuration,
+];
+
+/// Facts of one process with their times, and whether its first batch is lost.
+#[derive(Clone, Debug)]
+struct Part {
+    facts: Vec<(u64, Fact)>,
+    open: u32,
+    lost: bool,
+}
+
+fn config() -> Config {
+    let cases = std::env::var("WAGTAILHILL_CASES").ok().and_then(|cases| cases.parse().ok());
+    Config {
+        cases: cases.unwrap_or(CASES),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..Config::default()
+    }
+}
+
+fn ran() -> impl Strategy<Value = Ran> {
+    prop_oneof![Just(Ran::NotRun), Just(Ran::MayHaveRun), Just(Ran::Yes)]
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    let refused = (ran(), prop::option::weighted(0.2, 0..3_u8)).prop_map(|(ran, left_waiting)| {
+        Outcome::Refused { reason: Reason::Overloaded, ran, left_waiting }
+    });
+    let whole = (0..2_u128).prop_map(|digest| Outcome::Whole { digest });
+    prop_oneof![3 => whole, 2 => refused, 1 => Just(Outcome::Abandoned)]
+}
+
+fn ended() -> impl Strategy<Value = Fact> {
+    let starts = prop::collection::vec((1..3_u32, 0..3_usize), 0..2);
+    let claim = prop::option::weighted(0.3, 0..2_u128);
+    (0..8_u128, prop::option::of(0..3_u8), claim, any::<bool>(), starts, outcome()).prop_map(
+        |(number, rank, claim, idempotent, starts, outcome)| {
+            let start = |(attempt, target)| Start { attempt, target: format!("t{target}") };
+            Fact::Request(Request {
+                rank,
+                claim,
+                idempotent,
+                starts: starts.into_iter().map(start).collect(),
+                outcome,
+                ..support::request(number)
+            })
+        },
+    )
+}
+
+fn departure() -> impl Strategy<Value = Fact> {
+    (0..2_usize, any::<bool>(), any::<bool>()).prop_map(|(target, host, leaving)| {
+        let subject = match host {
+            true => Subject::Host(format!("host-of-t{target}")),
+            false => Subject::Target(format!("t{target}")),
+        };
+        Fact::Departure(Departure { subject, leaving })
+    })
+}
+
+fn entry_fact() -> impl Strategy<Value = Fact> {
+    prop_oneof![
+        6 => ended(),
+        1 => departure(),
+        2 => (1..4_u64).prop_map(|offset| Fact::Applied { offset }),
+    ]
+}
+
+fn agent_fact() -> impl Strategy<Value = Fact> {
+    let run = (0..8_u128, 1..3_u32, 0..END, ran(), prop::option::of(0..2_u128)).prop_map(
+        |(number, attempt, started, ran, digest)| {
+            let id = Id { request: Uuid::from_u128(number), attempt };
+            Fact::Run(Run { id, started: at(started), ran, digest })
+        },
+    );
+    let eviction = (0..3_u8, prop::option::of(0..3_u8)).prop_map(|(rank, left_waiting)| {
+        let id = Id { request: Uuid::from_u128(50), attempt: 1 };
+        Fact::Eviction(Eviction { id, rank, left_waiting })
+    });
+    prop_oneof![8 => run, 1 => eviction, 1 => Just(Fact::Draining)]
+}
+
+fn part(fact: impl Strategy<Value = Fact>) -> impl Strategy<Value = Part> {
+    let facts = prop::collection::vec((0..END, fact), 0..6);
+    (facts, prop::bool::weighted(0.1), prop::bool::weighted(0.15)).prop_map(
+        |(mut facts, open, lost)| {
+            facts.sort_by_key(|(millis, _)| *millis);
+            Part { facts, open: open.into(), lost }
+        },
+    )
+}
+
+/// A chain of two batches: all facts but the last, and the rest.
+fn write(mut writer: Writer, part: &Part) -> Writer {
+    let half = part.facts.len() / 2;
+    let (first, second) = part.facts.split_at(half);
+    let middle = second.first().map_or(END / 2, |(millis, _)| *millis);
+    writer.batch(middle, first.to_vec());
+    let mut rest = second.to_vec();
+    rest.push((END, Fact::Closed { open: part.open }));
+    writer.batch(END + 1, rest);
+    writer
+}
+
+/// What is left of the records, flat.
+struct Naive {
+    records: Vec<(Process, SystemTime, Fact)>,
+    /// First moment of which each process has evidence.
+    covered: Vec<(Process, SystemTime)>,
+    lost: Vec<Role>,
+}
+
+impl Naive {
+    fn requests(&self) -> impl Iterator<Item = (SystemTime, &Request)> {
+        self.records.iter().filter_map(|(_, at, fact)| match fact {
+            Fact::Request(request) => Some((*at, request)),
+            _ => None,
+        })
+    }
+
+    fn runs(&self) -> impl Iterator<Item = (&Process, &Run)> {
+        self.records.iter().filter_map(|(process, _, fact)| match fact {
+            Fact::Run(run) => Some((process, run)),
+            _ => None,
+        })
+    }
+
+    fn reached(&self, request: Uuid) -> Vec<&Run> {
+        let runs = self.runs().map(|(_, run)| run);
+        runs.filter(|run| run.id.request == request && run.ran != Ran::NotRun).collect()
+    }
+
+    fn is_violated(&self, rule: Rule) -> bool {
+        match rule {
+            Rule::DispatchedOnce => {
+                self.runs().any(|(_, run)| self.reached(run.id.request).len() > 1)
+            }
+            Rule::TierOrder => self.records.iter().any(|(_, _, fact)| match fact {
+                Fact::Eviction(eviction) => {
+                    eviction.left_waiting.is_some_and(|left| left > eviction.rank)
+                }
+                Fact::Request(Request {
+                    rank: Some(rank),
+                    outcome: Outcome::Refused { left_waiting: Some(left), .. },
+                    ..
+                }) => left > rank,
+                _ => false,
+            }),
+            Rule::WholeAnswers => self.requests().any(|(_, request)| match request.outcome {
+                Outcome::Whole { digest } => {
+                    let runs = self.reached(request.request);
+                    let same = runs.iter().any(|run| run.digest == Some(digest));
+                    !same && (!runs.is_empty() || request.starts.is_empty())
+                }
+                _ => false,
+            }),
+            Rule::NotRun => self.requests().any(|(_, request)| {
+                says_not_run(request) && !self.reached(request.request).is_empty()
+            }),
+            Rule::RunsOnce => self.guarded_claims().any(|claim| self.runs_under(claim) > 1),
+            Rule::LeavingTargets => self.runs().any(|(process, run)| self.is_late(process, run)),
+            Rule::GracefulShutdown => {
+                self.records.iter().any(|(_, _, fact)| matches!(fact, Fact::Closed { open: 1.. }))
+            }
+            Rule::Configuration => self.applies_badly(),
+            Rule::Evidence => !self.lost.is_empty(),
+        }
+    }
+
+    fn is_unsure(&self, rule: Rule) -> bool {
+        let lost = match rule {
+            Rule::DispatchedOnce => self.lost.contains(&Role::Agent),
+            Rule::Configuration => self.lost.contains(&Role::Entry),
+            _ => !self.lost.is_empty(),
+        };
+        lost || match rule {
+            Rule::DispatchedOnce => self.requests().any(|(at, r)| self.is_unwitnessed(at, r)),
+            Rule::WholeAnswers => self.requests().any(|(at, request)| {
+                matches!(request.outcome, Outcome::Whole { .. })
+                    && self.reached(request.request).is_empty()
+                    && self.is_unwitnessed(at, request)
+            }),
+            Rule::NotRun => self.requests().any(|(at, r)| says_not_run(r) && self.is_unseen(at, r)),
+            Rule::RunsOnce => self.requests().any(|(at, request)| {
+                let guarded = |claim| self.guarded_claims().any(|guarded| guarded == claim);
+                request.claim.is_some_and(guarded) && self.is_unwitnessed(at, request)
+            }),
+            _ => false,
+        }
+    }
+
+    fn guarded_claims(&self) -> impl Iterator<Item = u128> {
+        self.requests().filter(|(_, request)| !request.idempotent).filter_map(|(_, r)| r.claim)
+    }
+
+    fn runs_under(&self, claim: u128) -> usize {
+        let mut ids: Vec<Uuid> = Vec::new();
+        for (_, request) in self.requests() {
+            if request.claim == Some(claim) && !ids.contains(&request.request) {
+                ids.push(request.request);
+            }
+        }
+        ids.into_iter().map(|id| self.reached(id).len()).sum()
+    }
+
+    fn is_unwitnessed(&self, at: SystemTime, request: &Request) -> bool {
+        let promised = match request.outcome {
+            Outcome::Whole { .. } => true,
+            Outcome::Refused { ran, .. } => ran == Ran::Yes,
+            Outcome::Abandoned => false,
+        };
+        let without = self.reached(request.request).is_empty() && !request.starts.is_empty();
+        promised && without || self.is_unseen(at, request)
+    }
+
+    fn is_unseen(&self, at: SystemTime, request: &Request) -> bool {
+        request.starts.iter().any(|start| {
+            let id = Id { request: request.request, attempt: start.attempt };
+            let shown = self.runs().any(|(_, run)| run.id == id);
+            let covers = |(process, from): &(Process, SystemTime)| {
+                process.role == Role::Agent && process.name == start.target && *from <= at
+            };
+            !shown && !self.covered.iter().any(covers)
+        })
+    }
+
+    fn is_late(&self, process: &Process, run: &Run) -> bool {
+        let limit = Duration::from_secs(5);
+        let drained = self.records.iter().any(|(other, at, fact)| {
+            other == process && *fact == Fact::Draining && *at + limit < run.started
+        });
+        let names = [Subject::Host(process.host.clone()), Subject::Target(process.name.clone())];
+        drained || names.iter().any(|name| self.left_before(name, run.started, limit))
+    }
+
+    fn left_before(&self, subject: &Subject, started: SystemTime, limit: Duration) -> bool {
+        let mut told: Vec<(SystemTime, bool)> = Vec::new();
+        for (_, at, fact) in &self.records {
+            match fact {
+                Fact::Departure(departure) if departure.subject == *subject && *at <= started => {
+                    told.push((*at, departure.leaving));
+                }
+                _ => {}
+            }
+        }
+        told.sort_by_key(|(at, _)| *at);
+        let mut since = None;
+        for (at, leaving) in told {
+            since = if leaving { since.or(Some(at)) } else { None };
+        }
+        since.is_some_and(|since| since + limit < started)
+    }
+
+    fn applies_badly(&self) -> bool {
+        let applied: Vec<(&Process, SystemTime, u64)> = self
+            .records
+            .iter()
+            .filter_map(|(process, at, fact)| match fact {
+                Fact::Applied { offset } => Some((process, *at, *offset)),
+                _ => None,
+            })
+            .collect();
+        self.covered.iter().any(|(process, _)| {
+            let own: Vec<_> = applied.iter().filter(|(other, ..)| *other == process).collect();
+            let back = own.windows(2).any(|pair| pair[1].2 < pair[0].2);
+            back || applied.iter().any(|(_, _, offset)| {
+                let first = applied.iter().filter(|a| a.2 == *offset).map(|a| a.1).min().unwrap();
+                let due = first + Duration::from_secs(7);
+                let began = own.first().is_some_and(|own| own.1 <= first);
+                let reached = own.iter().find(|own| own.2 >= *offset).map(|own| own.1);
+                began && reached.unwrap_or(at(END)) > due
+            })
+        })
+    }
+
+    fn verdict(&self, rule: Rule) -> Verdict {
+        match (self.is_violated(rule), self.is_unsure(rule)) {
+            (true, _) => Verdict::Violated,
+            (false, true) => Verdict::NotProvable,
+            (false, false) => Verdict::Held,
+        }
+    }
+}
+
+fn says_not_run(request: &Request) -> bool {
+    matches!(request.outcome, Outcome::Refused { ran: Ran::NotRun, .. })
+}
+
+/// The stream without its lost batches, and the naive view of the same.
+fn build(parts: &[Part]) -> (Vec<history::Read>, Naive) {
+    let writers = ["e0", "e1"].map(support::entry).into_iter();
+    let writers = writers.chain(["t0", "t1"].map(support::agent));
+    let mut naive = Naive { records: Vec::new(), covered: Vec::new(), lost: Vec::new() };
+    let mut sealed = Vec::new();
+    for (writer, part) in writers.zip(parts) {
+        let writer = write(writer, part);
+        let skipped = usize::from(part.lost);
+        sealed.extend(writer.seal().into_iter().skip(skipped));
+        if part.lost {
+            naive.lost.push(writer.process.role);
+        }
+        naive.covered.push((writer.process.clone(), writer.batches[skipped].since));
+        for record in writer.batches.iter().skip(skipped).flat_map(|batch| &batch.records) {
+            naive.records.push((writer.process.clone(), record.at, record.fact.clone()));
+        }
+    }
+    (support::reads(sealed), naive)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn every_verdict_is_that_of_the_naive_checker(
+        entries in prop::collection::vec(part(entry_fact()), 2),
+        agents in prop::collection::vec(part(agent_fact()), 2),
+    ) {
+        let parts: Vec<Part> = entries.into_iter().chain(agents).collect();
+        let (stream, naive) = build(&parts);
+
+        let report = audit(&history::assemble(stream), Span::default());
+
+        for rule in RULES {
+            let finding = report.finding(rule).unwrap();
+            prop_assert_eq!(finding.verdict, naive.verdict(rule), "{:?}: {:#?}", rule, finding);
+        }
+    }
+}
