Claim a keyed request at its home before it waits for a target

Entries follow it too and claim a key at its home (claim, settle_claim, ask_claim, hand_over in the control calls) before they ask for a reservation. A request that ends before it was told to start frees its key; one whose answer has begun tells the home that it ran. Refusals of a keyed request speak of the key: before its home has granted it they say may_have_run. The connections to agents moved to wire::pool, which both programs use; a connection that ended is opened again.

Proof: tests/claims.rs with real processes: copies at once and through two entries, entry killed, home killed and restarted, home left and back, log down, log slow, answers of a join and a leave lost.

The drain test of tests/processes.rs blocked the thread that its log lives on, which an agent now needs to leave: it runs on several threads.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use model::reservation::{Ask, Denial, Fate, Grant, Id, Load};
+use model::{
+    id::IncarnationId,
+    reservation::{Ask, Denial, Fate, Grant, Id, Load},
+};
 use scheduler::agent::{self, Effect, Event, Room, State};
 use tokio::{
     runtime,
@@ -16,6 +19,8 @@
     time::sleep_until,
 };
 
+use crate::claims;
+
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -39,6 +44,7 @@
     Cancel { id: Id, reply: Option<oneshot::Sender<Fate>> },
     Settle { id: Id, reply: oneshot::Sender<Fate> },
     Event(Event),
+    Claims(claims::Message),
 }
 
 /// Who waits for the answer to the message that is being reduced.
@@ -53,6 +59,7 @@
 pub struct Handle {
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Receiver<Status>,
+    members: watch::Receiver<claims::Status>,
 }
 
 /// A request that may be dispatched; once it is, dropping it tells the reducer that the target is
@@ -75,13 +82,23 @@
     status: watch::Sender<Status>,
     metrics: Arc<metrics::Agent>,
     granting: HashMap<Id, oneshot::Sender<Granted>>,
+    claims: claims::Desk,
     drained: bool,
 }
 
 /// Starts the control thread.
-pub fn spawn(settings: &settings::Agent, metrics: Arc<metrics::Agent>) -> io::Result<Handle> {
+///
+/// Must be called on the traffic runtime.
+pub fn spawn(
+    settings: &settings::Agent,
+    incarnation: IncarnationId,
+    metrics: Arc<metrics::Agent>,
+) -> io::Result<Handle> {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, status_reader) = watch::channel(Status::default());
+    let (members, members_reader) = watch::channel(claims::Status::default());
+    let handle = Handle { messages, status: status_reader, members: members_reader };
+    let claims = claims::open(incarnation, handle.clone(), members, Arc::clone(&metrics));
     let room = Room {
         slots: settings.room.slots,
         tokens: settings.room.tokens,
@@ -93,13 +110,14 @@
         status,
         metrics,
         granting: HashMap::new(),
+        claims,
         drained: false,
     };
     let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    Ok(Handle { messages, status: status_reader })
+    Ok(handle)
 }
 
 impl Handle {
@@ -146,6 +164,16 @@
         *self.status.borrow()
     }
 
+    /// What the agent says of its membership and its claims.
+    pub fn members(&self) -> watch::Receiver<claims::Status> {
+        self.members.clone()
+    }
+
+    /// Brings a message before the reducer of claims.
+    pub fn claims(&self, message: claims::Message) {
+        self.send(Message::Claims(message));
+    }
+
     /// Asks the reducer to take no new reservation.
     pub fn start_drain(&self) {
         self.send(Message::Event(Event::Drain));
@@ -196,6 +224,9 @@
     }
 
     fn take(&mut self, message: Message) {
+        if let Message::Claims(message) = message {
+            return self.claims.take(message);
+        }
         let (event, mut reply) = self.open(message);
         for effect in agent::reduce(&mut self.state, Instant::now(), event) {
             reply = self.carry_out(effect, reply);
@@ -216,6 +247,7 @@
             }
             Message::Settle { id, reply } => (Event::Settle(id), Reply::Fate(reply)),
             Message::Event(event) => (event, Reply::Nobody),
+            Message::Claims(_) => (Event::Tick, Reply::Nobody),
         }
     }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,8 +1,10 @@
 //! The agent: the process beside a target, and the only way to it.
 
+mod claims;
 mod config;
 mod control;
 mod engine;
+mod membership;
 mod operator;
 mod server;
 mod service;
@@ -14,6 +16,7 @@
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
 use thiserror::Error;
 use tracing::info;
+use uuid::Uuid;
 
 pub use control::Status;
 
@@ -38,6 +41,7 @@
     pub operator_address: SocketAddr,
     control: control::Handle,
     config: config::Handle,
+    members: membership::Handle,
     calls: service::Handle,
     traffic: server::Handle,
     operators: HttpServer<Arc<operator::Context>>,
@@ -46,7 +50,8 @@
 /// Starts an agent on the current `tokio` runtime, which becomes its traffic threads.
 pub async fn spawn(settings: settings::Agent) -> Result<Handle, Error> {
     let metrics = Arc::new(metrics::agent::open());
-    let control = control::spawn(&settings, Arc::clone(&metrics))?;
+    let incarnation = Uuid::new_v4();
+    let control = control::spawn(&settings, incarnation, Arc::clone(&metrics))?;
     let copy = config::spawn(&settings, &control);
     let server = service::Server {
         target: settings.target.clone(),
@@ -62,6 +67,7 @@
     let traffic = server::bind(settings.listen.traffic, context).await?;
     let operators = serve_operators(&settings, &control, metrics)?;
     let control_address = calls.address;
+    let members = membership::spawn(&settings, incarnation, control_address, control.clone());
     let traffic_address = traffic.address;
     let operator_address = operators.local_addr();
     info!(
@@ -77,6 +83,7 @@
         operator_address,
         control,
         config: copy,
+        members,
         calls,
         traffic,
         operators,
@@ -101,11 +108,12 @@
         self.control.status()
     }
 
-    /// Takes no new reservation, finishes the running set, and ends.
+    /// Takes no new reservation, finishes the running set, hands claims over, and ends.
     pub async fn drain(self) -> Result<(), Error> {
         info!(running = self.control.status().load.running, "draining");
         self.control.start_drain();
         self.control.drained().await;
+        self.members.leave().await;
         self.traffic.close().await;
         self.operators.close().await.map_err(Error::Server)?;
         self.calls.stop();
--- a/components/agent/src/service.rs
+++ b/components/agent/src/service.rs
@@ -4,6 +4,7 @@
 
 use futures::{StreamExt, future};
 use model::{
+    claim::{self, Answer, Question, Settle, Transfer, Verdict},
     id::{Offset, TargetName},
     presence::{Report, Summary},
     refusal::Reason,
@@ -15,10 +16,10 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::task::JoinHandle;
+use tokio::{sync::oneshot, task::JoinHandle};
 use wire::control::{Agent, Status};
 
-use crate::{config, control};
+use crate::{claims::Message, config, control};
 
 /// The running server.
 pub struct Handle {
@@ -86,6 +87,28 @@
         self.control.settle(id).await
     }
 
+    async fn claim(self, _: Context, ask: claim::Ask) -> Verdict {
+        let (reply, verdict) = oneshot::channel();
+        self.control.claims(Message::Claim { ask, reply });
+        verdict.await.unwrap_or(Verdict::Leaving)
+    }
+
+    async fn settle_claim(self, _: Context, settle: Settle) -> bool {
+        let (reply, taken) = oneshot::channel();
+        self.control.claims(Message::Settle { settle, reply });
+        taken.await.unwrap_or(false)
+    }
+
+    async fn ask_claim(self, _: Context, question: Question) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        self.control.claims(Message::Ask { question, reply });
+        answer.await.unwrap_or(Answer::Stranger)
+    }
+
+    async fn hand_over(self, _: Context, claims: Vec<Transfer>) {
+        self.control.claims(Message::Event(scheduler::claim::Event::Received(claims)));
+    }
+
     async fn status(self, _: Context) -> Status {
         let status = self.control.status();
         Status { target: self.target, draining: status.draining, load: status.load }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -136,11 +136,17 @@
                 return refuse(context, id, &owner, refusal);
             }
             Some(Verdict::Start(start)) => match context.relay.start(&start, &outgoing).await {
-                Ok(opened) => return relay_answer(context, arrived, ticket, start, opened).await,
+                Ok(opened) => {
+                    ticket.ran();
+                    return relay_answer(context, arrived, ticket, start, opened).await;
+                }
                 Err(relay::Error::NotStarted { unreachable }) => {
                     ticket.not_started(start.id, unreachable);
                 }
                 Err(relay::Error::Lost(refusal)) => {
+                    if refusal.ran == Ran::Yes {
+                        ticket.ran();
+                    }
                     return refuse(context, id, &start.owner, refusal);
                 }
             },
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -197,6 +197,11 @@
     pub fn not_started(&self, id: Id, unreachable: bool) {
         self.control.event(Event::NotStarted { id, unreachable });
     }
+
+    /// Tells that the request surely ran.
+    pub fn ran(&self) {
+        self.control.event(Event::Ran { request: self.request });
+    }
 }
 
 impl Drop for Ticket {
@@ -268,6 +273,23 @@
                 let agents = Arc::clone(&self.agents);
                 self.traffic.spawn(async move { agents.cancel(address, id).await });
             }
+            Effect::Claim { request, address, ask } => {
+                let agents = Arc::clone(&self.agents);
+                let messages = self.messages.clone();
+                self.traffic.spawn(async move {
+                    let event = agents.claim(address, request, ask).await;
+                    let _ = messages.send(Message::Event(event));
+                });
+            }
+            Effect::Settle { address, settle, tries } => {
+                let agents = Arc::clone(&self.agents);
+                let messages = self.messages.clone();
+                self.traffic.spawn(async move {
+                    if let Some(event) = agents.settle_claim(address, settle, tries).await {
+                        let _ = messages.send(Message::Event(event));
+                    }
+                });
+            }
             Effect::Start(start) => self.tell(start.id.request, Verdict::Start(start)),
             Effect::Refuse { request, owner, refusal } => {
                 self.tell(request, Verdict::Refuse { owner, refusal });
--- a/components/entry/src/fault.rs
+++ b/components/entry/src/fault.rs
@@ -71,7 +71,7 @@
 
 /// The refusal that stands for a control thread that ended.
 pub fn stopped() -> Refusal {
-    Refusal::new(Reason::Draining, Ran::NotRun, "this process is stopping")
+    Refusal::new(Reason::Draining, Ran::MayHaveRun, "this process is stopping")
 }
 
 fn status(refusal: &Refusal) -> StatusCode {
@@ -79,9 +79,11 @@
         Reason::BadInput => StatusCode::BAD_REQUEST,
         Reason::Unauthorized => StatusCode::UNAUTHORIZED,
         Reason::AccountLimit => StatusCode::TOO_MANY_REQUESTS,
-        Reason::Overloaded | Reason::NoTarget | Reason::Draining | Reason::NotReady => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Reason::Overloaded
+        | Reason::NoTarget
+        | Reason::Draining
+        | Reason::NotReady
+        | Reason::Unclaimed => StatusCode::SERVICE_UNAVAILABLE,
         Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Reason::TargetLost | Reason::TornAnswer => StatusCode::BAD_GATEWAY,
         Reason::Duplicate => StatusCode::CONFLICT,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod control;
 mod fault;
 mod feed;
+mod members;
 mod operator;
 mod presence;
 mod read;
@@ -16,6 +17,7 @@
 use displaydoc::Display;
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use thiserror::Error;
+use tokio::task::JoinHandle;
 use tracing::info;
 
 use agents::Agents;
@@ -41,6 +43,7 @@
     settings: settings::Entry,
     control: control::Handle,
     feeds: feed::Handle,
+    members: JoinHandle<()>,
     caller_server: HttpServer<Arc<caller::Context>>,
     operator_server: HttpServer<Arc<api::Context>>,
 }
@@ -52,13 +55,23 @@
     let relay = relay::open(settings.timing.connect, Arc::clone(&agents));
     let control = control::spawn(&settings, Arc::clone(&metrics), agents)?;
     let feeds = feed::spawn(&settings, &control);
+    let members = members::spawn(&settings.platform.log, settings.timing.poll, control.clone());
     let caller_server = serve_callers(&settings, &control, &metrics, relay)?;
     let context = operator::context(&settings, &control, &metrics, &feeds);
     let operator_server = api::spawn(settings.listen.operators, context)?;
     let callers = caller_server.local_addr();
     let operators = operator_server.local_addr();
     info!(name = settings.name, %callers, %operators, "listening");
-    Ok(Handle { callers, operators, settings, control, feeds, caller_server, operator_server })
+    Ok(Handle {
+        callers,
+        operators,
+        settings,
+        control,
+        feeds,
+        members,
+        caller_server,
+        operator_server,
+    })
 }
 
 impl Handle {
@@ -79,6 +92,7 @@
         self.caller_server.close().await.map_err(Error::Server)?;
         self.operator_server.close().await.map_err(Error::Server)?;
         self.feeds.stop();
+        self.members.abort();
         info!("drained");
         Ok(())
     }
--- a/components/metrics/src/agent.rs
+++ b/components/metrics/src/agent.rs
@@ -18,6 +18,10 @@
     pub dispatched: Counter,
     /// Answers of the target that ended torn.
     pub torn: Counter,
+    /// Claims that are remembered.
+    pub claims: Gauge,
+    /// Membership epoch that is applied.
+    pub epoch: Gauge,
 }
 
 /// Builds the metrics.
@@ -31,7 +35,11 @@
     registry.register("dispatched", "Requests sent to the target", dispatched.clone());
     let torn = Counter::default();
     registry.register("torn", "Answers of the target that ended torn", torn.clone());
-    Agent { registry, running, waiting, dispatched, torn }
+    let claims = Gauge::default();
+    registry.register("claims", "Claims that are remembered", claims.clone());
+    let epoch = Gauge::default();
+    registry.register("membership_epoch", "Membership epoch that is applied", epoch.clone());
+    Agent { registry, running, waiting, dispatched, torn, claims, epoch }
 }
 
 impl Agent {
--- a/components/model/src/refusal.rs
+++ b/components/model/src/refusal.rs
@@ -14,7 +14,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
-    /// It did not run and this attempt never will: said only where it is provable.
+    /// It did not run and this attempt never will: said only where it is provable. Of a request
+    /// with an idempotency key it says so of every attempt so far.
     NotRun,
     /// It may have run: whoever could tell can't be asked.
     MayHaveRun,
@@ -51,6 +52,8 @@
     TornAnswer,
     /// The same idempotency key was used before.
     Duplicate,
+    /// Whether the idempotency key was used before can't be told now.
+    Unclaimed,
     /// The body crashed targets before.
     Quarantined,
 }
--- a/components/scheduler/src/entry/admit.rs
+++ b/components/scheduler/src/entry/admit.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{
+    claiming::Claim,
     event::{Call, Owner, Request},
     pending::{Pending, Stage},
 };
@@ -60,7 +61,8 @@
         pool: pool.name.clone(),
         deadline: now + request.deadline.unwrap_or(tier.deadline),
         widen_at: Some(now + pool.patience),
-        stage: Stage::Waiting,
+        stage: if request.key.is_some() { Stage::Claiming } else { Stage::Waiting },
+        claim: Claim::None,
         attempts: 0,
         open: Default::default(),
         tried: Default::default(),
--- a/components/scheduler/src/entry/event.rs
+++ b/components/scheduler/src/entry/event.rs
@@ -7,6 +7,7 @@
 
 use model::{
     Finding, Host, Refusal,
+    claim::{self, Settle, Verdict},
     credential::KeyHash,
     id::{
         AccountName, IdempotencyKey, ModelName, Offset, PoolName, RequestId, TargetName, TierName,
@@ -101,6 +102,27 @@
         /// Whether the agent couldn't be reached.
         unreachable: bool,
     },
+    /// A key's home answered.
+    Claimed {
+        /// The request.
+        request: RequestId,
+        /// The answer; `None` where the home can't be reached or its answer was lost.
+        verdict: Option<Verdict>,
+    },
+    /// What became of an attempt couldn't be told to the key's home.
+    Unsettled {
+        /// What to tell.
+        settle: Settle,
+        /// How often it was tried.
+        tries: u32,
+    },
+    /// A request that was told to start surely ran: its answer has begun.
+    Ran {
+        /// The request.
+        request: RequestId,
+    },
+    /// Records of the membership stream were read, in order.
+    Members(Vec<Record>),
     /// A request is over for this process: answered, torn, or given up by its caller.
     Ended {
         /// The request.
@@ -148,6 +170,24 @@
         /// Its agent's control address.
         address: SocketAddr,
     },
+    /// Ask a key's home for the key; the answer comes back as an event.
+    Claim {
+        /// The request.
+        request: RequestId,
+        /// The home's control address.
+        address: SocketAddr,
+        /// What to ask.
+        ask: claim::Ask,
+    },
+    /// Tell a key's home what became of an attempt; a failure comes back as an event.
+    Settle {
+        /// The home's control address.
+        address: SocketAddr,
+        /// What to tell.
+        settle: Settle,
+        /// How often it was tried, with this time.
+        tries: u32,
+    },
     /// Send the body to the agent that granted, and relay the answer.
     Start(Start),
     /// Answer the caller with a refusal.
--- a/components/scheduler/src/entry/feed.rs
+++ b/components/scheduler/src/entry/feed.rs
@@ -4,7 +4,10 @@
 
 use model::{Refusal, id::Offset, refusal::Reason};
 
-use super::{Effect, Owner, RETRY, Record, Request, State};
+use super::{
+    Effect, Owner, RETRY, Record, Request, State,
+    claiming::{self, Claim},
+};
 use crate::config::Snapshot;
 
 impl State {
@@ -77,5 +80,6 @@
 fn not_fresh(request: &Request) -> Effect {
     let message = "this process is behind the configuration and can't catch up now";
     let refusal = Refusal::not_run(Reason::NotReady, message).retry_after(RETRY);
+    let refusal = claiming::speak(request, Claim::None, refusal);
     Effect::Refuse { request: request.id, owner: Owner::default(), refusal }
 }
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry's reducer: which requests are taken, where they wait, which one starts where.
 
 mod admit;
+mod claiming;
 pub mod event;
 mod feed;
 pub mod freshness;
@@ -21,11 +22,12 @@
 };
 
 pub use admit::{DEADLINE_LIMIT, KEY_LIMIT};
+use claiming::Claim;
 pub use event::{Call, Effect, Event, Owner, Record, Request, Start};
 use freshness::Freshness;
 use pending::{Order, Pending, Stage, Timer};
 
-use crate::{config, limit, placement};
+use crate::{config, limit, membership, placement};
 
 /// Most reservations of one request that are open at once.
 const OPEN_LIMIT: usize = 2;
@@ -69,6 +71,7 @@
 pub struct State {
     settings: Settings,
     config: config::State,
+    members: membership::State,
     /// Hosts that the platform's list shows as leaving.
     leaving: BTreeSet<HostName>,
     /// Requests that haven't ended.
@@ -92,6 +95,7 @@
     State {
         settings,
         config: config::State::default(),
+        members: membership::State::default(),
         leaving: BTreeSet::new(),
         requests: BTreeMap::new(),
         waiting: BTreeSet::new(),
@@ -124,6 +128,12 @@
         Event::NotStarted { id, unreachable } => {
             state.not_started(now, id, unreachable, &mut effects);
         }
+        Event::Claimed { request, verdict } => {
+            state.claimed(now, request, verdict, &mut effects);
+        }
+        Event::Unsettled { settle, tries } => state.settle_key(settle, tries, &mut effects),
+        Event::Ran { request } => state.ran(request, &mut effects),
+        Event::Members(records) => state.follow(records),
         Event::Ended { request } => {
             state.freshness.forget(request);
             state.forget(request, &mut effects);
@@ -179,14 +189,17 @@
 
     fn arrive(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
         let id = request.id;
-        if let Err((owner, refusal)) = self.admit(now, request) {
+        if let Err((owner, refusal)) = self.admit(now, request.clone()) {
+            let refusal = claiming::speak(&request, Claim::None, refusal);
             return effects.push(Effect::Refuse { request: id, owner, refusal });
         }
         if self.waiting.len() > self.settings.waiting {
             self.shed(effects);
         }
-        if self.requests.contains_key(&id) {
-            self.seek(now, id, effects);
+        match self.requests.get(&id).map(|pending| pending.stage) {
+            Some(Stage::Claiming) => self.ask_home(now, id, effects),
+            Some(_) => self.seek(now, id, effects),
+            None => {}
         }
     }
 
@@ -347,6 +360,10 @@
                 continue;
             }
             self.timers.pop_first();
+            if pending.stage == Stage::Claiming {
+                self.ask_home(now, timer.request, effects);
+                continue;
+            }
             pending.widen_at = None;
             let few = pending.open.len() < OPEN_LIMIT;
             self.schedule(timer.request);
@@ -436,12 +453,14 @@
         let Some(pending) = self.forget(id, effects) else {
             return;
         };
+        let refusal = claiming::speak(&pending.request, pending.claim, refusal);
         effects.push(Effect::Refuse { request: id, owner: pending.owner, refusal });
     }
 
     fn forget(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Pending> {
         self.unschedule(id);
         let mut pending = self.requests.remove(&id)?;
+        self.release(&pending, effects);
         if pending.is_waiting() {
             self.cancel(std::mem::take(&mut pending.open), effects);
         }
--- a/components/scheduler/src/entry/pending.rs
+++ b/components/scheduler/src/entry/pending.rs
@@ -7,11 +7,16 @@
     reservation::{Denial, Id},
 };
 
-use super::event::{Owner, Request};
+use super::{
+    claiming::Claim,
+    event::{Owner, Request},
+};
 
 /// Where a request is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
+    /// Its key's home is being asked; it was dispatched nowhere.
+    Claiming,
     /// It was dispatched nowhere.
     Waiting,
     /// It was told to start under this reservation.
@@ -35,6 +40,8 @@
     pub widen_at: Option<Instant>,
     /// Where it is.
     pub stage: Stage,
+    /// What is known of its idempotency key.
+    pub claim: Claim,
     /// Reservations made so far; the last attempt's number.
     pub attempts: u32,
     /// Reservations that haven't ended, with their targets; only the started one once started.
@@ -57,6 +64,9 @@
     pub fn wake(&self) -> Option<Instant> {
         match self.stage {
             Stage::Started(_) => None,
+            Stage::Claiming => {
+                Some(self.claim.retry_at().map_or(self.deadline, |at| at.min(self.deadline)))
+            }
             Stage::Waiting => Some(self.widen_at.map_or(self.deadline, |at| at.min(self.deadline))),
         }
     }
--- a/components/scheduler/src/membership.rs
+++ b/components/scheduler/src/membership.rs
@@ -120,6 +120,11 @@
         self.former.iter()
     }
 
+    /// Time of the last record within the window.
+    pub fn latest(&self) -> Option<SystemTime> {
+        self.moments.back().map(|moment| moment.at)
+    }
+
     /// Applies the next record; one that can't be read is passed over by every process alike.
     pub fn apply(&mut self, offset: Offset, payload: &str) -> Result<Outcome, Error> {
         if offset <= self.epoch {
@@ -163,7 +168,8 @@
 
     fn join(&mut self, offset: Offset, at: SystemTime, join: Join) -> Outcome {
         let again = |old: &Incarnation| old.id == join.incarnation;
-        if self.members.get(&join.target).is_some_and(again) {
+        let ended = self.former.iter().any(|former| again(&former.incarnation));
+        if ended || self.members.get(&join.target).is_some_and(again) {
             return Outcome::Ignored;
         }
         let seed = home::seed(&join.target);
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,6 +1,7 @@
 //! Control calls that an agent serves.
 
 use model::{
+    claim::{self, Answer, Question, Settle, Transfer, Verdict},
     id::{Offset, TargetName},
     presence::{Report, Summary},
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
@@ -38,4 +39,13 @@
     async fn snapshot(above: Offset) -> Option<Head>;
     /// Gives one part of an offered snapshot, while the agent still holds it.
     async fn snapshot_part(head: Head, index: u32) -> Option<Part>;
+    /// Asks a key's home for the key.
+    async fn claim(ask: claim::Ask) -> Verdict;
+    /// Tells what became of an attempt that was granted; gives whether the agent is the key's
+    /// home.
+    async fn settle_claim(settle: Settle) -> bool;
+    /// Asks an earlier home of a key what it remembers.
+    async fn ask_claim(question: Question) -> Answer;
+    /// Hands claims to their next home.
+    async fn hand_over(claims: Vec<Transfer>);
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,4 +1,4 @@
-//! The protocols between an entry process and an agent.
+//! The protocols between an entry process and an agent, and between agents.
 //!
 //! Control goes by `tarpc`; an answer goes as a stream of frames in an HTTP response.
 
@@ -6,7 +6,9 @@
 pub mod control;
 pub mod events;
 pub mod frame;
+pub mod pool;
 
 pub use answer::Answer;
 pub use control::AgentClient;
 pub use frame::Frame;
+pub use pool::Pool;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -233,7 +233,7 @@
     assert!(site.engine.runs().is_empty());
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn terminating_both_programs_cuts_nothing() {
     let shape = Shape { step: Duration::from_millis(20), ..Shape::default() };
     let Site { entry, agents, engine, service, _log, _hosts } = open_with(shape).await;
