--- /dev/null
+++ b/components/follower/tests/gap.rs
@@ -0,0 +1,62 @@
+//! A log whose answers have gaps.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use follower::{Sink, Source, Update};
+use http::StatusCode;
+use platform::log::{Page, Record};
+use standin::{fixture::ANY, server};
+use tokio::sync::mpsc;
+
+fn record(offset: u64) -> Record {
+    Record { offset, payload: "no change".to_owned() }
+}
+
+/// A log that leaves the second of three records out of its first answer.
+async fn gapped() -> server::Server {
+    let reads = Arc::new(AtomicU32::new(0));
+    let handler: server::Handler = Arc::new(move |request| {
+        let is_config = request.uri().path().starts_with("/streams/config/");
+        let first = is_config && reads.fetch_add(1, Ordering::SeqCst) == 0;
+        let offsets: &[u64] = match (is_config, first) {
+            (false, _) => &[],
+            (true, true) => &[1, 3],
+            (true, false) => &[1, 2, 3],
+        };
+        let records = offsets.iter().map(|offset| record(*offset)).collect();
+        let next = if is_config { 4 } else { 1 };
+        let answer = server::json(StatusCode::OK, &Page { first: 1, next, records });
+        Box::pin(async { answer })
+    });
+    server::bind(ANY, handler).await.unwrap()
+}
+
+#[tokio::test]
+async fn an_answer_with_a_gap_is_read_again() {
+    let log = gapped().await;
+    let (sender, mut updates) = mpsc::unbounded_channel();
+    let sink: Sink = Arc::new(move |update| {
+        if let Update::Records(records) = update {
+            let offsets: Vec<u64> = records.iter().map(|record| record.offset).collect();
+            // The test reads the first answer only.
+            let _ = sender.send(offsets);
+        }
+    });
+    let source = Source {
+        log: platform::log::open(&format!("http://{}", log.address)),
+        poll: Duration::from_secs(1),
+        peers: Vec::new(),
+    };
+
+    let follower = follower::spawn(source, sink);
+    let first = updates.recv().await.unwrap();
+    follower.stop();
+
+    assert_eq!(first, [1, 2, 3]);
+}
