Keep one TCP relay among the stand-ins

Cause: two relays stood side by side, one that counts bytes and one that cuts and swallows them, with the same loop of accepting and passing on. Change: `standin::relay` does both; `standin::proxy` is gone. The tests of dispatch keep their faults and the counting tests their counts.

--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod fixture;
 pub mod hosts;
 pub mod log;
-pub mod proxy;
 pub mod relay;
 pub mod server;
 pub mod service;
--- a/components/standin/src/relay.rs
+++ b/components/standin/src/relay.rs
@@ -1,39 +1,49 @@
-//! A TCP relay that counts the bytes of its connections, in each direction.
+//! A TCP relay between two processes that counts bytes and can cut or swallow them.
 
 use std::{
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpListener, TcpStream},
+    sync::watch,
     task::{JoinHandle, JoinSet},
-    try_join,
 };
 
 const BUFFER_BYTES: usize = 16 << 10;
 
-/// Bytes that went through so far.
+/// What a relay does to its connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing: bytes go both ways.
+    #[default]
+    None,
+    /// The connection is cut as soon as bytes come; none go on.
+    CutBefore,
+    /// Bytes go on, and those that come back are dropped.
+    Swallow,
+}
+
+/// Bytes that came so far.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Bytes {
     /// From those who connected.
     pub sent: u64,
-    /// Back to them.
+    /// Back to them, dropped ones too.
     pub answered: u64,
 }
 
 #[derive(Debug, Default)]
-struct Counts {
+struct Shared {
     sent: AtomicU64,
     answered: AtomicU64,
+    fault: Mutex<Fault>,
 }
 
 /// A running relay; dropping it cuts its connections.
@@ -41,7 +51,8 @@
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
-    counts: Arc<Counts>,
+    shared: Arc<Shared>,
+    cuts: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -49,18 +60,29 @@
 pub async fn bind(address: SocketAddr, to: SocketAddr) -> io::Result<Relay> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let counts = Arc::new(Counts::default());
-    let task = tokio::spawn(accept(listener, to, Arc::clone(&counts)));
-    Ok(Relay { address, counts, task })
+    let shared = Arc::new(Shared::default());
+    let (cuts, cut) = watch::channel(0);
+    let task = tokio::spawn(accept(listener, to, Arc::clone(&shared), cut));
+    Ok(Relay { address, shared, cuts, task })
 }
 
 impl Relay {
-    /// Bytes that went through so far.
+    /// Bytes that came so far.
     pub fn bytes(&self) -> Bytes {
-        let sent = self.counts.sent.load(Ordering::Relaxed);
-        let answered = self.counts.answered.load(Ordering::Relaxed);
+        let sent = self.shared.sent.load(Ordering::Relaxed);
+        let answered = self.shared.answered.load(Ordering::Relaxed);
         Bytes { sent, answered }
     }
+
+    /// Changes what happens to bytes from now on.
+    pub fn fault(&self, fault: Fault) {
+        *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Cuts all connections; new ones are taken.
+    pub fn cut(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
 }
 
 impl Drop for Relay {
@@ -69,39 +91,58 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, counts: Arc<Counts>) {
+impl Shared {
+    fn fault(&self) -> Fault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    to: SocketAddr,
+    shared: Arc<Shared>,
+    cut: watch::Receiver<u64>,
+) {
     // Connections live in this set, so that ending this task cuts them all.
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        connections.spawn(pass(stream, to, Arc::clone(&counts)));
+    while let Ok((near, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        let mut cut = cut.clone();
+        cut.mark_unchanged();
+        connections.spawn(async move {
+            tokio::select! {
+                // An error is a connection that one of both sides closed.
+                _ = pass(near, to, &shared) => {}
+                _ = cut.changed() => {}
+            }
+        });
         while connections.try_join_next().is_some() {}
     }
 }
 
-async fn pass(near: TcpStream, to: SocketAddr, counts: Arc<Counts>) -> io::Result<()> {
-    let far = TcpStream::connect(to).await?;
+async fn pass(mut near: TcpStream, to: SocketAddr, shared: &Shared) -> io::Result<()> {
+    let mut far = TcpStream::connect(to).await?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    let sent = copy(near_read, far_write, &counts.sent);
-    let answered = copy(far_read, near_write, &counts.answered);
-    try_join!(sent, answered)?;
-    Ok(())
-}
-
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    count: &AtomicU64,
-) -> io::Result<()> {
-    let mut buffer = vec![0; BUFFER_BYTES];
+    let (mut sent, mut answered) = (vec![0; BUFFER_BYTES], vec![0; BUFFER_BYTES]);
     loop {
-        match from.read(&mut buffer).await? {
-            0 => return to.shutdown().await,
-            read => {
-                count.fetch_add(read as u64, Ordering::Relaxed);
-                to.write_all(&buffer[..read]).await?;
+        tokio::select! {
+            read = near.read(&mut sent) => {
+                let read = read?;
+                shared.sent.fetch_add(read as u64, Ordering::Relaxed);
+                if read == 0 || shared.fault() == Fault::CutBefore {
+                    return Ok(());
+                }
+                far.write_all(&sent[..read]).await?;
+            }
+            read = far.read(&mut answered) => {
+                let read = read?;
+                shared.answered.fetch_add(read as u64, Ordering::Relaxed);
+                match shared.fault() {
+                    _ if read == 0 => return Ok(()),
+                    Fault::Swallow => {}
+                    Fault::None | Fault::CutBefore => near.write_all(&answered[..read]).await?,
+                }
             }
         }
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -10,7 +10,7 @@
     reservation::{Ask, Id},
 };
 use reqwest::{Client, StatusCode};
-use standin::proxy::{self, Fault, Proxy};
+use standin::relay::{self, Fault, Relay};
 use support::site::{self, GRANT, MODEL, Outcome, Plan, Site, whole};
 use tarpc::{client, context, tokio_serde::formats::Bincode};
 use uuid::Uuid;
@@ -141,7 +141,7 @@
 
     let call = site.call(0, "crew", PROMPT);
     support::until(|| site.runs(PROMPT) == 1).await;
-    site.traffic.iter().for_each(Proxy::cut);
+    site.traffic.iter().for_each(Relay::cut);
 
     assert_eq!(refused(&call.await.unwrap()), Ran::MayHaveRun);
     assert_eq!(site.runs(PROMPT), 1);
@@ -263,7 +263,7 @@
 async fn an_agent_that_came_back_is_reached_again() {
     let mut site = site::open(Plan::default()).await;
     assert_eq!(site.call(0, "crew", PROMPT).await.unwrap(), whole(PROMPT));
-    let control = proxy::bind(standin::fixture::ANY, site.agents[0].address("control"));
+    let control = relay::bind(standin::fixture::ANY, site.agents[0].address("control"));
     let control = control.await.unwrap();
     site.declare(0, |target| target.control = control.address).await;
     assert_eq!(site.call(0, "crew", "before").await.unwrap(), whole("before"));
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -15,7 +15,7 @@
     engine::{self, Engine, Shape},
     fixture::{self, ANY},
     hosts, log,
-    proxy::{self, Proxy},
+    relay::{self, Relay},
 };
 use tokio::task::JoinHandle;
 
@@ -49,7 +49,7 @@
     pub entries: Vec<Process>,
     pub agents: Vec<Process>,
     pub engines: Vec<Engine>,
-    pub traffic: Vec<Proxy>,
+    pub traffic: Vec<Relay>,
     pub log: log::Log,
     pub hosts: hosts::Hosts,
     targets: Vec<Declared>,
@@ -112,7 +112,7 @@
     settings.room.waiting = plan.waiting;
     settings.room.grant = GRANT;
     let agent = super::agent(&settings);
-    let traffic = proxy::bind(ANY, agent.address("traffic")).await.unwrap();
+    let traffic = relay::bind(ANY, agent.address("traffic")).await.unwrap();
     let address = agent.address("control");
     let resource = fixture::target(&name(index), "drawings", address, traffic.address);
     let Resource::Target(target) = resource.clone() else { unreachable!() };
