Take waiting requests back from targets that are leaving

Cause: an entry kept its reservations at a target that the list or the operator took away; the grant, however late, started new work there. A draining agent was asked again as soon as any other target.

What decides about full pools moves to entry/shed.rs, leaving targets to entry/leave.rs. Waits in tests end after 30 s, so that a fault fails instead of hanging.

--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -5,7 +5,9 @@
 pub mod event;
 mod feed;
 pub mod freshness;
+mod leave;
 mod pending;
+mod shed;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,11 +16,11 @@
 };
 
 use model::{
-    Refusal, host,
+    Refusal,
     id::{AccountName, HostName, Offset, Rank, RequestId, TargetName, ZoneName},
     refusal::Reason,
     reservation::{Ask, BlockHash, Denial, Id, Load},
-    resource::{Desired, Target},
+    resource::Target,
 };
 
 pub use admit::{DEADLINE_LIMIT, KEY_LIMIT};
@@ -138,11 +140,17 @@
             state.freshness.forget(request);
             state.forget(request, &mut effects);
         }
-        Event::Records(records) => state.apply(records, &mut effects),
-        Event::Restored(snapshot) => state.restore(*snapshot, &mut effects),
+        Event::Records(records) => {
+            state.apply(records, &mut effects);
+            state.withdraw(now, &mut effects);
+        }
+        Event::Restored(snapshot) => {
+            state.restore(*snapshot, &mut effects);
+            state.withdraw(now, &mut effects);
+        }
         Event::Confirmed { asked, highest } => state.confirm(now, asked, highest, &mut effects),
         Event::CaughtUp => state.ready = true,
-        Event::Hosts(hosts) => state.list(hosts),
+        Event::Hosts(hosts) => state.list(now, hosts, &mut effects),
         Event::Leave => state.unlisted = true,
         Event::Drain => state.draining = true,
         Event::Tick => {}
@@ -249,11 +257,8 @@
 
     /// The best target that wasn't asked yet; one that is down or sheds this tier comes last.
     fn choose(&self, now: Instant, pending: &Pending) -> Option<&Target> {
-        let usable = |target: &&Target| {
-            target.desired == Desired::Serving
-                && !self.leaving.contains(&target.host)
-                && !pending.tried.contains_key(&target.name)
-        };
+        let usable =
+            |target: &&Target| self.is_serving(target) && !pending.tried.contains_key(&target.name);
         let targets = self.config.targets(&pending.pool).filter(usable);
         let ordered = placement::order(placement_key(pending), targets);
         let good = |scored: &&placement::Scored| self.is_good(now, &scored.target, pending.rank);
@@ -323,8 +328,11 @@
         let Some(target) = pending.open.remove(&id) else {
             return;
         };
-        pending.tried.insert(target, now);
+        pending.tried.insert(target.clone(), now);
         pending.denial = denial.or(pending.denial);
+        if denial.is_some_and(|denial| denial.reason == Reason::Draining) {
+            self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
+        }
         self.seek(now, id.request, effects);
     }
 
@@ -382,55 +390,6 @@
         self.refuse(worst.request, refusal.retry_after(RETRY), effects);
     }
 
-    /// Refuses a request that no target has room for, unless that would pass over its tier: old
-    /// denials are asked again, and then a lower tier that waits here goes first.
-    fn give_up(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
-        if !self.forget_old_denials(now, id) && !self.displace(id, effects) {
-            return self.refuse_full(id, effects);
-        }
-        self.seek(now, id, effects);
-    }
-
-    /// Says whether there is a target to ask again.
-    fn forget_old_denials(&mut self, now: Instant, id: RequestId) -> bool {
-        let Some(pending) = self.requests.get_mut(&id) else {
-            return false;
-        };
-        if pending.rounds == ROUNDS {
-            return false;
-        }
-        pending.rounds += 1;
-        pending.tried.retain(|_, at| now.saturating_duration_since(*at) < DENIAL_LIFE);
-        self.requests.get(&id).is_some_and(|pending| self.choose(now, pending).is_some())
-    }
-
-    /// Sheds the lowest tier that waits here for the same pool, where it is below the request's
-    /// own; gives the request another try where that one waited.
-    fn displace(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> bool {
-        let Some(worst) = self.lowest_below(id) else {
-            return false;
-        };
-        let targets: Vec<TargetName> = match self.requests.get(&worst) {
-            Some(pending) => pending.open.values().cloned().collect(),
-            None => Vec::new(),
-        };
-        if let Some(pending) = self.requests.get_mut(&id) {
-            pending.tried.retain(|target, _| !targets.contains(target));
-        }
-        let refusal = Refusal::not_run(Reason::Overloaded, "a higher tier took its place");
-        self.refuse(worst, refusal.retry_after(RETRY), effects);
-        true
-    }
-
-    fn lowest_below(&self, id: RequestId) -> Option<RequestId> {
-        let pending = self.requests.get(&id)?;
-        let lower = self.waiting.iter().rev().take_while(|order| order.rank > pending.rank);
-        let same_pool = |order: &&Order| {
-            self.requests.get(&order.request).is_some_and(|other| other.pool == pending.pool)
-        };
-        lower.filter(same_pool).map(|order| order.request).next()
-    }
-
     fn refuse_full(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         let denial = self.requests.get(&id).and_then(|pending| pending.denial);
         let refusal = match denial {
@@ -508,11 +467,6 @@
         }
     }
 
-    fn list(&mut self, hosts: Vec<model::Host>) {
-        let leaving = hosts.into_iter().filter(|host| host.state == host::State::Leaving);
-        self.leaving = leaving.map(|host| host.name).collect();
-    }
-
     fn hear(&mut self, now: Instant, id: Id, load: Load, effects: &mut Vec<Effect>) {
         self.freshness.hear(load.offset);
         if load.offset > self.config.applied() {
--- a/components/scheduler/tests/dispatch.rs
+++ b/components/scheduler/tests/dispatch.rs
@@ -112,6 +112,7 @@
             assert!(*times <= 1, "{request} reached a target {times} times");
             assert_ne!(world.refused.get(request), Some(&Ran::NotRun), "{request} ran");
         }
+        assert!(world.late_starts.is_empty(), "new work for a target that is leaving");
         for request in &world.answered {
             assert!(!world.refused.contains_key(request), "{request} has two ends");
         }
--- a/components/scheduler/tests/world/mod.rs
+++ b/components/scheduler/tests/world/mod.rs
@@ -76,11 +76,15 @@
     pub ran: BTreeMap<RequestId, u32>,
     pub refused: BTreeMap<RequestId, Ran>,
     pub answered: BTreeSet<RequestId>,
+    /// Starts that an entry sent to a target after it had heard that it is leaving.
+    pub late_starts: Vec<Id>,
     /// Requests that were refused for want of room, in their order.
     pub sheds: Vec<Shed>,
     /// Rank of each request that was sent.
     pub ranks: BTreeMap<RequestId, Rank>,
     frozen: BTreeSet<usize>,
+    /// Targets that each entry knows to be leaving.
+    leaving: BTreeMap<usize, Vec<usize>>,
     /// Targets that take no connection from their agent.
     closed: BTreeSet<usize>,
     /// Calls for room that have no reply yet, and starts whose reply is waited for.
@@ -105,7 +109,9 @@
         refused: BTreeMap::new(),
         answered: BTreeSet::new(),
         ranks: BTreeMap::new(),
+        late_starts: Vec::new(),
         frozen: BTreeSet::new(),
+        leaving: BTreeMap::new(),
         closed: BTreeSet::new(),
         sheds: Vec::new(),
         calls: BTreeMap::new(),
@@ -217,6 +223,7 @@
 
     pub fn restart_entry(&mut self, entry: usize) {
         self.entries[entry] = ready(self.now, self.waiting);
+        self.leaving.remove(&entry);
         self.frozen.remove(&entry);
         self.starts.retain(|id, _| entry_of(id.request) != entry);
         self.calls.retain(|id, _| entry_of(id.request) != entry);
@@ -234,6 +241,10 @@
             zone: "a".to_owned(),
             state: host::State::Leaving,
         };
+        if self.frozen.contains(&entry) {
+            return;
+        }
+        self.leaving.insert(entry, leaving.to_vec());
         self.entry(entry, Event::Hosts(leaving.iter().map(row).collect()));
     }
 
@@ -256,6 +267,10 @@
             }
             entry::Effect::Start(start) => {
                 let target = index(start.control);
+                let leaving = self.leaving.get(&entry_of(start.id.request));
+                if leaving.is_some_and(|leaving| leaving.contains(&target)) {
+                    self.late_starts.push(start.id);
+                }
                 self.starts.insert(start.id, target);
                 self.network.push(Packet::Start { target, id: start.id });
             }
--- a/components/standin/src/hosts.rs
+++ b/components/standin/src/hosts.rs
@@ -32,6 +32,7 @@
     /// Counts the states.
     count: u64,
     down: bool,
+    reads: u64,
 }
 
 #[derive(Debug)]
@@ -45,7 +46,8 @@
     let state = Arc::new(Mutex::new(State::default()));
     let shared = Arc::clone(&state);
     let handler: server::Handler = Arc::new(move |request| {
-        let state = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        state.reads += 1;
         let query = request.uri().query().unwrap_or_default();
         let answer = match state.down {
             true => server::status(StatusCode::SERVICE_UNAVAILABLE),
@@ -77,6 +79,11 @@
         }
     }
 
+    /// How often the list was asked for.
+    pub fn reads(&self) -> u64 {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).reads
+    }
+
     /// Makes every call be refused, or not.
     pub fn set_down(&self, down: bool) {
         self.state.lock().unwrap_or_else(PoisonError::into_inner).down = down;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -95,11 +95,22 @@
     }
 }
 
+/// After this a wait is given up, so that a fault fails a test instead of hanging it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// Waits until something holds.
 pub async fn until(mut holds: impl FnMut() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    until_async(async || holds()).await;
+}
+
+/// The same for something that takes a question to find out.
+pub async fn until_async(mut holds: impl AsyncFnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    waited.await.expect("what a test waits for didn't come");
 }
 
 /// Waits until an entry process is ready for work.
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -187,16 +187,22 @@
 
     /// Waits until as many reservations wait at an agent.
     pub async fn waiting(&self, agent: usize, wanted: i64) {
-        while self.metric(agent, "wagtailhill_agent_waiting").await != wanted {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        let name = "wagtailhill_agent_waiting";
+        super::until_async(async || self.metric(agent, name).await == wanted).await;
     }
 
     /// Waits until as many requests run, or hold a grant, at an agent.
     pub async fn held(&self, agent: usize, wanted: i64) {
-        while self.metric(agent, "wagtailhill_agent_running").await != wanted {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        let name = "wagtailhill_agent_running";
+        super::until_async(async || self.metric(agent, name).await == wanted).await;
+    }
+
+    /// Waits until as many requests wait or run at an entry.
+    pub async fn taken(&self, entry: usize, wanted: usize) {
+        let address = self.entries[entry].address("operators");
+        let wanted = i64::try_from(wanted).unwrap();
+        let name = "wagtailhill_open_requests";
+        super::until_async(async || number(address, name).await == wanted).await;
     }
 
     /// Makes the platform's list show a target's host as leaving.
@@ -216,11 +222,9 @@
         self.targets[target].version = version;
         for entry in &self.entries {
             let address = entry.address("operators");
-            while number(address, "wagtailhill_config_offset").await
-                < i64::try_from(version).unwrap()
-            {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
+            let wanted = i64::try_from(version).unwrap();
+            let name = "wagtailhill_config_offset";
+            super::until_async(async || number(address, name).await >= wanted).await;
         }
     }
 }
