--- /dev/null
+++ b/components/scheduler/examples/snapshot.rs
@@ -0,0 +1,79 @@
+//! Measures a snapshot of the configuration at the target size: bytes, parts and times.
+
+use std::{error::Error, time::Instant};
+
+use model::{
+    Change, Resource,
+    change::{Action, SCHEMA},
+    credential, snapshot as parts,
+};
+use scheduler::config::{State, outcomes::WINDOW, snapshot};
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+const ACCOUNTS: u32 = 43_000;
+const TARGETS: u32 = 10_000;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let started = Instant::now();
+    let state = fill()?;
+    println!("applied    {} records in {:?}", state.applied(), started.elapsed());
+
+    let started = Instant::now();
+    let taken = state.snapshot();
+    let outcomes = taken.outcomes.len();
+    println!("taken      in {:?}, {outcomes} outcomes of at most {WINDOW}", started.elapsed());
+
+    let started = Instant::now();
+    let text = taken.render();
+    let parts = parts::split(taken.applied, &text);
+    let (bytes, count) = (text.len(), parts.len());
+    println!("written    {bytes} bytes in {count} parts in {:?}", started.elapsed());
+
+    let started = Instant::now();
+    let mut restored = State::default();
+    let read = snapshot::parse(&text).ok_or("the snapshot can't be read")?;
+    restored.restore(read)?;
+    println!("restored   in {:?}, equal: {}", started.elapsed(), restored == state);
+    Ok(())
+}
+
+fn fill() -> Result<State, Box<dyn Error>> {
+    let mut values = vec![
+        json!({"kind": "tier", "name": "crew", "rank": 0, "deadline_ms": 5_000}),
+        json!({"kind": "pool", "name": "drawings", "backing": "model", "models": ["drawing-7b"]}),
+    ];
+    values.extend((0..ACCOUNTS).map(account));
+    values.extend((0..TARGETS).map(target));
+    let mut state = State::default();
+    for (value, offset) in values.into_iter().zip(1_u64..) {
+        let resource: Resource = serde_json::from_value(value)?;
+        let (id, action) = (Uuid::from_u128(offset.into()), Action::Put(resource));
+        let change = Change { schema: SCHEMA, id, expected: 0, action };
+        state.apply(offset, &serde_json::to_string(&change)?)?;
+    }
+    Ok(state)
+}
+
+fn account(number: u32) -> Value {
+    json!({
+        "kind": "account",
+        "name": format!("account-{number}"),
+        "key_hash": credential::hash(&number.to_string()),
+        "tiers": ["crew"],
+        "limit": {"concurrency": 16, "requests_per_second": 8}
+    })
+}
+
+fn target(number: u32) -> Value {
+    let ip = format!("10.1.{}.{}", number / 250, number % 250);
+    json!({
+        "kind": "target",
+        "name": format!("engine-{number}"),
+        "pool": "drawings",
+        "host": format!("host-{number}"),
+        "zone": format!("zone-{}", number % 12),
+        "control": format!("{ip}:7001"),
+        "traffic": format!("{ip}:7002")
+    })
+}
--- a/components/scheduler/tests/config_naive.rs
+++ b/components/scheduler/tests/config_naive.rs
@@ -7,7 +7,7 @@
     change::{Action, SCHEMA},
     credential,
     id::Offset,
-    resource::{Account, Backing, Desired, Key, Kind, Pool, Target, Tier},
+    resource::{Account, Backing, Key, Kind, Pool, Target, Tier},
 };
 use proptest::{
     prelude::*,
@@ -130,11 +130,12 @@
 }
 
 fn target(name: String, pool: String) -> Target {
-    let address = "127.0.0.1:1".parse().unwrap();
-    let (host, zone) = (name.clone(), "z".to_owned());
-    let (speed_percent, desired) = (100, Desired::Serving);
-    let (control, traffic) = (address, address);
-    Target { name, pool, host, zone, control, traffic, speed_percent, desired }
+    let address = "127.0.0.1:1";
+    let value = serde_json::json!({
+        "name": name, "pool": pool, "host": name, "zone": "z",
+        "control": address, "traffic": address
+    });
+    serde_json::from_value(value).unwrap()
 }
 
 /// A change; `None` as the expected version stands for the one that stands.
