Let a file of resources wait once until all of it is in force

Nobody keeps reports before the first target is declared, so the first file of a deployment timed out for each resource before it (10 s each) and ended with exit code 4 although all was accepted. Change: `apply` writes everything, then waits once for the highest version: that says it of all.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,9 +3,10 @@
 use std::{path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+
 use model::resource::Kind;
 
-use crate::client::{KEY, SERVER};
+use crate::client::{self, KEY, SERVER};
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 faulty settings, input or arguments, \
 3 conflict, 4 may be accepted or isn't in force yet, 5 not found, 6 gone.";
@@ -50,7 +51,7 @@
 
 /// What a write waits for.
 pub fn wait(matches: &ArgMatches) -> &str {
-    matches.get_one::<String>("wait").map_or("accepted", String::as_str)
+    matches.get_one::<String>("wait").map_or(client::ACCEPTED, String::as_str)
 }
 
 /// Time for a write's answer.
@@ -146,8 +147,8 @@
             Arg::new("wait")
                 .long("wait")
                 .help("What to wait for")
-                .value_parser(["accepted", "in_force"])
-                .default_value("accepted"),
+                .value_parser([client::ACCEPTED, client::IN_FORCE])
+                .default_value(client::ACCEPTED),
         )
         .arg(
             Arg::new("timeout")
--- a/src/client.rs
+++ b/src/client.rs
@@ -20,6 +20,10 @@
 pub const SERVER: &str = "WAGTAILHILL_SERVER";
 /// Variable that gives the operator's key where no `--key-file` does.
 pub const KEY: &str = "WAGTAILHILL_KEY";
+/// Wait of a write until its change was read back from the log.
+pub const ACCEPTED: &str = "accepted";
+/// Wait of a write until its change is in force everywhere.
+pub const IN_FORCE: &str = "in_force";
 /// Times that a write is sent under one change id before its fate is left open.
 const TRIES: u32 = 4;
 /// Wait before a write is sent again.
@@ -103,6 +107,20 @@
         check(self.request(Method::GET, path).send().await.map_err(Error::Connect)?).await
     }
 
+    /// Waits until an offset is in force everywhere; tells whether it came to that in time.
+    pub async fn in_force(&self, offset: Offset, timeout: Duration) -> bool {
+        let reached = async {
+            loop {
+                let status = self.get::<api::Status>("/v1/status").await;
+                if status.is_ok_and(|s| s.in_force.is_some_and(|lowest| lowest >= offset)) {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(timeout, reached).await.is_ok()
+    }
+
     /// Makes a change; sends it again under the same id while its fate is unknown.
     pub async fn write(
         &self,
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -33,6 +33,22 @@
     Unchanged(Offset),
 }
 
+/// What became of all.
+struct Applied {
+    /// Highest version that stands now; 0 where nothing was accepted.
+    highest: Offset,
+    /// Exit code of the first failure; 0 where there was none.
+    code: u8,
+}
+
+impl Done {
+    fn version(&self) -> Offset {
+        match self {
+            Done::Written(version) | Done::Unchanged(version) => *version,
+        }
+    }
+}
+
 /// Applies all resources of a file; goes on after a failure, so that every finding is told.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let path: &PathBuf = matches.get_one("file").expect("clap requires it");
@@ -43,24 +59,41 @@
     // What is referred to comes first, in whatever order the file has it.
     wanted.sort_by_key(|wanted| order(wanted.resource.key().kind));
     cmd::call_with_code(matches, async |client| {
-        let mut worst = 0;
-        for wanted in &wanted {
-            let code = match apply(matches, client, wanted).await {
-                Ok(done) => {
-                    print_done(matches, wanted, &done);
-                    0
-                }
-                Err(error) => {
-                    print_failure(path, wanted, &error);
-                    error.code()
-                }
-            };
-            worst = if worst == 0 { code } else { worst };
+        let Applied { highest, mut code } = apply_all(matches, client, path, &wanted).await;
+        let waits = cli::wait(matches) == client::IN_FORCE;
+        if waits && highest > 0 && !client.in_force(highest, cli::timeout(matches)).await {
+            eprintln!("Accepted up to {highest}, but not known to be in force everywhere yet.");
+            eprintln!("Run `wagtailhill status` to see who is behind.");
+            code = if code == 0 { client::UNKNOWN } else { code };
         }
-        Ok(ExitCode::from(worst))
+        Ok(ExitCode::from(code))
     })
 }
 
+/// Applies one after another. We wait only for the last to be in force: that says it of all, and
+/// before the first target is declared nobody can say it of any.
+async fn apply_all(
+    matches: &ArgMatches,
+    client: &Client,
+    path: &Path,
+    wanted: &[Wanted],
+) -> Applied {
+    let mut applied = Applied { highest: 0, code: 0 };
+    for wanted in wanted {
+        match apply(matches, client, wanted).await {
+            Ok(done) => {
+                print_done(matches, wanted, &done);
+                applied.highest = applied.highest.max(done.version());
+            }
+            Err(error) => {
+                print_failure(path, wanted, &error);
+                applied.code = if applied.code == 0 { error.code() } else { applied.code };
+            }
+        }
+    }
+    applied
+}
+
 async fn apply(matches: &ArgMatches, client: &Client, wanted: &Wanted) -> Result<Done, Error> {
     let key = wanted.resource.key();
     let stands = match client.get::<Item>(&client::path(&key)).await {
@@ -77,7 +110,7 @@
     let write = Write {
         change: Uuid::new_v4(),
         expected: wanted.expected.unwrap_or(stands),
-        wait: cli::wait(matches),
+        wait: client::ACCEPTED,
         timeout: cli::timeout(matches),
     };
     Ok(Done::Written(client.write(&key, Some(&wanted.resource), write).await?.version))
@@ -149,9 +182,10 @@
 }
 
 fn print_done(matches: &ArgMatches, wanted: &Wanted, done: &Done) {
-    let (word, version) = match done {
-        Done::Written(version) => ("accepted", *version),
-        Done::Unchanged(version) => ("unchanged", *version),
+    let version = done.version();
+    let word = match done {
+        Done::Written(_) => "accepted",
+        Done::Unchanged(_) => "unchanged",
     };
     if cli::is_json(matches) {
         let item = Item { version, resource: wanted.resource.clone() };
--- a/tests/operator_cli.rs
+++ b/tests/operator_cli.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use model::Resource;
+use model::{Host, Resource, host, resource::Backing};
 use serde_json::{Value, json};
 use standin::{
     fixture::{self, ANY},
@@ -21,7 +21,7 @@
 struct Site {
     entry: Process,
     log: log::Log,
-    _hosts: hosts::Hosts,
+    hosts: hosts::Hosts,
 }
 
 async fn open() -> Site {
@@ -31,7 +31,7 @@
     settings.operators = vec![operator::setting()];
     let entry = support::serve(&settings);
     support::ready(&entry).await;
-    Site { entry, log, _hosts: hosts }
+    Site { entry, log, hosts }
 }
 
 impl Site {
@@ -61,6 +61,10 @@
     fixture::tier(name, rank, Duration::from_secs(2))
 }
 
+fn live(name: &str) -> Host {
+    Host { name: name.to_owned(), zone: "a".to_owned(), state: host::State::Live }
+}
+
 fn text(bytes: &[u8]) -> String {
     String::from_utf8(bytes.to_vec()).unwrap()
 }
@@ -86,6 +90,27 @@
     assert_eq!(site.log.records(platform::CONFIG).len(), 4);
 }
 
+#[tokio::test]
+async fn the_first_apply_of_a_deployment_can_wait_until_all_is_in_force() {
+    let site = open().await;
+    let engine = fixture::agent("engine-1", ANY, Backing::Model, &site.log, &site.hosts);
+    let agent = support::agent(&engine);
+    site.hosts.set(["entry-1", "engine-1"].map(live).to_vec());
+    while operator::get(&site.entry, "/v1/status").await.body["listed"] != 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let (control, traffic) = (agent.address("control"), agent.address("traffic"));
+    let file = support::write(&json!([
+        tier("crew", 0),
+        fixture::model_pool("drawings", &["drawing-7b"]),
+        fixture::target("engine-1", "drawings", control, traffic),
+    ]));
+
+    let applied = site.run(&["apply", "-f", name(&file), "--wait", "in_force"]).await;
+
+    assert_eq!(applied.status.code(), Some(0), "{}", text(&applied.stderr));
+}
+
 #[tokio::test]
 async fn a_table_is_for_people_and_json_can_be_applied_again() {
     let site = open().await;
@@ -228,9 +253,9 @@
 
 #[tokio::test]
 async fn a_watch_goes_on_after_its_entry_was_replaced() {
-    let Site { entry, log, _hosts } = open().await;
+    let Site { entry, log, hosts } = open().await;
     let operators = entry.address("operators");
-    let site = Site { entry, log, _hosts };
+    let site = Site { entry, log, hosts };
     site.apply(&json!([tier("crew", 0), tier("desk", 1)])).await;
     let mut command = site.command(&["watch", "--from", "1", "--until", "3"]);
     let mut watch = command.stdout(Stdio::piped()).spawn().unwrap();
@@ -238,12 +263,12 @@
     let mut lines = lines.map(Result::unwrap);
 
     let before: Vec<String> = lines.by_ref().take(2).collect();
-    let Site { entry, log, _hosts } = site;
+    let Site { entry, log, hosts } = site;
     entry.kill();
-    let mut settings = fixture::entry("entry-2", &log, &_hosts);
+    let mut settings = fixture::entry("entry-2", &log, &hosts);
     settings.operators = vec![operator::setting()];
     settings.listen.operators = operators;
-    let site = Site { entry: support::serve(&settings), log, _hosts };
+    let site = Site { entry: support::serve(&settings), log, hosts };
     support::ready(&site.entry).await;
     site.run(&["delete", "tier", "crew"]).await;
     let after = tokio::task::spawn_blocking(|| lines.collect::<Vec<String>>()).await.unwrap();
