Give engines orders under fencing and a lease

Cause: nothing told an engine what to load, and a paused agent that woke after its successor began would have ordered on.

Change: a target's resource may carry a setup (models, adapters, versions, role). scheduler/src/order.rs compares it with what the engine tells and gives one order at a time under the offset of its run's join. For engines that ignore fencing numbers an order needs a lease of 10 s from the start of a reading of the membership stream, checked again on the open connection; a successor waits 10.5 s. The tail of a stream says when its call began. The engine stand-in takes orders, with or without the check.

--- a/components/agent/src/config.rs
+++ b/components/agent/src/config.rs
@@ -8,7 +8,7 @@
 
 use follower::{Sink, Source, Update, Waker, report};
 use model::{
-    id::{HostName, Offset},
+    id::{HostName, Offset, TargetName},
     presence::{Report, Summary},
     snapshot::{self, Head, Part},
 };
@@ -16,7 +16,7 @@
 use scheduler::{
     agent::Event,
     config::{Snapshot, State},
-    presence,
+    order, presence,
 };
 use tokio::{sync::watch, task::JoinHandle};
 use tracing::{error, info};
@@ -48,7 +48,7 @@
         poll: settings.poll,
         peers: settings.platform.peers.clone(),
     };
-    let follower = follower::spawn(source, sink(&shared, control));
+    let follower = follower::spawn(source, sink(&shared, settings.target.clone(), control));
     let wake = follower.waker();
     let reporter = report::Reporter {
         host: settings.host.clone(),
@@ -115,7 +115,7 @@
     }
 }
 
-fn sink(shared: &Arc<Shared>, control: &control::Handle) -> Sink {
+fn sink(shared: &Arc<Shared>, target: TargetName, control: &control::Handle) -> Sink {
     let shared = Arc::clone(shared);
     let control = control.clone();
     Arc::new(move |update| {
@@ -130,9 +130,11 @@
             Update::Confirmed { .. } | Update::CaughtUp | Update::Nothing => return,
         }
         let applied = fold.applied();
+        let desired = fold.target(&target).and_then(|target| target.setup.clone());
         drop(fold);
         info!(applied, "configuration applied");
         control.event(Event::Heard(applied));
+        control.orders(order::Event::Desired(desired));
         shared.applied.send_replace(applied);
     })
 }
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -12,14 +12,17 @@
     id::IncarnationId,
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
 };
-use scheduler::agent::{self, Effect, Event, Room, State};
+use scheduler::{
+    agent::{self, Effect, Event, Room, State},
+    order,
+};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
 
-use crate::claims;
+use crate::{claims, orders};
 
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
@@ -45,6 +48,8 @@
     Settle { id: Id, reply: oneshot::Sender<Fate> },
     Event(Event),
     Claims(claims::Message),
+    Confirmed { asked: Instant },
+    Orders(order::Event),
 }
 
 /// Who waits for the answer to the message that is being reduced.
@@ -83,6 +88,8 @@
     metrics: Arc<metrics::Agent>,
     granting: HashMap<Id, oneshot::Sender<Granted>>,
     claims: claims::Desk,
+    members: watch::Receiver<claims::Status>,
+    orders: orders::Desk,
     drained: bool,
 }
 
@@ -99,6 +106,7 @@
     let (members, members_reader) = watch::channel(claims::Status::default());
     let handle = Handle { messages, status: status_reader, members: members_reader };
     let claims = claims::open(incarnation, handle.clone(), members, Arc::clone(&metrics));
+    let orders = orders::open(settings.engine, handle.clone());
     let room = Room {
         slots: settings.room.slots,
         tokens: settings.room.tokens,
@@ -111,6 +119,8 @@
         metrics,
         granting: HashMap::new(),
         claims,
+        members: handle.members.clone(),
+        orders,
         drained: false,
     };
     let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
@@ -174,6 +184,16 @@
         self.send(Message::Claims(message));
     }
 
+    /// Tells that the membership stream was read to its end, by a call that began at `asked`.
+    pub fn confirm_membership(&self, asked: Instant) {
+        self.send(Message::Confirmed { asked });
+    }
+
+    /// Brings an event before the reducer of orders.
+    pub fn orders(&self, event: order::Event) {
+        self.send(Message::Orders(event));
+    }
+
     /// Asks the reducer to take no new reservation.
     pub fn start_drain(&self) {
         self.send(Message::Event(Event::Drain));
@@ -211,7 +231,9 @@
 impl Thread {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
         loop {
-            let wake = agent::next_wake(&self.state).unwrap_or_else(|| Instant::now() + IDLE);
+            let wakes = [agent::next_wake(&self.state), self.orders.next_wake()];
+            let wake = wakes.into_iter().flatten().min();
+            let wake = wake.unwrap_or_else(|| Instant::now() + IDLE);
             let message = tokio::select! {
                 message = inbox.recv() => message,
                 () = sleep_until(wake.into()) => Some(Message::Event(Event::Tick)),
@@ -224,8 +246,17 @@
     }
 
     fn take(&mut self, message: Message) {
-        if let Message::Claims(message) = message {
-            return self.claims.take(message);
+        let message = match message {
+            Message::Claims(message) => return self.claims.take(message),
+            Message::Orders(event) => return self.orders.take(event),
+            Message::Confirmed { asked } => {
+                let fence = self.members.borrow().joined;
+                return self.orders.take(order::Event::Confirmed { asked, fence });
+            }
+            other => other,
+        };
+        if matches!(message, Message::Event(Event::Tick)) {
+            self.orders.take(order::Event::Tick);
         }
         let (event, mut reply) = self.open(message);
         for effect in agent::reduce(&mut self.state, Instant::now(), event) {
@@ -247,7 +278,9 @@
             }
             Message::Settle { id, reply } => (Event::Settle(id), Reply::Fate(reply)),
             Message::Event(event) => (event, Reply::Nobody),
-            Message::Claims(_) => (Event::Tick, Reply::Nobody),
+            Message::Claims(_) | Message::Confirmed { .. } | Message::Orders(_) => {
+                (Event::Tick, Reply::Nobody)
+            }
         }
     }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod membership;
 mod operator;
+mod orders;
 mod server;
 mod service;
 mod traffic;
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -58,7 +58,13 @@
     let status = control.members();
     let feed = control.clone();
     let reader = tail::spawn(log.clone(), MEMBERSHIP, POLL, move |news| {
+        let confirmed = match news {
+            News::Records(_) => None,
+            News::CaughtUp { asked } => Some(asked),
+        };
         feed.claims(Message::Event(event(news)));
+        // After the records that it speaks of.
+        confirmed.into_iter().for_each(|asked| feed.confirm_membership(asked));
     });
     let join = Join {
         target: settings.target.clone(),
@@ -178,6 +184,6 @@
     let record = |r: log::Record| entry::Record { offset: r.offset, payload: r.payload };
     match news {
         News::Records(records) => Event::Records(records.into_iter().map(record).collect()),
-        News::CaughtUp => Event::CaughtUp,
+        News::CaughtUp { .. } => Event::CaughtUp,
     }
 }
--- a/components/bench/src/site.rs
+++ b/components/bench/src/site.rs
@@ -137,6 +137,7 @@
         traffic: address,
         speed_percent: target.speed_percent,
         desired: Desired::Serving,
+        setup: None,
     })
 }
 
--- a/components/entry/src/members.rs
+++ b/components/entry/src/members.rs
@@ -18,6 +18,6 @@
         News::Records(records) => {
             control.event(Event::Members(records.into_iter().map(record).collect()));
         }
-        News::CaughtUp => {}
+        News::CaughtUp { .. } => {}
     })
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod refusal;
 pub mod reservation;
 pub mod resource;
+pub mod setup;
 pub mod snapshot;
 
 pub use change::Change;
--- a/components/model/src/resource.rs
+++ b/components/model/src/resource.rs
@@ -10,6 +10,7 @@
 use crate::{
     credential::KeyHash,
     id::{AccountName, HostName, ModelName, PoolName, Rank, TargetName, TierName, ZoneName},
+    setup::Setup,
 };
 
 /// Longest name of a resource, in bytes.
@@ -172,6 +173,10 @@
     #[garde(skip)]
     #[serde(default)]
     pub desired: Desired,
+    /// What its engine shall have loaded; `None` leaves the engine alone.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub setup: Option<Setup>,
 }
 
 /// Any resource.
--- a/components/platform/src/tail.rs
+++ b/components/platform/src/tail.rs
@@ -1,6 +1,6 @@
 //! Follows one stream of the log from its first record on.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use model::id::Offset;
 use tokio::{task::JoinHandle, time::sleep};
@@ -21,7 +21,10 @@
     /// The next records, in order and without a gap.
     Records(Vec<Record>),
     /// All records that stood at the log's last answer were given.
-    CaughtUp,
+    CaughtUp {
+        /// When the call began that gave this answer.
+        asked: Instant,
+    },
 }
 
 /// Starts to follow a stream; each read waits up to `poll` for a new record. The task ends when
@@ -37,6 +40,7 @@
         let mut wait = Duration::ZERO;
         let mut backoff = BACKOFF_MIN;
         loop {
+            let asked = Instant::now();
             match log.read(stream, next, PAGE, wait).await {
                 Ok(page) => {
                     if backoff > BACKOFF_MIN {
@@ -48,7 +52,7 @@
                         take(News::Records(page.records));
                     }
                     if next >= page.next {
-                        take(News::CaughtUp);
+                        take(News::CaughtUp { asked });
                         wait = poll;
                     }
                 }
--- a/components/scheduler/benches/support/mod.rs
+++ b/components/scheduler/benches/support/mod.rs
@@ -243,6 +243,7 @@
         traffic: address,
         speed_percent: 100,
         desired: Desired::Serving,
+        setup: None,
     })
 }
 
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod entry;
 pub mod limit;
 pub mod membership;
+pub mod order;
 pub mod placement;
 pub mod presence;
--- a/components/scheduler/tests/world/mod.rs
+++ b/components/scheduler/tests/world/mod.rs
@@ -481,6 +481,7 @@
         traffic: ([127, 0, 0, 1], TRAFFIC_PORT + offset).into(),
         speed_percent: 100,
         desired: Desired::Serving,
+        setup: None,
     })
 }
 
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -72,6 +72,9 @@
     pub address: SocketAddr,
     /// What it is.
     pub backing: Backing,
+    /// Whether it refuses an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fence: bool,
 }
 
 /// Room at the target.
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -18,7 +18,10 @@
 use sync_wrapper::SyncStream;
 use tokio::time::sleep;
 
-use crate::server::{self, Answer, Cut, Server};
+use crate::{
+    server::{self, Answer, Cut, Server},
+    setup,
+};
 
 /// Bytes of prompt that make one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -80,6 +83,7 @@
     running: u32,
     /// Hashes of cached blocks, oldest first.
     cache: VecDeque<u64>,
+    setup: setup::State,
 }
 
 #[derive(Debug)]
@@ -130,6 +134,7 @@
         runs: Vec::new(),
         running: 0,
         cache: VecDeque::new(),
+        setup: setup::State::default(),
     };
     let shared = Arc::new(Shared { state: Mutex::new(state), server: Mutex::new(None) });
     let handler_shared = Arc::clone(&shared);
@@ -157,6 +162,16 @@
         self.shared.lock().running
     }
 
+    /// What is loaded, and the orders that were carried out.
+    pub fn setup(&self) -> setup::State {
+        self.shared.lock().setup.clone()
+    }
+
+    /// Changes the part that takes orders.
+    pub fn set_setup(&self, change: impl FnOnce(&mut setup::State)) {
+        change(&mut self.shared.lock().setup);
+    }
+
     /// Changes the faults.
     pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut self.shared.lock().faults);
@@ -238,6 +253,11 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    if request.uri().path() == setup::PATH {
+        let method = request.method().clone();
+        let body = server::read(request.into_body()).await?;
+        return shared.lock().setup.handle(&method, &body);
+    }
     let is_chat = match request.uri().path() {
         "/v1/completions" => false,
         "/v1/chat/completions" => true,
--- a/components/standin/src/fixture.rs
+++ b/components/standin/src/fixture.rs
@@ -70,6 +70,7 @@
         traffic,
         speed_percent: 100,
         desired: Desired::Serving,
+        setup: None,
     })
 }
 
@@ -122,7 +123,7 @@
         host: target.to_owned(),
         zone: "a".to_owned(),
         listen: agent::Listen { control: ANY, traffic: ANY, operators: ANY },
-        engine: agent::Engine { address: engine, backing },
+        engine: agent::Engine { address: engine, backing, checks_fence: false },
         platform: platform(log, hosts),
         poll: Duration::from_secs(2),
         room: agent::Room::default(),
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod relay;
 pub mod server;
 pub mod service;
+pub mod setup;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -46,7 +46,15 @@
 async fn each_of_many_callers_gets_its_own_answer_while_connections_are_cut() {
     const CALLS: usize = 120;
     let step = Duration::from_millis(2);
-    let site = site::open(Plan { entries: 2, targets: 2, slots: 16, waiting: 256, step }).await;
+    let site = site::open(Plan {
+        entries: 2,
+        targets: 2,
+        slots: 16,
+        waiting: 256,
+        step,
+        ..Plan::default()
+    })
+    .await;
     let prompt = |serial| format!("revision {serial}");
     let calls: Vec<_> =
         (0..CALLS).map(|serial| site.call(serial % 2, "crew", &prompt(serial))).collect();
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -79,7 +79,9 @@
 #[tokio::test]
 async fn an_agent_that_drains_under_load_cuts_nothing_and_sends_what_waits_elsewhere() {
     let step = Duration::from_millis(4);
-    let mut site = site::open(Plan { entries: 2, targets: 2, slots: 4, waiting: 64, step }).await;
+    let mut site =
+        site::open(Plan { entries: 2, targets: 2, slots: 4, waiting: 64, step, ..Plan::default() })
+            .await;
     let calls: Vec<_> =
         (0..CALLS).map(|serial| site.call(serial % 2, "crew", &prompt(serial))).collect();
     support::until(|| site.engines[0].running() == 4).await;
@@ -99,7 +101,9 @@
 #[tokio::test]
 async fn an_entry_that_drains_under_load_cuts_nothing() {
     let step = Duration::from_millis(2);
-    let mut site = site::open(Plan { entries: 2, targets: 2, slots: 4, waiting: 64, step }).await;
+    let mut site =
+        site::open(Plan { entries: 2, targets: 2, slots: 4, waiting: 64, step, ..Plan::default() })
+            .await;
     site.freeze_engines(true);
     let calls: Vec<_> = (0..CALLS).map(|serial| site.call(0, "crew", &prompt(serial))).collect();
     site.taken(0, CALLS).await;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -36,12 +36,14 @@
     /// Most reservations that wait at one target.
     pub waiting: usize,
     pub step: Duration,
+    /// Whether the engines refuse old fencing numbers, and the agents know it.
+    pub checks_fence: bool,
 }
 
 impl Default for Plan {
     fn default() -> Plan {
         let step = Duration::from_millis(1);
-        Plan { entries: 1, targets: 1, slots: 1, waiting: 64, step }
+        Plan { entries: 1, targets: 1, slots: 1, waiting: 64, step, checks_fence: false }
     }
 }
 
@@ -111,6 +113,8 @@
     settings.room.slots = plan.slots;
     settings.room.waiting = plan.waiting;
     settings.room.grant = GRANT;
+    settings.engine.checks_fence = plan.checks_fence;
+    engine.set_setup(|state| state.checks_fence = plan.checks_fence);
     let agent = super::agent(&settings);
     let traffic = relay::bind(ANY, agent.address("traffic")).await.unwrap();
     let address = agent.address("control");
