Add wagtailhill audit, which prints what the evidence says of each rule

Cause: the evidence could be judged only by code, and an operator who is asked by a regulator needs an answer from the command line.

Exit codes: 0, 7, 8, and 1 where the log can't be read. Where the stream isn't read from its start, the time that is judged begins where every chain has its first batch.

Tests: the program against a log with sound, violating, cut and no evidence. The test of a range failed first with the start of the judged time taken out of `scope`: the first batch counted as missing.

Conclusion: the command stands; the programs write no evidence yet.

--- a/components/evidence/src/lib.rs
+++ b/components/evidence/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod audit;
 pub mod batch;
 pub mod history;
+pub mod read;
 pub mod record;
 
 pub use audit::{Report, audit};
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -6,6 +6,8 @@
 
 /// Name of the stream that carries operators' configuration.
 pub const CONFIG: &str = "config";
+/// Name of the stream that carries evidence of decisions.
+pub const EVIDENCE: &str = "evidence";
 /// Name of the stream that carries the joins and leaves of agents.
 pub const MEMBERSHIP: &str = "membership";
 /// Name of the stream that carries snapshots of the configuration, in parts.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,7 +9,8 @@
 use crate::client::{self, KEY, SERVER};
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 faulty settings, input or arguments, \
-3 conflict, 4 may be accepted or isn't in force yet, 5 not found, 6 gone.";
+3 conflict, 4 may be accepted or isn't in force yet, 5 not found, 6 gone, 7 a rule was violated, \
+8 not all rules are provable.";
 
 /// Describes the whole command line.
 pub fn command() -> Command {
@@ -26,6 +27,7 @@
         .subcommand(delete())
         .subcommand(watch())
         .subcommand(status())
+        .subcommand(audit())
         .subcommand(hash())
 }
 
@@ -182,6 +184,42 @@
         )
 }
 
+fn audit() -> Command {
+    Command::new("audit")
+        .about("Check each promise over the evidence in the platform's log")
+        .after_help(
+            "Each rule comes out as held, violated (with the records) or not provable (with what\n\
+             is missing). Exit codes: 0 all held, 7 a rule was violated, 8 none was violated but\n\
+             some aren't provable, 1 the log can't be read, 2 faulty arguments.",
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .help("Base URL of the platform's log, http://host:port")
+                .required(true),
+        )
+        .arg(time("from", "Judge what ended from this time on (2026-12-02T08:00:00Z)"))
+        .arg(time("to", "Judge what ended up to this time"))
+        .arg(offset("from-offset", "Read the stream from this offset on"))
+        .arg(offset("to-offset", "Read the stream up to this offset"))
+        .arg(
+            Arg::new("output")
+                .short('o')
+                .long("output")
+                .help("Form of the output")
+                .value_parser(["table", "json"])
+                .default_value("table"),
+        )
+}
+
+fn time(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).value_parser(humantime::parse_rfc3339_weak)
+}
+
+fn offset(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).value_parser(value_parser!(u64).range(1..))
+}
+
 fn hash() -> Command {
     Command::new("hash").about("Read a key from standard input and print the hash to configure")
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One file for each subcommand.
 
 pub mod apply;
+pub mod audit;
 pub mod check;
 pub mod delete;
 pub mod get;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
         Some(("delete", matches)) => cmd::delete::run(matches),
         Some(("watch", matches)) => cmd::watch::run(matches),
         Some(("status", matches)) => cmd::status::run(matches),
+        Some(("audit", matches)) => cmd::audit::run(matches),
         Some(("hash", _)) => cmd::hash::run(),
         _ => unreachable!("clap requires a known subcommand"),
     }
