Write evidence of every request from both programs

Cause: `wagtailhill audit` had nothing to read.

Change: both control threads reduce through a recorder, which gives the facts together with the effects, so that a decision can't be made without its record. Records wait in bounded memory. An entry seals its own in a period (`timing.evidence_ms`), fetches those of the agents that it is connected to by a control call, and appends all of them in one record of the log. An agent that ends appends its last batch itself. An outage of the log stops no traffic; a batch is appended again until the log has surely taken it, and records that found no room are counted in the next batch.

Refusals before an account is known have a record too. Chains are not signed.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -5,9 +5,13 @@
     io,
     sync::Arc,
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
+use evidence::{
+    Buffer,
+    recorder::agent::{self as recorder, Finish, Recorder},
+};
 use model::{
     id::IncarnationId,
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
@@ -50,6 +54,8 @@
     Claims(claims::Message),
     Confirmed { asked: Instant },
     Orders(order::Event),
+    Ended { id: Id, finish: Finish },
+    Close(oneshot::Sender<()>),
 }
 
 /// Who waits for the answer to the message that is being reduced.
@@ -73,6 +79,7 @@
     id: Id,
     control: Handle,
     dispatched: bool,
+    finish: Finish,
 }
 
 /// A reservation that is waited for; dropping it cancels the reservation.
@@ -84,6 +91,9 @@
 
 struct Thread {
     state: State,
+    recorder: Recorder,
+    /// Where evidence goes; `None` once the chain is closed.
+    evidence: Option<Buffer>,
     status: watch::Sender<Status>,
     metrics: Arc<metrics::Agent>,
     granting: HashMap<Id, oneshot::Sender<Granted>>,
@@ -100,6 +110,7 @@
     settings: &settings::Agent,
     incarnation: IncarnationId,
     metrics: Arc<metrics::Agent>,
+    evidence: Buffer,
 ) -> io::Result<Handle> {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, status_reader) = watch::channel(Status::default());
@@ -115,6 +126,8 @@
     };
     let thread = Thread {
         state: agent::open(room),
+        recorder: Recorder::default(),
+        evidence: Some(evidence),
         status,
         metrics,
         granting: HashMap::new(),
@@ -145,7 +158,7 @@
     /// Takes a granted reservation to its start, or tells why it may not start.
     pub async fn start(&self, id: Id) -> Result<Run, Fate> {
         let (reply, answer) = oneshot::channel();
-        let run = Run { id, control: self.clone(), dispatched: false };
+        let run = Run { id, control: self.clone(), dispatched: false, finish: Finish::default() };
         self.send(Message::Start { run, reply });
         answer.await.unwrap_or(Err(Fate::Unknown))
     }
@@ -199,6 +212,14 @@
         self.send(Message::Event(Event::Drain));
     }
 
+    /// Closes the chain of evidence: nothing is recorded after this.
+    pub async fn close(&self) {
+        let (closed, wait) = oneshot::channel();
+        self.send(Message::Close(closed));
+        // An error means that the control thread ended, which records nothing more either.
+        let _ = wait.await;
+    }
+
     /// Waits until nothing waits or runs.
     pub async fn drained(&self) {
         let mut status = self.status.clone();
@@ -212,10 +233,17 @@
     }
 }
 
+impl Run {
+    /// Tells what came of it, for the evidence.
+    pub fn finish(&mut self, finish: Finish) {
+        self.finish = finish;
+    }
+}
+
 impl Drop for Run {
     fn drop(&mut self) {
         if self.dispatched {
-            self.control.send(Message::Event(Event::Ended(self.id)));
+            self.control.send(Message::Ended { id: self.id, finish: self.finish });
         }
     }
 }
@@ -248,6 +276,7 @@
     fn take(&mut self, message: Message) {
         let message = match message {
             Message::Claims(message) => return self.claims.take(message),
+            Message::Close(closed) => return self.close(closed),
             Message::Orders(event) => return self.orders.take(event),
             Message::Confirmed { asked } => {
                 let fence = self.members.borrow().joined;
@@ -259,12 +288,24 @@
             self.orders.take(order::Event::Tick);
         }
         let (event, mut reply) = self.open(message);
-        for effect in agent::reduce(&mut self.state, Instant::now(), event) {
+        let (now, at) = (Instant::now(), SystemTime::now());
+        let step = recorder::reduce(&mut self.recorder, &mut self.state, now, at, event);
+        if let Some(evidence) = &self.evidence {
+            step.facts.into_iter().for_each(|fact| evidence.push(at, fact));
+        }
+        for effect in step.effects {
             reply = self.carry_out(effect, reply);
         }
         self.publish();
     }
 
+    fn close(&mut self, closed: oneshot::Sender<()>) {
+        if let Some(evidence) = self.evidence.take() {
+            evidence.push(SystemTime::now(), self.recorder.close());
+        }
+        let _ = closed.send(());
+    }
+
     fn open(&mut self, message: Message) -> (Event, Reply) {
         match message {
             Message::Reserve { ask, reply } => {
@@ -278,9 +319,14 @@
             }
             Message::Settle { id, reply } => (Event::Settle(id), Reply::Fate(reply)),
             Message::Event(event) => (event, Reply::Nobody),
-            Message::Claims(_) | Message::Confirmed { .. } | Message::Orders(_) => {
-                (Event::Tick, Reply::Nobody)
+            Message::Ended { id, finish } => {
+                self.recorder.finished(id, finish);
+                (Event::Ended(id), Reply::Nobody)
             }
+            Message::Claims(_)
+            | Message::Close(_)
+            | Message::Confirmed { .. }
+            | Message::Orders(_) => (Event::Tick, Reply::Nobody),
         }
     }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod operator;
 mod orders;
+mod outbox;
 mod server;
 mod service;
 mod traffic;
@@ -43,6 +44,7 @@
     control: control::Handle,
     config: config::Handle,
     members: membership::Handle,
+    outbox: outbox::Handle,
     calls: service::Handle,
     traffic: server::Handle,
     operators: HttpServer<Arc<operator::Context>>,
@@ -52,12 +54,15 @@
 pub async fn spawn(settings: settings::Agent) -> Result<Handle, Error> {
     let metrics = Arc::new(metrics::agent::open());
     let incarnation = Uuid::new_v4();
-    let control = control::spawn(&settings, incarnation, Arc::clone(&metrics))?;
+    let outbox = outbox::open(&settings, incarnation);
+    let buffer = outbox.buffer();
+    let control = control::spawn(&settings, incarnation, Arc::clone(&metrics), buffer)?;
     let copy = config::spawn(&settings, &control);
     let server = service::Server {
         target: settings.target.clone(),
         control: control.clone(),
         config: copy.clone(),
+        outbox: outbox.clone(),
     };
     let calls = service::bind(settings.listen.control, server).await?;
     let context = Arc::new(traffic::Context {
@@ -85,6 +90,7 @@
         control,
         config: copy,
         members,
+        outbox,
         calls,
         traffic,
         operators,
@@ -116,6 +122,8 @@
         self.control.drained().await;
         self.members.leave().await;
         self.traffic.close().await;
+        self.control.close().await;
+        self.outbox.flush().await;
         self.operators.close().await.map_err(Error::Server)?;
         self.calls.stop();
         self.config.stop();
--- a/components/agent/src/service.rs
+++ b/components/agent/src/service.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use evidence::{batch::Sequence, outbox::Handed};
 use futures::{StreamExt, future};
 use model::{
     claim::{self, Answer, Question, Settle, Transfer, Verdict},
@@ -19,7 +20,7 @@
 use tokio::{sync::oneshot, task::JoinHandle};
 use wire::control::{Agent, Status};
 
-use crate::{claims::Message, config, control};
+use crate::{claims::Message, config, control, outbox};
 
 /// The running server.
 pub struct Handle {
@@ -37,6 +38,8 @@
     pub control: control::Handle,
     /// The configuration, and reports of other processes.
     pub config: config::Handle,
+    /// Evidence that isn't in the log yet.
+    pub outbox: outbox::Handle,
 }
 
 /// Starts to serve at an address.
@@ -126,6 +129,14 @@
         self.config.offer(above)
     }
 
+    async fn evidence(self, _: Context) -> Vec<Handed> {
+        self.outbox.hand_over()
+    }
+
+    async fn evidence_kept(self, _: Context, sequences: Vec<Sequence>) {
+        self.outbox.confirm(&sequences);
+    }
+
     async fn snapshot_part(self, _: Context, head: Head, index: u32) -> Option<Part> {
         self.config.part(&head, index)
     }
--- a/components/agent/src/traffic.rs
+++ b/components/agent/src/traffic.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use evidence::{record, recorder::agent::Finish};
 use futures::StreamExt;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
@@ -115,13 +116,13 @@
 
 /// Runs one call to its end. The run is over when this returns, and dropping the answer's body
 /// cancels the call at the target.
-async fn serve(context: Arc<Context>, run: Run, call: Call, mut writer: Writer) {
-    let _run = run;
+async fn serve(context: Arc<Context>, mut run: Run, call: Call, mut writer: Writer) {
     let request = writer.request;
     let answered = match context.engine.call(call).await {
         Ok(answer) => relay(answer, &mut writer).await,
         Err(error) => {
             warn!(%request, %error, ran = ?error.ran(), "no answer from the target");
+            run.finish(Finish { ran: error.ran(), digest: None });
             writer.fail(error.ran(), &error.to_string()).await
         }
     };
@@ -131,7 +132,7 @@
             context.metrics.torn.inc();
             warn!(%request, "the target's answer is torn");
         }
-        Ok(None) => {}
+        Ok(None) => run.finish(Finish { ran: Ran::Yes, digest: Some(writer.digest()) }),
     }
 }
 
@@ -181,6 +182,10 @@
         Ok(())
     }
 
+    fn digest(&self) -> record::AnswerDigest {
+        record::answer_digest(&self.hasher.finalize())
+    }
+
     async fn end(&mut self) -> Result<Option<Torn>, Unread> {
         let digest = *self.hasher.finalize().as_bytes();
         self.send(Part::End { chunks: self.chunks, digest }).await?;
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use evidence::outbox::Handed;
+use futures::future;
 use model::{
     claim::{self, Settle},
     id::RequestId,
@@ -10,7 +12,10 @@
 use scheduler::entry::Event;
 use tokio::time::sleep;
 use tracing::debug;
-use wire::pool::{self, Error, Pool, context};
+use wire::{
+    AgentClient,
+    pool::{self, Error, Pool, context},
+};
 
 /// Time beyond a request's deadline for which a call is still answered.
 const GRACE: Duration = Duration::from_secs(1);
@@ -19,6 +24,21 @@
 /// Longest wait for the answer to a short call.
 const SHORT_CALL: Duration = Duration::from_millis(500);
 
+/// Batches of one agent's evidence.
+pub struct Fetched {
+    client: AgentClient,
+    /// The batches, in their order.
+    pub handed: Vec<Handed>,
+}
+
+impl Fetched {
+    /// Tells the agent that they are in the log. An agent that can't be told gives them again.
+    pub async fn confirm(self) {
+        let sequences = self.handed.iter().map(|handed| handed.sequence).collect();
+        let _ = self.client.evidence_kept(context(SHORT_CALL), sequences).await;
+    }
+}
+
 /// Connections to agents by their control address.
 #[derive(Debug)]
 pub struct Agents {
@@ -66,6 +86,17 @@
         Ok(client.settle(context(SHORT_CALL), id).await?)
     }
 
+    /// Fetches evidence from every agent that is connected.
+    pub async fn evidence(&self) -> Vec<Fetched> {
+        let clients = self.pool.connected().await;
+        let each = clients.into_iter().map(|client| async move {
+            let handed = client.evidence(context(SHORT_CALL)).await.unwrap_or_default();
+            Fetched { client, handed }
+        });
+        let all = future::join_all(each).await;
+        all.into_iter().filter(|fetched| !fetched.handed.is_empty()).collect()
+    }
+
     /// Asks a key's home for the key and gives the event that the answer makes.
     pub async fn claim(&self, address: SocketAddr, request: RequestId, ask: claim::Ask) -> Event {
         let answer = match self.pool.client(address).await {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -147,6 +147,7 @@
                     if refusal.ran == Ran::Yes {
                         ticket.ran();
                     }
+                    ticket.torn(&refusal);
                     return refuse(context, id, &start.owner, refusal);
                 }
             },
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -5,16 +5,21 @@
     io,
     sync::{Arc, OnceLock},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use api::{History, Question};
+use evidence::{
+    Buffer,
+    record::{AnswerDigest, Outcome},
+    recorder::entry::{self as recorder, Recorder},
+};
 use follower::Waker;
 use model::{Refusal, id::Offset, id::RequestId, reservation::Id};
 use scheduler::entry::{self, Effect, Event, Owner, Request, Start, State};
 use tokio::{
     runtime,
-    sync::{mpsc, watch},
+    sync::{mpsc, oneshot, watch},
     task::AbortHandle,
     time::sleep_until,
 };
@@ -56,6 +61,8 @@
 enum Message {
     Arrive { request: Box<Request>, verdicts: mpsc::UnboundedSender<Verdict> },
     Event(Event),
+    Outcome { request: RequestId, outcome: Outcome },
+    Close(oneshot::Sender<()>),
     Inspect(Question),
 }
 
@@ -78,6 +85,9 @@
 
 struct Thread {
     state: State,
+    recorder: Recorder,
+    /// Where evidence goes; `None` once the chain is closed.
+    evidence: Option<Buffer>,
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Sender<Status>,
     applied: watch::Sender<Offset>,
@@ -96,6 +106,7 @@
     settings: &settings::Entry,
     metrics: Arc<metrics::Entry>,
     agents: Arc<Agents>,
+    evidence: Buffer,
 ) -> io::Result<Handle> {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, status_reader) = watch::channel(Status::default());
@@ -105,6 +116,8 @@
     let reducer = entry::Settings { waiting: settings.bounds.waiting, zone: settings.zone.clone() };
     let thread = Thread {
         state: entry::open(reducer),
+        recorder: Recorder::default(),
+        evidence: Some(evidence),
         messages: messages.clone(),
         status,
         applied,
@@ -174,6 +187,14 @@
         self.event(Event::Drain);
     }
 
+    /// Closes the chain of evidence: nothing is recorded after this.
+    pub async fn close(&self) {
+        let (closed, wait) = oneshot::channel();
+        self.send(Message::Close(closed));
+        // An error means that the control thread ended, which records nothing more either.
+        let _ = wait.await;
+    }
+
     /// Waits until no request is left.
     pub async fn drained(&self) {
         let mut status = self.status.clone();
@@ -193,6 +214,21 @@
         self.verdicts.recv().await
     }
 
+    /// Tells that the caller got the whole answer.
+    pub fn whole(&self, digest: AnswerDigest) {
+        self.end(Outcome::Whole { digest });
+    }
+
+    /// Tells that the caller was refused after a start, or got a torn answer.
+    pub fn torn(&self, refusal: &Refusal) {
+        let (reason, ran) = (refusal.reason, refusal.ran);
+        self.end(Outcome::Refused { reason, ran, left_waiting: None });
+    }
+
+    fn end(&self, outcome: Outcome) {
+        self.control.send(Message::Outcome { request: self.request, outcome });
+    }
+
     /// Tells that a start provably had no effect; another verdict follows.
     pub fn not_started(&self, id: Id, unreachable: bool) {
         self.control.event(Event::NotStarted { id, unreachable });
@@ -228,6 +264,10 @@
     fn take(&mut self, message: Message) {
         let event = match message {
             Message::Event(event) => event,
+            Message::Outcome { request, outcome } => {
+                return self.recorder.ended(request, outcome);
+            }
+            Message::Close(closed) => return self.close(closed),
             Message::Inspect(question) => return question(self.state.config()),
             Message::Arrive { request, verdicts } => {
                 self.verdicts.insert(request.id, verdicts);
@@ -235,12 +275,24 @@
             }
         };
         self.note(&event);
-        for effect in entry::reduce(&mut self.state, Instant::now(), event) {
+        let (now, at) = (Instant::now(), SystemTime::now());
+        let step = recorder::reduce(&mut self.recorder, &mut self.state, now, at, event);
+        if let Some(evidence) = &self.evidence {
+            step.facts.into_iter().for_each(|fact| evidence.push(at, fact));
+        }
+        for effect in step.effects {
             self.carry_out(effect);
         }
         self.publish();
     }
 
+    fn close(&mut self, closed: oneshot::Sender<()>) {
+        if let Some(evidence) = self.evidence.take() {
+            evidence.push(SystemTime::now(), self.recorder.close(&self.state));
+        }
+        let _ = closed.send(());
+    }
+
     /// Forgets what belongs to something that ended.
     fn note(&mut self, event: &Event) {
         match event {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry process: takes callers' requests and relays the answers.
 
 mod agents;
+mod append;
 mod caller;
 mod control;
 mod fault;
@@ -42,6 +43,7 @@
     pub operators: SocketAddr,
     settings: settings::Entry,
     control: control::Handle,
+    evidence: append::Handle,
     feeds: feed::Handle,
     members: JoinHandle<()>,
     caller_server: HttpServer<Arc<caller::Context>>,
@@ -53,7 +55,10 @@
     let metrics = Arc::new(metrics::entry::open(settings.bounds.tracked_accounts));
     let agents = Arc::new(Agents::open(settings.timing.connect));
     let relay = relay::open(settings.timing.connect, Arc::clone(&agents));
-    let control = control::spawn(&settings, Arc::clone(&metrics), agents)?;
+    let outbox = append::open(&settings);
+    let (metrics_control, agents_control) = (Arc::clone(&metrics), Arc::clone(&agents));
+    let control = control::spawn(&settings, metrics_control, agents_control, outbox.buffer())?;
+    let evidence = append::spawn(&settings, outbox, agents);
     let feeds = feed::spawn(&settings, &control);
     let members = members::spawn(&settings.platform.log, settings.timing.poll, control.clone());
     let caller_server = serve_callers(&settings, &control, &metrics, relay)?;
@@ -67,6 +72,7 @@
         operators,
         settings,
         control,
+        evidence,
         feeds,
         members,
         caller_server,
@@ -90,6 +96,8 @@
         self.control.start_drain();
         self.control.drained().await;
         self.caller_server.close().await.map_err(Error::Server)?;
+        self.control.close().await;
+        self.evidence.flush().await;
         self.operator_server.close().await.map_err(Error::Server)?;
         self.feeds.stop();
         self.members.abort();
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use evidence::record::{self, AnswerDigest};
 use http::{HeaderMap, Method, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -147,6 +148,11 @@
         self.content_type.starts_with("text/event-stream")
     }
 
+    /// Hash over the answer as far as it came.
+    pub fn digest(&self) -> AnswerDigest {
+        record::answer_digest(&self.frames.answer.hash())
+    }
+
     /// The next piece of the answer; the last one is `Piece::Whole`.
     pub async fn next(&mut self) -> Result<Piece, Refusal> {
         self.frames.next().await
--- a/components/entry/src/stream.rs
+++ b/components/entry/src/stream.rs
@@ -59,12 +59,14 @@
             Ok(Piece::Whole) => break,
             Err(refusal) => {
                 account.torn(&refusal);
+                ticket.torn(&refusal);
                 return fault::answer(account.id, refusal);
             }
         }
     }
     account.first_byte();
     account.whole();
+    ticket.whole(opened.digest());
     drop(ticket);
     respond(&account, &opened, Body::with_content(body.freeze()))
 }
@@ -78,6 +80,7 @@
         Ok(first) => first,
         Err(refusal) => {
             account.torn(&refusal);
+            ticket.torn(&refusal);
             return fault::answer(account.id, refusal);
         }
     };
@@ -102,7 +105,6 @@
     first: Piece,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
     async_stream::stream! {
-        let _ticket = ticket;
         // The event that says `whole` is held back until the answer is known to be whole.
         let mut held = Bytes::new();
         let mut next = Ok(first);
@@ -120,11 +122,13 @@
                 }
                 Ok(Piece::Whole) => {
                     account.whole();
+                    ticket.whole(opened.digest());
                     yield Ok(Frame::data(held));
                     return;
                 }
                 Err(refusal) => {
                     account.torn(&refusal);
+                    ticket.torn(&refusal);
                     let event = format!("event: error\ndata: {}\n\n", fault::render(refusal));
                     yield Ok(Frame::data(event.into()));
                     return;
--- a/components/evidence/src/audit/mod.rs
+++ b/components/evidence/src/audit/mod.rs
@@ -166,8 +166,11 @@
     Report { from: span.from, to: span.to, findings }
 }
 
-/// Gaps that could hide a record of a role in a span.
+/// Gaps that could hide a record of a role in a span; a span without any evidence is one.
 fn relevant(history: &History, role: Option<Role>, span: Span) -> Vec<Flaw> {
+    if !is_covered(history, span) {
+        return vec![Flaw::Empty];
+    }
     let touches = |gap: &&Gap| {
         let same_role = role.is_none() || gap.role.is_none() || gap.role == role;
         same_role && gap.span.overlaps(span)
@@ -175,6 +178,14 @@
     history.gaps.iter().filter(touches).map(|gap| gap.flaw.clone()).collect()
 }
 
+fn is_covered(history: &History, span: Span) -> bool {
+    let mut batches = history.chains.iter().flat_map(|chain| &chain.batches);
+    batches.any(|placed| {
+        let written = Span { from: Some(placed.batch.since), to: Some(placed.batch.sealed) };
+        written.overlaps(span)
+    })
+}
+
 fn conclude(rule: Rule, judgement: Judgement, missing: Vec<Flaw>) -> Finding {
     let Judgement { checked, violations, mut gaps } = judgement;
     gaps.extend(missing);
--- a/components/evidence/src/record.rs
+++ b/components/evidence/src/record.rs
@@ -16,6 +16,12 @@
 /// Leading half of the BLAKE3 hash over an answer's bytes.
 pub type AnswerDigest = u128;
 
+/// Takes the digest of an answer out of the hash over all its bytes.
+pub fn answer_digest(hash: &blake3::Hash) -> AnswerDigest {
+    let (leading, _) = hash.as_bytes().split_at(size_of::<AnswerDigest>());
+    AnswerDigest::from_be_bytes(leading.try_into().expect("it was split at this length"))
+}
+
 /// One record.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -102,8 +108,8 @@
         reason: Reason,
         /// What the caller was told.
         ran: Ran,
-        /// Where this process itself shed it: the lowest tier that went on waiting there for the
-        /// same pool, if any did.
+        /// Where it was refused for want of room: the lowest tier that went on waiting in this
+        /// process for the same pool, if any did.
         left_waiting: Option<Rank>,
     },
     /// Its caller went away.
--- a/components/evidence/tests/audit.rs
+++ b/components/evidence/tests/audit.rs
@@ -292,6 +292,15 @@
     assert_eq!(report.findings[0].gaps, [Flaw::Empty]);
 }
 
+#[test]
+fn a_time_without_evidence_proves_nothing() {
+    let history = history::assemble(support::stream(&chains(sound())));
+
+    let report = audit(&history, Span { from: Some(at(SEALED + 1)), to: None });
+
+    assert!(report.findings.iter().all(|finding| finding.gaps == [Flaw::Empty]), "{report:#?}");
+}
+
 #[test]
 fn evidence_of_another_time_does_not_matter() {
     let mut site = sound();
--- a/components/evidence/tests/chain.rs
+++ b/components/evidence/tests/chain.rs
@@ -141,6 +141,16 @@
     assert_eq!(flaws(batches), []);
 }
 
+#[test]
+fn an_empty_batch_after_the_last_record_leaves_a_chain_closed() {
+    let mut agent = chain();
+    agent.batch(5_100, Vec::new());
+
+    let history = history::assemble(support::stream(&[agent]));
+
+    assert!(history.chains[0].is_closed());
+}
+
 #[test]
 fn a_process_that_fell_silent_is_a_gap() {
     let mut stopped = chain();
--- /dev/null
+++ b/components/evidence/tests/outbox.rs
@@ -0,0 +1,75 @@
+//! Evidence that waits for the log, in bounded memory.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use evidence::{
+    Batch, Fact, batch,
+    history::{self, Flaw, Read},
+    outbox::{self, BUFFER_LIMIT, Handed, KEPT_LIMIT},
+};
+use support::at;
+
+const LEASE: Duration = Duration::from_secs(30);
+
+fn open() -> outbox::Outbox {
+    outbox::open(support::agent("t1").process, at(0))
+}
+
+fn applied(offset: usize) -> Fact {
+    Fact::Applied { offset: offset as u64 }
+}
+
+fn unsealed(handed: &[Handed]) -> Vec<Batch> {
+    handed.iter().map(|handed| batch::unseal(&handed.sealed).unwrap()).collect()
+}
+
+fn flaws(handed: Vec<Handed>) -> Vec<Flaw> {
+    let stream: Vec<Read> = support::reads(handed.into_iter().map(|h| h.sealed).collect());
+    history::assemble(stream).gaps.into_iter().map(|gap| gap.flaw).collect()
+}
+
+#[test]
+fn batches_are_handed_over_until_they_are_confirmed() {
+    let mut outbox = open();
+    outbox.buffer().push(at(1), applied(1));
+    outbox.seal(at(2));
+    let now = Instant::now();
+
+    let first = outbox.hand_over(now, LEASE);
+    let leased = outbox.hand_over(now, LEASE);
+    let again = outbox.hand_over(now + LEASE, LEASE);
+    outbox.confirm(&[1]);
+
+    assert_eq!((first.len(), leased.len()), (1, 0));
+    assert_eq!(again, first);
+    assert!(outbox.is_empty());
+}
+
+#[test]
+fn a_long_outage_costs_bounded_memory_and_leaves_a_gap_that_is_told() {
+    let mut outbox = open();
+    let records = BUFFER_LIMIT + KEPT_LIMIT + 1_000;
+
+    for number in 0..records {
+        outbox.buffer().push(at(1), applied(number));
+        if number % 1_000 == 0 {
+            outbox.seal(at(2));
+        }
+    }
+    let mut handed = outbox.hand_over(Instant::now(), LEASE);
+    let kept: usize = unsealed(&handed).iter().map(|batch| batch.records.len()).sum();
+    outbox.confirm(&handed.iter().map(|handed| handed.sequence).collect::<Vec<_>>());
+    outbox.seal(at(3));
+    let rest = outbox.hand_over(Instant::now(), LEASE);
+    let batches = unsealed(&rest);
+
+    assert!(kept < KEPT_LIMIT + BUFFER_LIMIT);
+    let told = kept + batches[0].records.len() + batches[0].lost as usize;
+    assert_eq!(told, records);
+    handed.extend(rest);
+    let found = flaws(handed);
+    let lost = batches[0].lost;
+    assert!(matches!(found.as_slice(), [Flaw::Lost { count, .. }] if *count == lost), "{found:?}");
+}
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -185,6 +185,13 @@
         self.waiting.last().map(|order| order.rank)
     }
 
+    /// Rank of the lowest tier that waits for a pool, if any does.
+    pub fn lowest_waiting_for(&self, pool: &str) -> Option<Rank> {
+        let waiting = self.waiting.iter().rev();
+        let mut waiting = waiting.filter_map(|order| self.requests.get(&order.request));
+        waiting.find(|pending| pending.pool == pool).map(|pending| pending.rank)
+    }
+
     /// Requests that haven't ended.
     pub fn len(&self) -> usize {
         self.requests.len() + self.freshness.waiting()
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -42,6 +42,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(with = "u64")]
     pub poll: Duration,
+    /// Shortest period of batches of evidence.
+    #[garde(custom(positive))]
+    #[serde(rename = "evidence_ms", default = "evidence")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub evidence: Duration,
     /// Room at the target.
     #[garde(dive)]
     #[serde(default)]
@@ -52,6 +58,10 @@
     Duration::from_secs(2)
 }
 
+fn evidence() -> Duration {
+    Duration::from_secs(2)
+}
+
 /// Addresses of an agent; port 0 takes a free one.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -97,6 +97,13 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(with = "u64")]
     pub snapshot: Duration,
+    /// Period of appending evidence; about the number of entry processes over the appends a second
+    /// that the log can spare.
+    #[garde(custom(positive))]
+    #[serde(rename = "evidence_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub evidence: Duration,
     /// Time between the health check's failure and closing the listener.
     #[garde(skip)]
     #[serde(rename = "lame_ms")]
@@ -117,6 +124,7 @@
             hosts: Duration::from_millis(1_000),
             poll: Duration::from_millis(2_000),
             snapshot: Duration::from_secs(600),
+            evidence: Duration::from_secs(2),
             lame: Duration::from_millis(500),
             connect: Duration::from_millis(250),
         }
--- a/components/standin/src/fixture.rs
+++ b/components/standin/src/fixture.rs
@@ -103,6 +103,7 @@
         bounds: entry::Bounds::default(),
         timing: entry::Timing {
             hosts: Duration::from_millis(50),
+            evidence: Duration::from_millis(50),
             lame: Duration::from_millis(10),
             ..entry::Timing::default()
         },
@@ -126,6 +127,7 @@
         engine: agent::Engine { address: engine, backing, checks_fence: false },
         platform: platform(log, hosts),
         poll: Duration::from_secs(2),
+        evidence: Duration::from_millis(50),
         room: agent::Room::default(),
     }
 }
--- a/components/wire/src/answer.rs
+++ b/components/wire/src/answer.rs
@@ -83,6 +83,11 @@
         self.whole
     }
 
+    /// Hash over the body as far as it came.
+    pub fn hash(&self) -> blake3::Hash {
+        self.hasher.finalize()
+    }
+
     /// Takes a frame in; gives what can be passed on now. A doubled frame gives nothing.
     pub fn push(&mut self, frame: Frame) -> Result<Vec<Piece>, Torn> {
         if frame.request != self.request {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,5 +1,6 @@
 //! Control calls that an agent serves.
 
+use evidence::{batch::Sequence, outbox::Handed};
 use model::{
     claim::{self, Answer, Question, Settle, Transfer, Verdict},
     id::{Offset, TargetName},
@@ -37,6 +38,10 @@
     async fn presence() -> Summary;
     /// Offers a snapshot of the configuration as of an offset above the given one.
     async fn snapshot(above: Offset) -> Option<Head>;
+    /// Gives batches of evidence for the asker to append to the log, for as long as the lease.
+    async fn evidence() -> Vec<Handed>;
+    /// Tells that batches of evidence are in the log.
+    async fn evidence_kept(sequences: Vec<Sequence>);
     /// Gives one part of an offered snapshot, while the agent still holds it.
     async fn snapshot_part(head: Head, index: u32) -> Option<Part>;
     /// Asks a key's home for the key.
--- a/components/wire/src/pool.rs
+++ b/components/wire/src/pool.rs
@@ -67,6 +67,13 @@
         Ok(client)
     }
 
+    /// The clients of all agents that are connected.
+    pub async fn connected(&self) -> Vec<AgentClient> {
+        let slots: Vec<Slot> = self.slots.lock().await.values().cloned().collect();
+        let open = slots.iter().filter_map(|slot| slot.try_lock().ok()?.clone());
+        open.collect()
+    }
+
     /// Opens a new connection at the next call, whatever the state of this one.
     pub async fn forget(&self, address: SocketAddr) {
         self.slots.lock().await.remove(&address);
