Place by a prefix's homes and cut hopeless work off

Cause: the first version asked every target of a pool, so long prompts were recomputed wherever a slot was free; it held requests that could no longer be answered until their deadline; each entry applied an account's whole limit, and told all refused callers to come back at once. `choose` hashed and sorted the whole pool for each request.

Change: a prefix has three homes, the first up targets of a two-level rendezvous order whose cost is bounded by cells of 48; a second reservation is made only where the home is silent. The agent learns run times (and overdue runs, so that a straggler is seen before its runs end) and denies what can't be answered in time, sheds a lower tier before it turns a higher one away for the queue's length, and grants ahead while grants travel. Limits are split by the live hosts that no target stands on; refused callers get one place after another. The first version stays as a policy.

Proof: tests/hope.rs fails in five tests without the cut-off and in one where a lower tier is spared; the differential test of tiers.rs runs with estimates off, as its naive version has none, and the fuzz beside it with them.

--- a/components/bench/src/site.rs
+++ b/components/bench/src/site.rs
@@ -7,9 +7,9 @@
 };
 
 use model::{
-    Change, Resource,
+    Change, Host, Resource,
     change::{Action, SCHEMA},
-    credential,
+    credential, host,
     id::{Rank, TargetName},
     resource::{self, Backing, Desired, Limit},
 };
@@ -43,6 +43,8 @@
     pools: Vec<Range<usize>>,
     /// The configuration stream.
     pub records: Vec<Record>,
+    /// The platform's list of hosts.
+    pub hosts: Vec<Host>,
 }
 
 /// Describes a workload's deployment.
@@ -60,8 +62,9 @@
         }));
         pools.push(first..targets.len());
     }
+    let hosts = hosts(workload, &targets);
     let records = records(resources(workload, &targets));
-    Site { targets, pools, records }
+    Site { targets, pools, records, hosts }
 }
 
 impl Site {
@@ -86,6 +89,18 @@
     format!("{}-model", pool.name)
 }
 
+/// One host for each target and one for each zone's entry process.
+fn hosts(workload: &Workload, targets: &[Target]) -> Vec<Host> {
+    let host = |name: String, zone: usize| Host {
+        name,
+        zone: workload.zones[zone].clone(),
+        state: host::State::Live,
+    };
+    let entries = (0..workload.zones.len()).map(|zone| host(format!("entry-{zone}"), zone));
+    let targets = targets.iter().map(|target| host(target.name.clone(), target.zone));
+    entries.chain(targets).collect()
+}
+
 fn resources(workload: &Workload, targets: &[Target]) -> Vec<Resource> {
     let tiers = workload.tiers.iter().enumerate().map(|(rank, tier)| {
         Resource::Tier(resource::Tier {
--- a/components/bench/src/tally.rs
+++ b/components/bench/src/tally.rs
@@ -68,6 +68,8 @@
     pub answer_us: Vec<Histogram<u64>>,
     /// Broken order.
     pub inversions: Inversions,
+    /// Refusals for the deadline while a lower tier waited at the entry for the same pool.
+    pub hopeless_over_lower: u64,
     /// Messages between entries and agents, without bodies and answers.
     pub messages: u64,
     /// Their bytes, as postcard writes them.
@@ -92,6 +94,7 @@
         refusal_us: histogram(),
         answer_us: vec![histogram(); tiers],
         inversions: Inversions::default(),
+        hopeless_over_lower: 0,
         messages: 0,
         control_bytes: 0,
         attempts: 0,
@@ -177,6 +180,7 @@
         }
         self.inversions.agent += other.inversions.agent;
         self.inversions.entry += other.inversions.entry;
+        self.hopeless_over_lower += other.hopeless_over_lower;
         self.messages += other.messages;
         self.control_bytes += other.control_bytes;
         self.attempts += other.attempts;
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -1,7 +1,11 @@
 //! The agent's reducer: who waits for the target, who may start, what runs.
 
 mod event;
+mod hope;
+mod pace;
+mod prefixes;
 mod queue;
+mod shares;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -15,7 +19,11 @@
 };
 
 pub use event::{Effect, Event};
+pub use hope::Policy;
+use pace::Pace;
+use prefixes::Prefixes;
 use queue::{Order, Queue};
+use shares::Shares;
 
 /// Time for which an ended reservation is remembered.
 pub const TOMBSTONE_LIFE: Duration = Duration::from_secs(600);
@@ -23,8 +31,6 @@
 pub const SHED_LIFE: Duration = Duration::from_secs(1);
 const RETRY_MIN: Duration = Duration::from_millis(50);
 const RETRY_MAX: Duration = Duration::from_secs(30);
-/// Share of the newest run in the average run time.
-const PACE_WEIGHT: u32 = 8;
 
 /// Room at the target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,8 +49,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
     Waiting { order: Order },
-    Granted { until: Instant, tokens: u64 },
-    Running { since: Instant, tokens: u64 },
+    Granted { until: Instant, hold: Hold },
+    Running { since: Instant, hold: Hold },
+}
+
+/// What a granted or running reservation takes of the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Hold {
+    tokens: u64,
+    /// In the units of the pace.
+    work: u64,
 }
 
 /// When a grant runs out.
@@ -70,6 +84,7 @@
 #[derive(Clone, Debug)]
 pub struct State {
     room: Room,
+    policy: Policy,
     /// Waiting reservations, best first; each has a `Stage::Waiting` in `live`.
     queue: Queue,
     /// Reservations that haven't ended.
@@ -83,8 +98,9 @@
     /// Reservations granted or running, and the tokens that they hold.
     held: usize,
     held_tokens: u64,
-    /// Average time that a request runs.
-    pace: Duration,
+    pace: Pace,
+    prefixes: Prefixes,
+    shares: Shares,
     shed: Option<Shed>,
     heard: Offset,
     draining: bool,
@@ -92,8 +108,14 @@
 
 /// Gives the state of an agent whose target is idle.
 pub fn open(room: Room) -> State {
+    open_with(room, Policy::default())
+}
+
+/// The same under another policy, for comparisons.
+pub fn open_with(room: Room, policy: Policy) -> State {
     State {
         room,
+        policy,
         queue: Queue::default(),
         live: BTreeMap::new(),
         lapses: BTreeSet::new(),
@@ -101,7 +123,9 @@
         tombstones: VecDeque::new(),
         held: 0,
         held_tokens: 0,
-        pace: RETRY_MIN,
+        pace: pace::open(),
+        prefixes: prefixes::open(room.tokens),
+        shares: Shares::default(),
         shed: None,
         heard: 0,
         draining: false,
@@ -167,7 +191,14 @@
         if ask.remaining.is_zero() {
             return self.bury(now, ask.id, Fate::Expired, Reason::Deadline, effects);
         }
-        let order = self.queue.push(now, &ask);
+        let work = self.work(&ask);
+        let is_hopeless = self.is_hopeless(now, &ask, work);
+        let is_late = |state: &State| state.is_too_long(now, &ask, work);
+        if is_hopeless || is_late(self) && !self.shed_below(now, ask.rank, effects) {
+            return self.bury(now, ask.id, Fate::Expired, Reason::Deadline, effects);
+        }
+        let run = self.least_run(now, work);
+        let order = self.queue.push(now, &ask, work, run);
         self.live.insert(ask.id, Stage::Waiting { order });
         // Room comes first: nobody is evicted for a place that the best no longer needs.
         self.fill(now, effects);
@@ -178,9 +209,10 @@
 
     fn start(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         match self.live.get(&id).copied() {
-            Some(Stage::Granted { until, tokens }) => {
+            Some(Stage::Granted { until, hold }) => {
                 self.lapses.remove(&Lapse { at: until, id });
-                self.live.insert(id, Stage::Running { since: now, tokens });
+                self.pace.start(now, id, until - self.room.grant, hold.work);
+                self.live.insert(id, Stage::Running { since: now, hold });
                 effects.push(Effect::Dispatch(id));
             }
             _ => effects.push(Effect::DenyStart { id, fate: self.fate(id) }),
@@ -194,9 +226,9 @@
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
             }
-            Some(Stage::Granted { until, tokens }) => {
+            Some(Stage::Granted { until, hold }) => {
                 self.lapses.remove(&Lapse { at: until, id });
-                self.free(tokens);
+                self.free(hold);
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
             }
@@ -209,14 +241,13 @@
     }
 
     fn end(&mut self, now: Instant, id: Id) {
-        let Some(Stage::Running { since, tokens }) = self.live.get(&id).copied() else {
+        let Some(Stage::Running { since, hold }) = self.live.get(&id).copied() else {
             return;
         };
         self.live.remove(&id);
-        self.free(tokens);
+        self.free(hold);
         self.remember(now, id, Fate::Started);
-        let newest = now.saturating_duration_since(since);
-        self.pace = (self.pace * (PACE_WEIGHT - 1) + newest) / PACE_WEIGHT;
+        self.pace.end(now, id, since, hold.work);
     }
 
     fn drain(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -229,16 +260,21 @@
 
     /// Grants room to those who wait, best first; the best is never passed over for a smaller.
     fn fill(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        while let Some(waiting) = self.queue.first() {
-            let fits = self.held_tokens + waiting.tokens <= self.room.tokens || self.held == 0;
-            if self.held >= self.room.slots || !fits {
+        while let Some(first) = self.queue.first() {
+            let fits = self.held_tokens + first.tokens <= self.room.tokens || self.held == 0;
+            if self.held >= self.slots() || !fits {
                 return;
             }
-            self.queue.pop();
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
             self.held += 1;
             self.held_tokens += waiting.tokens;
+            self.prefixes.insert(&waiting.prefix);
+            self.shares.grant(waiting.rank, waiting.work);
             let until = now + self.room.grant;
-            self.live.insert(waiting.id, Stage::Granted { until, tokens: waiting.tokens });
+            let hold = Hold { tokens: waiting.tokens, work: waiting.work };
+            self.live.insert(waiting.id, Stage::Granted { until, hold });
             self.lapses.insert(Lapse { at: until, id: waiting.id });
             let grant = Grant { life: self.room.grant, load: self.load() };
             effects.push(Effect::Grant { id: waiting.id, grant });
@@ -248,8 +284,8 @@
     fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(lapse) = self.lapses.first().copied().filter(|lapse| lapse.at <= now) {
             self.lapses.pop_first();
-            if let Some(Stage::Granted { tokens, .. }) = self.live.remove(&lapse.id) {
-                self.free(tokens);
+            if let Some(Stage::Granted { hold, .. }) = self.live.remove(&lapse.id) {
+                self.free(hold);
                 self.remember(now, lapse.id, Fate::Expired);
             }
         }
@@ -267,6 +303,15 @@
         }
     }
 
+    /// Sheds a reservation of a tier below one, if any waits.
+    fn shed_below(&mut self, now: Instant, rank: Rank, effects: &mut Vec<Effect>) -> bool {
+        let lower_waits = self.lower_waits(rank);
+        if lower_waits {
+            self.evict(now, effects);
+        }
+        lower_waits
+    }
+
     fn evict(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let Some(worst) = self.queue.pop_worst() else {
             return;
@@ -293,13 +338,14 @@
     fn denied(&self, id: Id, reason: Reason) -> Effect {
         let waiting = u32::try_from(self.queue.len() + 1).unwrap_or(u32::MAX);
         let slots = u32::try_from(self.room.slots).unwrap_or(u32::MAX);
-        let retry_after = (self.pace.saturating_mul(waiting) / slots).clamp(RETRY_MIN, RETRY_MAX);
+        let drained = self.pace.run().saturating_mul(waiting) / slots;
+        let retry_after = drained.clamp(RETRY_MIN, RETRY_MAX);
         Effect::Deny { id, denial: Denial { reason, retry_after, load: self.load() } }
     }
 
-    fn free(&mut self, tokens: u64) {
+    fn free(&mut self, hold: Hold) {
         self.held -= 1;
-        self.held_tokens -= tokens;
+        self.held_tokens -= hold.tokens;
     }
 
     fn remember(&mut self, now: Instant, id: Id, fate: Fate) {
--- /dev/null
+++ b/components/scheduler/src/agent/pace.rs
@@ -0,0 +1,121 @@
+//! How fast the target is, learnt from the runs that it has done.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use model::reservation::Id;
+
+/// Units of work in one decode step; a step prefills about as many tokens of one prompt.
+pub const STEP: u64 = 256;
+/// Share of the newest run in the averages.
+const WEIGHT: f64 = 1.0 / 16.0;
+/// Runs that must have ended before estimates are given.
+const LEARNT: u32 = 8;
+/// A run that takes this many times its estimate speaks against the target before it ends.
+const OVERDUE: u32 = 3;
+/// Time without evidence after which half of a slowdown is no longer believed.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// A run that is overdue at a time, unless it ends before.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Overdue {
+    at: Instant,
+    since: Instant,
+    id: Id,
+}
+
+/// What was learnt.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// Seconds for a unit of work, on average.
+    unit: f64,
+    /// The least that the average ever was.
+    best: f64,
+    /// Seconds that a run takes, on average.
+    run: f64,
+    /// Seconds from a grant to its start, on average.
+    lead: f64,
+    /// Runs that ended, up to `LEARNT`.
+    learnt: u32,
+    /// When the last run ended.
+    heard: Option<Instant>,
+    /// One for each run of known length that hasn't ended.
+    overdue: BTreeSet<Overdue>,
+}
+
+/// Gives the pace of a target of which nothing is known.
+pub fn open() -> Pace {
+    Pace {
+        unit: 0.0,
+        best: f64::MAX,
+        run: 0.0,
+        lead: 0.0,
+        learnt: 0,
+        heard: None,
+        overdue: BTreeSet::new(),
+    }
+}
+
+impl Pace {
+    /// A grant was started.
+    pub fn start(&mut self, now: Instant, id: Id, granted: Instant, work: u64) {
+        let lead = now.saturating_duration_since(granted).as_secs_f64();
+        self.lead += (lead - self.lead) * WEIGHT;
+        if let Some(run) = self.estimate(now, work) {
+            self.overdue.insert(Overdue { at: now + run * OVERDUE, since: now, id });
+        }
+    }
+
+    /// A run ended.
+    pub fn end(&mut self, now: Instant, id: Id, since: Instant, work: u64) {
+        self.overdue.retain(|overdue| overdue.id != id);
+        let took = now.saturating_duration_since(since).as_secs_f64();
+        let unit = took / work.max(1) as f64;
+        let weight = if self.learnt == 0 { 1.0 } else { WEIGHT };
+        self.unit += (unit - self.unit) * weight;
+        self.run += (took - self.run) * weight;
+        self.learnt = (self.learnt + 1).min(LEARNT);
+        if self.learnt == LEARNT {
+            self.best = self.best.min(self.unit);
+        }
+        self.heard = Some(now);
+    }
+
+    /// Time that some work takes once it runs; `None` while too little is known.
+    pub fn estimate(&self, now: Instant, work: u64) -> Option<Duration> {
+        if self.learnt < LEARNT {
+            return None;
+        }
+        let silent = self.heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let halvings = silent.as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let believed = self.best + (self.unit - self.best) * 0.5_f64.powf(halvings);
+        let unit = believed.max(self.unit_of_overdue(now));
+        Some(Duration::from_secs_f64(unit * work as f64))
+    }
+
+    /// Average time that a run takes.
+    pub fn run(&self) -> Duration {
+        Duration::from_secs_f64(self.run)
+    }
+
+    /// Grants beyond the slots that keep a target busy while grants travel to their start.
+    pub fn ahead(&self, slots: usize) -> usize {
+        if self.learnt < LEARNT || slots == 1 {
+            return 0;
+        }
+        let idle = slots as f64 * self.lead / self.run.max(self.lead).max(f64::MIN_POSITIVE);
+        idle.ceil() as usize
+    }
+
+    /// The longest overdue run says how slow the target is now.
+    fn unit_of_overdue(&self, now: Instant) -> f64 {
+        let Some(overdue) = self.overdue.first().filter(|overdue| overdue.at <= now) else {
+            return 0.0;
+        };
+        let expected = (overdue.at - overdue.since).as_secs_f64() / f64::from(OVERDUE);
+        let age = now.saturating_duration_since(overdue.since).as_secs_f64();
+        self.unit * age / expected.max(f64::MIN_POSITIVE)
+    }
+}
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -1,10 +1,13 @@
 //! Waiting reservations: highest tier first, then by deadline, then by arrival.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use model::{
     id::Rank,
-    reservation::{Ask, Id},
+    reservation::{Ask, BlockHash, Id},
 };
 
 /// Place of a reservation in the queue.
@@ -16,30 +19,40 @@
 }
 
 /// A reservation that waits.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Waiting {
     /// The reservation.
     pub id: Id,
     /// Its tier's rank.
     pub rank: Rank,
+    /// When its answer is due.
+    pub deadline: Instant,
+    /// When it must have started to be answered in time.
+    pub latest: Instant,
     /// Tokens that it will hold.
     pub tokens: u64,
+    /// Work that it will be, in the units of the pace.
+    pub work: u64,
+    /// Its prompt's leading blocks.
+    pub prefix: Vec<BlockHash>,
 }
 
 /// The queue.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: BTreeMap<Order, Waiting>,
-    /// The same places by deadline.
-    deadlines: BTreeMap<Deadline, Order>,
+    /// The same places by the time when they become hopeless.
+    latest: BTreeSet<Latest>,
+    /// Work that waits, by rank; none is 0.
+    work: BTreeMap<Rank, u64>,
     /// Counts reservations, so that no two have the same place.
     arrivals: u64,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Deadline {
+struct Latest {
     at: Instant,
-    arrival: u64,
+    order: Order,
 }
 
 impl Queue {
@@ -48,24 +61,34 @@
         self.waiting.len()
     }
 
-    /// Adds a reservation.
-    pub fn push(&mut self, now: Instant, ask: &Ask) -> Order {
+    /// Adds a reservation that is some work and takes a time to run.
+    pub fn push(&mut self, now: Instant, ask: &Ask, work: u64, run: Duration) -> Order {
         self.arrivals += 1;
-        let order = Order { rank: ask.rank, deadline: now + ask.remaining, arrival: self.arrivals };
-        let tokens = u64::from(ask.prefill) + u64::from(ask.decode);
-        self.waiting.insert(order, Waiting { id: ask.id, rank: ask.rank, tokens });
-        self.deadlines.insert(order.by_deadline(), order);
+        let deadline = now + ask.remaining;
+        let order = Order { rank: ask.rank, deadline, arrival: self.arrivals };
+        let waiting = Waiting {
+            id: ask.id,
+            rank: ask.rank,
+            deadline,
+            latest: deadline - run.min(ask.remaining),
+            tokens: u64::from(ask.prefill) + u64::from(ask.decode),
+            work,
+            prefix: ask.prefix.clone(),
+        };
+        self.latest.insert(Latest { at: waiting.latest, order });
+        self.waiting.insert(order, waiting);
+        *self.work.entry(ask.rank).or_default() += work;
         order
     }
 
     /// The best reservation.
-    pub fn first(&self) -> Option<Waiting> {
-        self.waiting.first_key_value().map(|(_, waiting)| *waiting)
+    pub fn first(&self) -> Option<&Waiting> {
+        self.waiting.first_key_value().map(|(_, waiting)| waiting)
     }
 
     /// The worst reservation: the lowest tier, there the latest deadline.
-    pub fn last(&self) -> Option<Waiting> {
-        self.waiting.last_key_value().map(|(_, waiting)| *waiting)
+    pub fn last(&self) -> Option<&Waiting> {
+        self.waiting.last_key_value().map(|(_, waiting)| waiting)
     }
 
     /// Takes the best reservation out.
@@ -80,30 +103,32 @@
         self.remove(&order)
     }
 
-    /// Takes out a reservation whose deadline has passed.
+    /// Takes out a reservation that can no longer be answered in time.
     pub fn pop_late(&mut self, now: Instant) -> Option<Waiting> {
-        let (deadline, order) = self.deadlines.first_key_value()?;
-        if deadline.at > now {
+        let latest = *self.latest.first()?;
+        if latest.at > now {
             return None;
         }
-        let order = *order;
-        self.remove(&order)
+        self.remove(&latest.order)
     }
 
     /// Takes the reservation at a place out.
     pub fn remove(&mut self, order: &Order) -> Option<Waiting> {
-        self.deadlines.remove(&order.by_deadline());
-        self.waiting.remove(order)
+        let waiting = self.waiting.remove(order)?;
+        self.latest.remove(&Latest { at: waiting.latest, order: *order });
+        if let Some(work) = self.work.get_mut(&waiting.rank) {
+            *work -= waiting.work;
+        }
+        Some(waiting)
     }
 
-    /// The earliest deadline.
+    /// When the next reservation becomes hopeless.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.deadlines.first_key_value().map(|(deadline, _)| deadline.at)
+        self.latest.first().map(|latest| latest.at)
     }
-}
 
-impl Order {
-    fn by_deadline(&self) -> Deadline {
-        Deadline { at: self.deadline, arrival: self.arrival }
+    /// Work that waits in a tier and in those above.
+    pub fn work(&self, rank: Rank) -> u64 {
+        self.work.range(..=rank).map(|(_, work)| work).sum()
     }
 }
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod freshness;
 mod leave;
 mod pending;
+mod seek;
 mod shed;
 
 use std::{
@@ -19,8 +20,7 @@
     Refusal,
     id::{AccountName, HostName, Offset, Rank, RequestId, TargetName, ZoneName},
     refusal::Reason,
-    reservation::{Ask, BlockHash, Denial, Id, Load},
-    resource::Target,
+    reservation::{Denial, Id},
 };
 
 pub use admit::{DEADLINE_LIMIT, KEY_LIMIT};
@@ -28,11 +28,11 @@
 pub use event::{Call, Effect, Event, Owner, Record, Request, Start};
 use freshness::Freshness;
 use pending::{Order, Pending, Stage, Timer};
+pub use seek::Policy;
+use seek::Pools;
 
-use crate::{config, limit, membership, placement};
+use crate::{config, limit, membership};
 
-/// Most reservations of one request that are open at once.
-const OPEN_LIMIT: usize = 2;
 /// Time for which a target whose agent couldn't be reached is asked last.
 const DOWN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that shed a tier is asked last for that tier.
@@ -60,6 +60,8 @@
     /// Lowest rank number that the target's agent shed, and until when we believe it.
     shed: Option<Shed>,
     down_until: Option<Instant>,
+    /// When its agent answered last.
+    heard: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +74,7 @@
 #[derive(Clone, Debug)]
 pub struct State {
     settings: Settings,
+    policy: Policy,
     config: config::State,
     members: membership::State,
     /// Hosts that the platform's list shows as leaving.
@@ -83,8 +86,11 @@
     /// One timer for each that waits.
     timers: BTreeSet<Timer>,
     seen: BTreeMap<TargetName, Seen>,
+    pools: Pools,
     usage: BTreeMap<AccountName, limit::Usage>,
     freshness: Freshness,
+    /// Hosts that run entry processes, this one included, as far as is known; at least 1.
+    entries: u32,
     /// Whether the configuration was read once to its end.
     ready: bool,
     /// Whether the balancer is told to send no more; requests that still come are taken.
@@ -94,8 +100,14 @@
 
 /// Gives the state of a process that has read nothing yet.
 pub fn open(settings: Settings) -> State {
+    open_with(settings, Policy::default())
+}
+
+/// The same under another policy, for comparisons.
+pub fn open_with(settings: Settings, policy: Policy) -> State {
     State {
         settings,
+        policy,
         config: config::State::default(),
         members: membership::State::default(),
         leaving: BTreeSet::new(),
@@ -103,8 +115,10 @@
         waiting: BTreeSet::new(),
         timers: BTreeSet::new(),
         seen: BTreeMap::new(),
+        pools: Pools::default(),
         usage: BTreeMap::new(),
         freshness: Freshness::default(),
+        entries: 1,
         ready: false,
         unlisted: false,
         draining: false,
@@ -226,8 +240,9 @@
             Owner { account: account.name.clone(), tier: request.tier.clone().unwrap_or_default() };
         let pending = admit::admit(&self.config, now, account, request)
             .map_err(|refusal| (owner, refusal))?;
+        let share = account.limit.map(|limit| limit::share(limit, self.entries));
         let usage = self.usage.entry(account.name.clone()).or_insert_with(|| limit::open(now));
-        if let Err(wait) = usage.admit(now, account.limit) {
+        if let Err(wait) = usage.admit(now, share) {
             let refusal = Refusal::not_run(
                 Reason::AccountLimit,
                 "the client account has reached a limit of its own",
@@ -250,50 +265,6 @@
         Ok(())
     }
 
-    /// Asks the next target for room, or refuses where no target is left to ask.
-    fn seek(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.requests.get(&id) else {
-            return;
-        };
-        match self.choose(now, pending).cloned() {
-            Some(target) => self.reserve(now, id, &target, effects),
-            None if pending.open.is_empty() => self.give_up(now, id, effects),
-            None => {}
-        }
-    }
-
-    /// The best target that wasn't asked yet; one that is down or sheds this tier comes last.
-    fn choose(&self, now: Instant, pending: &Pending) -> Option<&Target> {
-        let usable =
-            |target: &&Target| self.is_serving(target) && !pending.tried.contains_key(&target.name);
-        let targets = self.config.targets(&pending.pool).filter(usable);
-        let ordered = placement::order(placement_key(pending), targets);
-        let good = |scored: &&placement::Scored| self.is_good(now, &scored.target, pending.rank);
-        let chosen = ordered.iter().find(good).or(ordered.first())?;
-        self.config.target(&chosen.target)
-    }
-
-    fn reserve(&mut self, now: Instant, id: RequestId, target: &Target, effects: &mut Vec<Effect>) {
-        let offset = self.config.applied();
-        let Some(pending) = self.requests.get_mut(&id) else {
-            return;
-        };
-        pending.attempts += 1;
-        let reservation = Id { request: id, attempt: pending.attempts };
-        pending.open.insert(reservation, target.name.clone());
-        pending.tried.insert(target.name.clone(), now);
-        let ask = Ask {
-            id: reservation,
-            rank: pending.rank,
-            remaining: pending.deadline.saturating_duration_since(now),
-            prefill: pending.request.prefill,
-            decode: pending.request.decode,
-            prefix: pending.request.prefix.clone(),
-            offset,
-        };
-        effects.push(Effect::Reserve { target: target.name.clone(), address: target.control, ask });
-    }
-
     fn granted(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(start) = self.start(now, id) else {
             return;
@@ -336,7 +307,7 @@
             return;
         };
         pending.tried.insert(target.clone(), now);
-        pending.denial = denial.or(pending.denial);
+        pending.note(denial);
         if denial.is_some_and(|denial| denial.reason == Reason::Draining) {
             self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
         }
@@ -380,34 +351,11 @@
                 continue;
             }
             pending.widen_at = None;
-            let few = pending.open.len() < OPEN_LIMIT;
             self.schedule(timer.request);
-            if few {
-                self.seek(now, timer.request, effects);
-            }
+            self.widen(now, timer.request, effects);
         }
     }
 
-    /// Refuses the request that is worth least: the lowest tier, there the latest deadline.
-    fn shed(&mut self, effects: &mut Vec<Effect>) {
-        let Some(worst) = self.waiting.last().copied() else {
-            return;
-        };
-        let refusal = Refusal::not_run(Reason::Overloaded, "too many requests wait here");
-        self.refuse(worst.request, refusal.retry_after(RETRY), effects);
-    }
-
-    fn refuse_full(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
-        let denial = self.requests.get(&id).and_then(|pending| pending.denial);
-        let refusal = match denial {
-            None => Refusal::not_run(Reason::NoTarget, "no target of the pool can be reached")
-                .retry_after(RETRY),
-            Some(denial) => Refusal::not_run(denial.reason, "no target of the pool has room")
-                .retry_after(denial.retry_after),
-        };
-        self.refuse(id, refusal, effects);
-    }
-
     fn refuse_late(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         let wait = self.requests.get(&id).and_then(|pending| pending.denial);
         let wait = wait.map_or(RETRY, |denial| denial.retry_after);
@@ -473,44 +421,6 @@
             self.timers.remove(&Timer { at, request: id });
         }
     }
-
-    fn hear(&mut self, now: Instant, id: Id, load: Load, effects: &mut Vec<Effect>) {
-        self.freshness.hear(load.offset);
-        if load.offset > self.config.applied() {
-            effects.push(Effect::CatchUp(load.offset));
-        }
-        if let Some(target) = self.target_of(id) {
-            let shed = load.floor.map(|rank| Shed { rank, until: now + SHED_LIFE });
-            self.seen.insert(target, Seen { shed, down_until: None });
-        }
-    }
-
-    fn mark_down(&mut self, now: Instant, id: Id) {
-        if let Some(target) = self.target_of(id) {
-            self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
-        }
-    }
-
-    fn target_of(&self, id: Id) -> Option<TargetName> {
-        self.requests.get(&id.request)?.open.get(&id).cloned()
-    }
-
-    fn is_good(&self, now: Instant, target: &str, rank: Rank) -> bool {
-        let Some(seen) = self.seen.get(target) else {
-            return true;
-        };
-        let down = seen.down_until.is_some_and(|until| until > now);
-        let sheds = seen.shed.is_some_and(|shed| shed.rank <= rank && shed.until > now);
-        !down && !sheds
-    }
-}
-
-/// Requests that share their first blocks share this key; one without a prefix has its own.
-fn placement_key(pending: &Pending) -> BlockHash {
-    const SHARED_BLOCKS: usize = 4;
-    let prefix = &pending.request.prefix;
-    let shared = prefix.get(SHARED_BLOCKS - 1).or(prefix.last());
-    shared.copied().unwrap_or_else(|| pending.request.id.as_u64_pair().1)
 }
 
 /// The offset up to which a list of effects wants the log read.
--- a/components/scheduler/src/entry/pending.rs
+++ b/components/scheduler/src/entry/pending.rs
@@ -4,6 +4,7 @@
 
 use model::{
     id::{PoolName, Rank, RequestId, TargetName},
+    refusal::Reason,
     reservation::{Denial, Id},
 };
 
@@ -60,6 +61,16 @@
         self.stage == Stage::Waiting
     }
 
+    /// Takes in a denial. Want of room counts before hopelessness: one who found no room may not
+    /// be refused before a lower tier, whatever other targets say.
+    pub fn note(&mut self, denial: Option<Denial>) {
+        let lacked_room = self.denial.is_some_and(|known| known.reason == Reason::Overloaded);
+        let is_hopeless = denial.is_some_and(|denial| denial.reason == Reason::Deadline);
+        if !(lacked_room && is_hopeless) {
+            self.denial = denial.or(self.denial);
+        }
+    }
+
     /// When this request needs a tick.
     pub fn wake(&self) -> Option<Instant> {
         match self.stage {
