Relay the configuration through a few agents instead of 11,800 readers of the log

Cause: every process read the log by itself. With a read in 2 s the target size makes 5,900 reads a second, more than the service is asked to take of appends.

Change: the agents that keep reports also keep the last 1,024 records and pass them on by a call that waits for the next one. A process uses the first of two such agents, found by hashing its host, once the configuration has two (more than 64 targets, so both sites of today read the log as before). It reads the log itself where the relay doesn't answer, has less than was heard of, no longer keeps the records, or heard the log last more than 5 s ago.

Proof (`tests/relays.rs`, 65 targets, real agents for the keepers): without the relay the entry never stops reading the log; without the check of age an entry whose relays are cut off from the log stays behind; without the way back to the log, frozen and lost relays leave it behind, 4 of 4 tests fail. With all of it 4 pass, in 7.6 s. The test of the cut-off relays passed without its guard at first, as reads that were under way brought the record; it now waits for their end.

Worked out, not measured: 157 relays with 75 readers each, 79 reads of the log a second.

--- a/components/agent/src/config.rs
+++ b/components/agent/src/config.rs
@@ -3,10 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
-use follower::{Sink, Source, Update, Waker, report};
+use follower::{Sink, Source, Update, Waker, relay, report};
 use model::{
     id::{HostName, Offset, TargetName},
     presence::{Report, Summary},
@@ -18,10 +18,14 @@
     config::{Snapshot, State},
     order, presence,
 };
-use tokio::{sync::watch, task::JoinHandle};
+use tokio::{sync::watch, task::JoinHandle, time::timeout};
 use tracing::{error, info};
+use wire::control::Relayed;
 
-use crate::control;
+use crate::{control, recent::Recent};
+
+/// Longest wait for a record that a caller may ask for.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 #[derive(Default)]
 struct Shared {
@@ -29,6 +33,7 @@
     reports: Mutex<presence::State>,
     /// Parts of the last snapshot that was offered.
     offered: Mutex<Vec<Part>>,
+    recent: Recent,
     applied: watch::Sender<Offset>,
 }
 
@@ -43,9 +48,11 @@
 /// Starts to follow the configuration and to report how far it has come.
 pub fn spawn(settings: &settings::Agent, control: &control::Handle) -> Handle {
     let shared = Arc::new(Shared::default());
+    let own = settings.target.clone();
     let source = Source {
         log: log::open(&settings.platform.log),
         poll: settings.poll,
+        relays: relays(&shared, settings.host.clone(), own),
         peers: settings.platform.peers.clone(),
     };
     let follower = follower::spawn(source, sink(&shared, settings.target.clone(), control));
@@ -109,6 +116,15 @@
         offered.get(index as usize).filter(|part| part.head == *head).cloned()
     }
 
+    /// Records from an offset on, waiting for the first; `None` where they aren't all here.
+    pub async fn records(&self, from: Offset, wait: Duration) -> Option<Relayed> {
+        let mut applied = self.shared.applied.subscribe();
+        // Running out of time gives an answer without records.
+        let waited = timeout(wait.min(WAIT_LIMIT), applied.wait_for(|applied| *applied >= from));
+        drop(waited.await);
+        self.shared.recent.read(from)
+    }
+
     /// Ends the reports; the process is leaving.
     pub fn stop(&self) {
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -119,14 +135,21 @@
     let shared = Arc::clone(shared);
     let control = control.clone();
     Arc::new(move |update| {
+        if let Update::Confirmed { asked, .. } = &update {
+            return shared.recent.confirm(*asked);
+        }
         let mut fold = lock(&shared.fold);
         match update {
             Update::Restored(snapshot) => {
+                shared.recent.reset(snapshot.applied);
                 if let Err(error) = fold.restore(*snapshot) {
                     error!(%error, "a snapshot was not applied");
                 }
             }
-            Update::Records(records) => apply(&mut fold, &records),
+            Update::Records(records) => {
+                apply(&mut fold, &records);
+                shared.recent.push(records);
+            }
             Update::Confirmed { .. } | Update::CaughtUp | Update::Nothing => return,
         }
         let applied = fold.applied();
@@ -147,6 +170,16 @@
     }
 }
 
+fn relays(shared: &Arc<Shared>, host: HostName, own: TargetName) -> relay::Choice {
+    let shared = Arc::clone(shared);
+    Arc::new(move || {
+        let fold = lock(&shared.fold);
+        let relays = presence::relays_for(&fold, &host, Some(&own));
+        let relays: Vec<SocketAddr> = relays.into_iter().map(|target| target.control).collect();
+        Box::pin(async { relays })
+    })
+}
+
 fn keepers(shared: &Arc<Shared>, host: HostName) -> report::Keepers {
     let shared = Arc::clone(shared);
     Arc::new(move || {
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod operator;
 mod orders;
 mod outbox;
+mod recent;
 mod server;
 mod service;
 mod traffic;
--- a/components/agent/src/service.rs
+++ b/components/agent/src/service.rs
@@ -1,6 +1,6 @@
 //! Serves control calls by `tarpc`.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use evidence::{batch::Sequence, outbox::Handed};
 use futures::{StreamExt, future};
@@ -18,7 +18,7 @@
     tokio_serde::formats::Bincode,
 };
 use tokio::{sync::oneshot, task::JoinHandle};
-use wire::control::{Agent, Status};
+use wire::control::{Agent, Relayed, Status};
 
 use crate::{claims::Message, config, control, outbox};
 
@@ -75,7 +75,7 @@
     async fn reserve(self, _: Context, ask: Ask) -> Result<Grant, Denial> {
         let stopped = Denial {
             reason: Reason::Draining,
-            retry_after: std::time::Duration::ZERO,
+            retry_after: Duration::ZERO,
             load: self.control.status().load,
         };
         self.config.hear(ask.offset);
@@ -137,6 +137,10 @@
         self.outbox.confirm(&sequences);
     }
 
+    async fn records(self, _: Context, from: Offset, wait: Duration) -> Option<Relayed> {
+        self.config.records(from, wait).await
+    }
+
     async fn snapshot_part(self, _: Context, head: Head, index: u32) -> Option<Part> {
         self.config.part(&head, index)
     }
--- a/components/entry/src/feed.rs
+++ b/components/entry/src/feed.rs
@@ -35,6 +35,7 @@
     let source = Source {
         log: log.clone(),
         poll: settings.timing.poll,
+        relays: presence::relays(control, settings.host.clone()),
         peers: settings.platform.peers.clone(),
     };
     let config = follower::spawn(source, sink(control));
--- a/components/entry/src/presence.rs
+++ b/components/entry/src/presence.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use api::Presence;
-use follower::report::Keepers;
+use follower::{relay::Choice, report::Keepers};
 use futures::future::BoxFuture;
-use model::id::HostName;
-use scheduler::presence;
+use model::{id::HostName, resource::Target};
+use scheduler::{config, presence};
 use tokio::sync::{oneshot, watch};
 
 use crate::control;
@@ -21,7 +21,7 @@
         let control = control.clone();
         let listed = *listed.borrow();
         Box::pin(async move {
-            let keepers = all_keepers(&control).await;
+            let keepers = addresses(control, presence::keepers).await;
             let gathered = follower::gather(keepers).await;
             Presence { reported: gathered.summary, silent: gathered.silent, listed }
         })
@@ -32,24 +32,31 @@
 pub fn keepers(control: &control::Handle, host: HostName) -> Keepers {
     let control = control.clone();
     Arc::new(move || {
-        let control = control.clone();
         let host = host.clone();
-        Box::pin(async move {
-            let (sender, answer) = oneshot::channel();
-            control.inspect(Box::new(move |config| {
-                let keepers = presence::keepers_for(config, &host);
-                let _ = sender.send(keepers.into_iter().map(|target| target.control).collect());
-            }));
-            answer.await.unwrap_or_default()
-        })
+        Box::pin(addresses(control.clone(), move |config| presence::keepers_for(config, &host)))
+    })
+}
+
+/// Gives the agents that relay records to a host.
+pub fn relays(control: &control::Handle, host: HostName) -> Choice {
+    let control = control.clone();
+    Arc::new(move || {
+        let host = host.clone();
+        Box::pin(addresses(control.clone(), move |config| {
+            presence::relays_for(config, &host, None)
+        }))
     })
 }
 
-async fn all_keepers(control: &control::Handle) -> Vec<SocketAddr> {
+async fn addresses(
+    control: control::Handle,
+    choose: impl FnOnce(&config::State) -> Vec<&Target> + Send + 'static,
+) -> Vec<SocketAddr> {
     let (sender, answer) = oneshot::channel();
     control.inspect(Box::new(move |config| {
-        let keepers = presence::keepers(config);
-        let _ = sender.send(keepers.into_iter().map(|target| target.control).collect());
+        let chosen = choose(config).into_iter().map(|target| target.control);
+        // Whoever asked may have gone, and needs no answer then.
+        let _ = sender.send(chosen.collect());
     }));
     answer.await.unwrap_or_default()
 }
--- a/components/follower/src/lib.rs
+++ b/components/follower/src/lib.rs
@@ -4,6 +4,7 @@
 mod archive;
 mod peer;
 mod read;
+pub mod relay;
 pub mod report;
 pub mod writer;
 
@@ -43,12 +44,14 @@
 pub type Sink = Arc<dyn Fn(Update) + Send + Sync>;
 
 /// Where the configuration comes from.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Source {
     /// The platform's log.
     pub log: log::Client,
     /// Longest wait of one read for a new record.
     pub poll: Duration,
+    /// Chooses agents that relay records, so that this process needn't read the log.
+    pub relays: relay::Choice,
     /// Control addresses of agents that are asked for a snapshot while the log is out.
     pub peers: Vec<SocketAddr>,
 }
--- a/components/follower/src/read.rs
+++ b/components/follower/src/read.rs
@@ -7,7 +7,10 @@
 use tokio::time::sleep;
 use tracing::{error, info, warn};
 
-use crate::{Sink, Source, Update, Waker, archive, peer};
+use crate::{
+    Sink, Source, Update, Waker, archive, peer,
+    relay::{self, Fetched, Relay},
+};
 
 /// Most records of one read.
 const PAGE: usize = 1_000;
@@ -18,6 +21,7 @@
     source: Source,
     wake: Waker,
     sink: Sink,
+    relay: Relay,
     /// Offset of the next record; everything below it was given to the sink. Never falls.
     next: Offset,
     /// Longest wait of the next read; zero until the end of the log was seen.
@@ -26,7 +30,8 @@
 
 /// Follows until it is aborted.
 pub async fn run(source: Source, wake: Waker, sink: Sink) {
-    let mut reader = Reader { source, wake, sink, next: 1, wait: Duration::ZERO };
+    let relay = relay::open(source.relays.clone());
+    let mut reader = Reader { source, wake, sink, relay, next: 1, wait: Duration::ZERO };
     reader.start().await;
     loop {
         reader.read().await;
@@ -47,8 +52,8 @@
     }
 
     async fn read(&mut self) {
-        let asked = Instant::now();
-        let read = self.source.log.read(CONFIG, self.next, PAGE, self.wait);
+        let heard = self.wake.heard();
+        let read = fetch(&self.source.log, &mut self.relay, heard, self.next, self.wait);
         let answer = tokio::select! {
             answer = read => answer,
             () = self.wake.wanted(), if !self.wait.is_zero() => {
@@ -58,7 +63,7 @@
             }
         };
         match answer {
-            Ok(page) => self.take(asked, page).await,
+            Ok(Fetched { asked, page }) => self.take(asked, page).await,
             Err(log::Error::Expired(first)) => self.bridge(first).await,
             Err(error) => {
                 warn!(%error, next = self.next, "the configuration can't be read now");
@@ -128,6 +133,25 @@
     }
 }
 
+/// Reads from a relay, or from the log where there is none, or where it doesn't have what was
+/// heard of.
+async fn fetch(
+    log: &log::Client,
+    relay: &mut Relay,
+    heard: Offset,
+    next: Offset,
+    wait: Duration,
+) -> Result<Fetched, log::Error> {
+    match relay.read(next, wait).await {
+        Some(fetched) if fetched.page.next > heard => Ok(fetched),
+        _ => {
+            let asked = Instant::now();
+            let page = log.read(CONFIG, next, PAGE, wait).await?;
+            Ok(Fetched { asked, page })
+        }
+    }
+}
+
 /// The first offset that is missing between the expected one and the last that was given.
 fn find_gap(next: Offset, records: &[log::Record]) -> Option<Offset> {
     let mut expected = next..;
--- a/components/follower/tests/gap.rs
+++ b/components/follower/tests/gap.rs
@@ -51,6 +51,7 @@
     let source = Source {
         log: platform::log::open(&format!("http://{}", log.address)),
         poll: Duration::from_secs(1),
+        relays: Arc::new(|| Box::pin(async { Vec::new() })),
         peers: Vec::new(),
     };
 
--- a/components/scheduler/src/presence.rs
+++ b/components/scheduler/src/presence.rs
@@ -22,6 +22,8 @@
 pub const LEASE: Duration = Duration::from_secs(6);
 /// Targets for each agent that keeps reports.
 pub const TARGETS_PER_KEEPER: usize = 64;
+/// Fewest keepers that pass records on: one alone would stand between all others and the log.
+pub const RELAYS_MIN: usize = 2;
 
 #[derive(Clone, Debug)]
 struct Seen {
@@ -93,6 +95,19 @@
     order.iter().filter_map(|scored| config.target(&scored.target)).collect()
 }
 
+/// The targets whose agents pass records on to a process, in the order to try them; none where it
+/// reads the log itself: because its own agent is a keeper, or because the deployment is small.
+pub fn relays_for<'a>(config: &'a config::State, host: &str, own: Option<&str>) -> Vec<&'a Target> {
+    let keepers = keepers(config);
+    let reads_itself = keepers.iter().any(|keeper| Some(keeper.name.as_str()) == own);
+    if reads_itself || keepers.len() < RELAYS_MIN {
+        return Vec::new();
+    }
+    let mut relays = keepers_for(config, host);
+    relays.truncate(RELAYS_MIN);
+    relays
+}
+
 fn hash(name: &str) -> u64 {
     let mut word = [0; size_of::<u64>()];
     blake3::Hasher::new().update(name.as_bytes()).finalize_xof().fill(&mut word);
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,5 +1,7 @@
 //! Control calls that an agent serves.
 
+use std::time::Duration;
+
 use evidence::{batch::Sequence, outbox::Handed};
 use model::{
     claim::{self, Answer, Question, Settle, Transfer, Verdict},
@@ -10,6 +12,26 @@
 };
 use serde::{Deserialize, Serialize};
 
+/// A record of the configuration stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Its offset.
+    pub offset: Offset,
+    /// Its text.
+    pub payload: String,
+}
+
+/// Records that an agent passes on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Relayed {
+    /// The records, in order and without a gap.
+    pub records: Vec<Record>,
+    /// Offset after the last that the agent has.
+    pub next: Offset,
+    /// Time since the agent asked the log for what it has.
+    pub age: Duration,
+}
+
 /// Who answers at an address.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Status {
@@ -44,6 +66,9 @@
     async fn evidence_kept(sequences: Vec<Sequence>);
     /// Gives one part of an offered snapshot, while the agent still holds it.
     async fn snapshot_part(head: Head, index: u32) -> Option<Part>;
+    /// Passes on records of the configuration, waiting for the first; `None` where the agent
+    /// doesn't have them all, or hears nothing from the log.
+    async fn records(from: Offset, wait: Duration) -> Option<Relayed>;
     /// Asks a key's home for the key.
     async fn claim(ask: claim::Ask) -> Verdict;
     /// Tells what became of an attempt that was granted; gives whether the agent is the key's
