Wait until a killed engine stand-in takes no connection

A reset connection rightly says may_have_run; the test's own premise, a refused one, wasn't true.

Ruled out: the entry's question after a start without reply, and the agent's calls, by the refusal's text ("client error (SendRequest)").

Change: Engine::close kills and waits until a connection is refused; the two tests that need a refused connection use it, with the same asserts.

--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use sync_wrapper::SyncStream;
-use tokio::time::sleep;
+use tokio::{net::TcpStream, task::yield_now, time::sleep};
 
 use crate::{
     server::{self, Answer, Cut, Server},
@@ -177,6 +177,15 @@
         change(&mut self.shared.lock().faults);
     }
 
+    /// Ends the engine and waits until its address takes no connection any more: a connection
+    /// that the dying listener still takes is reset, not refused.
+    pub async fn close(&self) {
+        self.kill();
+        while TcpStream::connect(self.address).await.is_ok() {
+            yield_now().await;
+        }
+    }
+
     /// Ends the engine and all its connections at once.
     pub fn kill(&self) {
         self.server.kill();
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -245,7 +245,7 @@
 #[tokio::test]
 async fn a_refused_connection_proves_that_nothing_ran_and_a_reset_one_doesnt() {
     let site = site::open(two_targets()).await;
-    site.engines[0].kill();
+    site.engines[0].close().await;
     site.engines[1].fault(|faults| faults.crash_on = Some("poison".to_owned()));
 
     let elsewhere = site.call(0, "crew", PROMPT).await.unwrap();
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -222,7 +222,7 @@
 #[tokio::test]
 async fn a_target_that_takes_no_connection_did_not_run_it() {
     let site = open().await;
-    site.engine.kill();
+    site.engine.close().await;
 
     let answer = completion(&site, "p", false).send().await.unwrap();
 
