--- a/components/evidence/src/audit/corpus.rs
+++ b/components/evidence/src/audit/corpus.rs
@@ -1,6 +1,9 @@
 //! The records of a history, found by what they speak of.
 
-use std::{collections::BTreeMap, time::SystemTime};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::SystemTime,
+};
 
 use model::id::{ClaimKey, RequestId};
 
@@ -50,7 +53,7 @@
     pub requests: BTreeMap<RequestId, Vec<Ended<'a>>>,
     /// Their records at agents.
     pub runs: BTreeMap<RequestId, Vec<Ran<'a>>>,
-    /// Requests of each claim that has a non-idempotent one.
+    /// Requests of each claim.
     pub claims: BTreeMap<ClaimKey, Vec<Ended<'a>>>,
 }
 
@@ -79,8 +82,6 @@
             _ => {}
         }
     }
-    let repeatable = |ended: &Ended<'_>| ended.request.idempotent;
-    corpus.claims.retain(|_, ended| !ended.iter().all(repeatable));
     corpus
 }
 
@@ -91,6 +92,13 @@
         runs.filter(|ran| ran.run.ran != model::refusal::Ran::NotRun)
     }
 
+    /// Runs of all requests under one claim that reached a target, or may have.
+    pub fn dispatched_under(&self, claim: ClaimKey) -> Vec<&Ran<'_>> {
+        let attempts = self.claims.get(&claim).into_iter().flatten();
+        let requests: BTreeSet<RequestId> = attempts.map(|e| e.request.request).collect();
+        requests.into_iter().flat_map(|request| self.dispatched(request)).collect()
+    }
+
     /// Whether a target's agent has evidence of a moment.
     pub fn witnesses(&self, target: &str, at: SystemTime) -> bool {
         let agents = self.history.chains.iter().filter(|chain| is_agent(&chain.process, target));
--- a/components/evidence/src/audit/requests.rs
+++ b/components/evidence/src/audit/requests.rs
@@ -1,12 +1,11 @@
 //! Rules about single requests: what their entries promised against what agents did.
 
-use std::collections::BTreeSet;
-
-use model::{id::RequestId, refusal};
+use model::refusal;
 
 use super::{
     Judgement, Violation,
     corpus::{Corpus, Ended, Ran},
+    horizon::MARGIN,
 };
 use crate::{
     history::{Flaw, Span},
@@ -58,7 +57,8 @@
     judgement
 }
 
-/// A refusal that says `not run` speaks of a request that no target ran.
+/// A refusal that says `not run` speaks of a request that no target ran; with an idempotency key it
+/// speaks of all requests with this key until then, as far as clocks can tell.
 pub fn not_run(corpus: &Corpus<'_>, span: Span) -> Judgement {
     let mut judgement = Judgement::default();
     for ended in in_span(corpus, span) {
@@ -66,12 +66,14 @@
             continue;
         };
         judgement.checked += 1;
-        let runs: Vec<&Ran<'_>> = corpus.dispatched(ended.request.request).collect();
+        let request = ended.request.request;
+        let mut runs: Vec<&Ran<'_>> = corpus.dispatched(request).collect();
+        runs.extend(earlier_copies(corpus, ended));
         if runs.is_empty() {
             judgement.gaps.extend(unseen(corpus, ended));
             continue;
         }
-        let message = format!("request {} was refused as not run, but ran", ended.request.request);
+        let message = format!("request {request} was refused as not run, but it or a copy ran");
         judgement.violations.push(violation(message, ended, &runs));
     }
     judgement
@@ -80,14 +82,13 @@
 /// All attempts under one claim run at most once together.
 pub fn runs_once(corpus: &Corpus<'_>, span: Span) -> Judgement {
     let mut judgement = Judgement::default();
-    for attempts in corpus.claims.values() {
-        if !attempts.iter().any(|ended| ended.seen.is_in(span)) {
+    for (claim, attempts) in &corpus.claims {
+        let is_guarded = attempts.iter().any(|ended| !ended.request.idempotent);
+        if !is_guarded || !attempts.iter().any(|ended| ended.seen.is_in(span)) {
             continue;
         }
         judgement.checked += 1;
-        let requests: BTreeSet<RequestId> = attempts.iter().map(|e| e.request.request).collect();
-        let runs: Vec<&Ran<'_>> =
-            requests.iter().flat_map(|request| corpus.dispatched(*request)).collect();
+        let runs = corpus.dispatched_under(*claim);
         if runs.len() > 1 {
             let account = &attempts[0].request.account;
             let message =
@@ -103,6 +104,18 @@
     corpus.requests.values().flatten().filter(move |ended| ended.seen.is_in(span))
 }
 
+/// Runs of other requests with the same key that began surely before this one was refused.
+fn earlier_copies<'a>(
+    corpus: &'a Corpus<'_>,
+    ended: &'a Ended<'_>,
+) -> impl Iterator<Item = &'a Ran<'a>> {
+    let runs = ended.request.claim.map(|claim| corpus.dispatched_under(claim));
+    runs.into_iter().flatten().filter(|ran| {
+        let other = ran.run.id.request != ended.request.request;
+        other && ran.run.started + MARGIN < ended.seen.record.at
+    })
+}
+
 /// The last start of a request that may have run, where no agent shows a run.
 fn unwitnessed(corpus: &Corpus<'_>, ended: &Ended<'_>) -> Option<Flaw> {
     let promised = match ended.request.outcome {
--- a/components/evidence/src/outbox.rs
+++ b/components/evidence/src/outbox.rs
@@ -18,6 +18,9 @@
 /// Most records in sealed batches that aren't in the log yet; beyond it no batch is sealed.
 pub const KEPT_LIMIT: usize = 16_384;
 
+/// Most records of one batch, so that an append after an outage isn't too large for the log.
+pub const BATCH_LIMIT: usize = 2_048;
+
 /// A sealed batch with its number.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Handed {
@@ -109,13 +112,26 @@
         if kept >= KEPT_LIMIT {
             return;
         }
-        let Waiting { records, lost } = self.buffer.take();
+        let Waiting { mut records, mut lost } = self.buffer.take();
+        let since = self.since;
+        loop {
+            let rest = records.split_off(records.len().min(BATCH_LIMIT));
+            self.keep(since, at, lost, records);
+            if rest.is_empty() {
+                return;
+            }
+            // All parts cover the whole time: a part that is missing could hide any of it.
+            (records, lost) = (rest, 0);
+        }
+    }
+
+    fn keep(&mut self, since: SystemTime, at: SystemTime, lost: u64, records: Vec<Record>) {
         let batch = Batch {
             schema: SCHEMA,
             process: self.process.clone(),
             sequence: self.sequence + 1,
             previous: self.previous,
-            since: self.since,
+            since,
             sealed: at,
             lost,
             records,
--- a/components/evidence/tests/audit.rs
+++ b/components/evidence/tests/audit.rs
@@ -31,7 +31,7 @@
         (1_000, Fact::Request(whole(1, "t1", 7))),
         (2_000, Fact::Request(refused(2, Some(1)))),
         (3_000, Fact::Request(decision(whole(3, "t1", 8), 9))),
-        (4_000, Fact::Request(Request { claim: Some(9), ..refused(4, None) })),
+        (4_000, Fact::Request(Request { claim: Some(10), ..refused(4, None) })),
         (5_000, departure(Subject::Host("host-of-t9".to_owned()))),
         (6_000, Fact::Applied { offset: 2 }),
         (50_000, Fact::Draining),
@@ -108,6 +108,10 @@
     site.agent.insert(1, (2_100, Fact::Run(run(2, 1_900, 4))));
 }
 
+fn a_copy_ran_before(site: &mut Site) {
+    site.entry.insert(6, (9_000, Fact::Request(Request { claim: Some(9), ..refused(5, None) })));
+}
+
 fn decided_twice(site: &mut Site) {
     site.entry.insert(4, (3_500, Fact::Request(decision(whole(5, "t1", 8), 9))));
     site.agent.insert(3, (3_400, Fact::Run(run(5, 3_100, 8))));
@@ -151,6 +155,7 @@
 #[test_case(torn_passed_as_whole, Rule::WholeAnswers)]
 #[test_case(no_run_at_all, Rule::WholeAnswers)]
 #[test_case(ran_after_all, Rule::NotRun)]
+#[test_case(a_copy_ran_before, Rule::NotRun)]
 #[test_case(decided_twice, Rule::RunsOnce)]
 #[test_case(decided_twice_once_as_repeatable, Rule::RunsOnce)]
 #[test_case(work_for_a_leaving_host, Rule::LeavingTargets)]
--- a/components/evidence/tests/differential.rs
+++ b/components/evidence/tests/differential.rs
@@ -189,8 +189,9 @@
                 }
                 _ => false,
             }),
-            Rule::NotRun => self.requests().any(|(_, request)| {
-                says_not_run(request) && !self.reached(request.request).is_empty()
+            Rule::NotRun => self.requests().any(|(at, request)| {
+                let ran = !self.reached(request.request).is_empty();
+                says_not_run(request) && (ran || self.has_earlier_copy(at, request))
             }),
             Rule::RunsOnce => self.guarded_claims().any(|claim| self.runs_under(claim) > 1),
             Rule::LeavingTargets => self.runs().any(|(process, run)| self.is_late(process, run)),
@@ -224,6 +225,15 @@
         }
     }
 
+    fn has_earlier_copy(&self, at: SystemTime, request: &Request) -> bool {
+        self.requests().any(|(_, other)| {
+            let same = other.claim.is_some() && other.claim == request.claim;
+            let copy = same && other.request != request.request;
+            let before = |run: &&Run| run.started + Duration::from_secs(3) < at;
+            copy && self.reached(other.request).iter().any(before)
+        })
+    }
+
     fn guarded_claims(&self) -> impl Iterator<Item = u128> {
         self.requests().filter(|(_, request)| !request.idempotent).filter_map(|(_, r)| r.claim)
     }
--- a/components/evidence/tests/outbox.rs
+++ b/components/evidence/tests/outbox.rs
@@ -7,7 +7,7 @@
 use evidence::{
     Batch, Fact, batch,
     history::{self, Flaw, Read},
-    outbox::{self, BUFFER_LIMIT, Handed, KEPT_LIMIT},
+    outbox::{self, BATCH_LIMIT, BUFFER_LIMIT, Handed, KEPT_LIMIT},
 };
 use support::at;
 
@@ -66,7 +66,9 @@
     let batches = unsealed(&rest);
 
     assert!(kept < KEPT_LIMIT + BUFFER_LIMIT);
-    let told = kept + batches[0].records.len() + batches[0].lost as usize;
+    assert!(batches.iter().all(|batch| batch.records.len() <= BATCH_LIMIT));
+    let late: usize = batches.iter().map(|batch| batch.records.len()).sum();
+    let told = kept + late + batches[0].lost as usize;
     assert_eq!(told, records);
     handed.extend(rest);
     let found = flaws(handed);
--- a/components/standin/examples/load/main.rs
+++ b/components/standin/examples/load/main.rs
@@ -20,6 +20,8 @@
 pub type Failure = Box<dyn Error + Send + Sync>;
 
 const RUN: Duration = Duration::from_secs(3);
+/// Longer than a period of evidence.
+const APPENDED: Duration = Duration::from_millis(2_500);
 const SETTLE: Duration = Duration::from_millis(500);
 const SMALL: Size = Size { accounts: 5, targets: 1, hosts: 20 };
 
@@ -33,6 +35,9 @@
     if wants("calls") {
         calls().await?;
     }
+    if wants("evidence") {
+        evidence().await?;
+    }
     if wants("idle") {
         idle().await?;
     }
@@ -96,6 +101,31 @@
     Ok(())
 }
 
+/// Evidence that a request leaves in the log, and appends a second.
+async fn evidence() -> Result<(), Failure> {
+    println!("Evidence over {} s, an append in 2 s, and until all is in the log.", RUN.as_secs());
+    println!("{:<12} {:>6} {:>6} {:>9} {:>10}", "work", "rate", "whole", "appends", "B/request");
+    for (work, rates) in [(Work::Call, [0, 50, 200]), (Work::Stream(16), [0, 25, 50])] {
+        for rate in rates {
+            let site = site::open(SMALL).await?;
+            sleep(APPENDED).await;
+            let before = site.evidence();
+            let whole = traffic::run(&site, work, rate, RUN).await?;
+            sleep(if rate == 0 { RUN + APPENDED } else { APPENDED }).await;
+            let after = site.evidence();
+            let bytes = after.bytes - before.bytes;
+            let requests = (rate * RUN.as_secs() as u32).max(1);
+            println!(
+                "{:<12} {rate:>6} {whole:>6} {:>9} {:>10.0}",
+                format!("{work:?}"),
+                after.appends - before.appends,
+                bytes as f64 / f64::from(requests)
+            );
+        }
+    }
+    Ok(())
+}
+
 async fn warm(site: &Site, work: Work) -> Result<(), Failure> {
     traffic::run(site, work, 20, Duration::from_secs(1)).await?;
     Ok(())
--- a/components/standin/examples/load/site.rs
+++ b/components/standin/examples/load/site.rs
@@ -53,7 +53,7 @@
     feed: Relay,
     _engine: Engine,
     _service: Service,
-    _log: Log,
+    log: Log,
     _hosts: Hosts,
 }
 
@@ -74,6 +74,15 @@
     pub feed: u64,
 }
 
+/// Evidence in the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Evidence {
+    /// Records of the stream.
+    pub appends: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
 /// Starts everything and waits until the entry is ready.
 pub async fn open(size: Size) -> Result<Site, Failure> {
     let log = log::bind(ANY).await?;
@@ -118,7 +127,7 @@
         feed,
         _engine: engine,
         _service: service,
-        _log: log,
+        log,
         _hosts: hosts,
     })
 }
@@ -142,6 +151,13 @@
         })
     }
 
+    /// What stands in the stream of evidence.
+    pub fn evidence(&self) -> Evidence {
+        let records = self.log.records(platform::EVIDENCE);
+        let bytes = records.iter().map(|record| record.payload.len() as u64).sum();
+        Evidence { appends: records.len() as u64, bytes }
+    }
+
     /// Where the service's agent takes control calls, past a counting relay.
     pub fn service_control(&self) -> SocketAddr {
         self.control[1].address
