--- a/components/api/src/write.rs
+++ b/components/api/src/write.rs
@@ -91,19 +91,16 @@
     }
 }
 
-/// What the change comes to without being appended; `None` where it has to be.
+/// What the change comes to without being appended, be it as a repeat; `None` where it would be
+/// accepted.
 async fn foresee(context: &Context, change: &Change) -> Result<Option<Outcome>, Failure> {
-    if let Some(outcome) = known(context, change.id).await? {
-        let change = change.clone();
-        let repeat = context.ask(move |state| state.preview(&change)).await;
-        return Ok(Some(repeat.unwrap_or(outcome)));
-    }
     let change = change.clone();
-    let preview = context.ask(move |state| state.preview(&change)).await;
-    match preview.ok_or_else(Failure::stopping)? {
-        Outcome::Accepted(_) => Ok(None),
-        other => Ok(Some(other)),
-    }
+    let foreseen = context.ask(move |state| {
+        let outcome = state.preview(&change);
+        let is_new = outcome == Outcome::Accepted(state.applied() + 1);
+        (!is_new).then_some(outcome)
+    });
+    foreseen.await.ok_or_else(Failure::stopping)
 }
 
 async fn known(context: &Context, id: ChangeId) -> Result<Option<Outcome>, Failure> {
--- a/components/follower/src/writer.rs
+++ b/components/follower/src/writer.rs
@@ -40,7 +40,9 @@
                 continue;
             }
         };
-        if seen.replace(next) != Some(next) && next > 1 {
+        let another_wrote = seen != Some(next) && next > 1;
+        seen = Some(next);
+        if another_wrote {
             continue;
         }
         if let Some(snapshot) = take().await {
