--- a/components/scheduler/src/entry/claiming.rs
+++ b/components/scheduler/src/entry/claiming.rs
@@ -71,6 +71,7 @@
         };
         let tries = pending.claim.tries() + 1;
         let Some(home) = self.members.home(key) else {
+            self.set_claim(id, Claim::Asking { tries, retry_at: None });
             let message = "no agent has joined that could hold the idempotency key";
             return self.ask_later(now, id, CLAIM_TRIES, message, effects);
         };
@@ -171,7 +172,6 @@
             let refusal = Refusal::new(Reason::Unclaimed, Ran::MayHaveRun, message);
             return self.refuse(id, refusal.retry_after(HELD_RETRY), effects);
         }
-        let tries = tries.max(1);
         self.set_claim(id, Claim::Asking { tries, retry_at: Some(now + CLAIM_RETRY) });
     }
 
