Remove members whose hosts are gone, and let a living one come back

Cause: an agent that died and didn't come back stayed a member for good, and with it 1/n of all keys stayed refused.

Change: an entry that has missed a member's host in the platform's list for 30 s appends a leave for it, after a random wait up to 10 s. Such a leave proves no end: the run may go on without the log for 20 hours and counts as over only then. A removed agent that lives joins again as a new run with what it remembers, and answers for the run before; one whose successor has joined stays out.

Ruled out: taking the list's word that the process is gone. It would end the refusals of UUIDv7 after 9 s, but a host that was only cut off could then grant a key that its next home grants too.

Proof: both fuzz tests now remove living and dead agents and let them join again (1,500 histories each). A process test removes a living home: it is back with its keys.

--- a/components/agent/src/claims.rs
+++ b/components/agent/src/claims.rs
@@ -9,7 +9,7 @@
 
 use model::{
     claim::{Answer, Ask, Question, Settle, Transfer, Verdict},
-    id::{IncarnationId, Offset, RequestId},
+    id::{IncarnationId, Offset, RequestId, TargetName},
 };
 use scheduler::claim::{self, Clock, Effect, Event, Settings, State};
 use tokio::{
@@ -33,10 +33,14 @@
 /// What an agent says of its membership and its claims.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Status {
+    /// This run of the agent.
+    pub incarnation: IncarnationId,
     /// Membership epoch that is applied.
     pub epoch: Offset,
     /// Offset of this run's join, its fencing number; `None` while it is no member.
     pub joined: Option<Offset>,
+    /// Whether another run of the same target's agent is a member.
+    pub replaced: bool,
     /// Whether there are other members.
     pub has_others: bool,
     /// Epoch under which all claims were handed over, if it still stands.
@@ -60,7 +64,7 @@
 /// The reducer's state and those who wait for it.
 pub struct Desk {
     state: State,
-    incarnation: IncarnationId,
+    target: TargetName,
     verdicts: HashMap<RequestId, Vec<oneshot::Sender<Verdict>>>,
     pool: Arc<Pool>,
     control: control::Handle,
@@ -71,6 +75,7 @@
 
 /// Gives the claims of an agent that starts; must be called on the traffic runtime.
 pub fn open(
+    target: TargetName,
     incarnation: IncarnationId,
     control: control::Handle,
     status: watch::Sender<Status>,
@@ -78,7 +83,7 @@
 ) -> Desk {
     Desk {
         state: claim::open(Settings { incarnation, claims: CLAIM_LIMIT }),
-        incarnation,
+        target,
         verdicts: HashMap::new(),
         pool: Arc::new(pool::open(CONNECT)),
         control,
@@ -171,11 +176,15 @@
 
     fn publish(&self) {
         let members = self.state.members();
-        let mut own = members.members().filter(|member| member.id == self.incarnation);
+        let incarnation = self.state.incarnation();
+        let member = members.incarnation(&self.target);
+        let own = member.filter(|member| member.id == incarnation);
         let status = Status {
+            incarnation,
             epoch: members.epoch(),
-            joined: own.next().map(|member| member.joined),
-            has_others: members.members().any(|member| member.id != self.incarnation),
+            joined: own.map(|member| member.joined),
+            replaced: own.is_none() && member.is_some(),
+            has_others: members.members().any(|member| member.id != incarnation),
             handed_over: self.state.handed_over(),
         };
         self.metrics.claims.set(i64::try_from(self.state.len()).unwrap_or(i64::MAX));
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -116,7 +116,13 @@
     let (status, status_reader) = watch::channel(Status::default());
     let (members, members_reader) = watch::channel(claims::Status::default());
     let handle = Handle { messages, status: status_reader, members: members_reader };
-    let claims = claims::open(incarnation, handle.clone(), members, Arc::clone(&metrics));
+    let claims = claims::open(
+        settings.target.clone(),
+        incarnation,
+        handle.clone(),
+        members,
+        Arc::clone(&metrics),
+    );
     let orders = orders::open(settings.engine, handle.clone());
     let room = Room {
         slots: settings.room.slots,
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -6,7 +6,7 @@
 };
 
 use model::{
-    id::{IncarnationId, Offset},
+    id::{IncarnationId, Offset, TargetName},
     membership::{Action, Join, Leave, Record, SCHEMA},
 };
 use platform::{
@@ -21,6 +21,7 @@
     time::{sleep, timeout},
 };
 use tracing::{info, warn};
+use uuid::Uuid;
 
 use crate::{
     claims::{Message, Status},
@@ -39,7 +40,7 @@
 /// A running membership.
 pub struct Handle {
     log: Client,
-    leave: Leave,
+    target: TargetName,
     control: control::Handle,
     status: watch::Receiver<Status>,
     reader: JoinHandle<()>,
@@ -72,9 +73,9 @@
         incarnation,
         control: address,
     };
-    let leave = Leave { target: settings.target.clone(), incarnation, handed_over: None };
-    let join = tokio::spawn(join_members(log.clone(), join, status.clone()));
-    Handle { log, leave, control, status, reader, join }
+    let target = settings.target.clone();
+    let join = tokio::spawn(stay(log.clone(), join, control.clone()));
+    Handle { log, target, control, status, reader, join }
 }
 
 impl Handle {
@@ -143,7 +144,9 @@
     }
 
     async fn append(&self, handed_over: Option<Offset>) -> Result<Offset, log::Error> {
-        let leave = Leave { handed_over, ..self.leave.clone() };
+        let incarnation = self.status.borrow().incarnation;
+        let target = self.target.clone();
+        let leave = Leave { target, incarnation, handed_over, ended: true };
         append(&self.log, Action::Leave(leave)).await
     }
 
@@ -157,10 +160,30 @@
     }
 }
 
+/// Joins, and joins again as a new run whenever another process took this one for lost. A run
+/// whose successor has joined stays out.
+async fn stay(log: Client, mut join: Join, control: control::Handle) {
+    let mut status = control.members();
+    loop {
+        join_members(&log, &join, &mut status).await;
+        // An error means that the control thread ended.
+        let Ok(lost) = status.wait_for(|s| s.joined.is_none()).await.map(|status| *status) else {
+            return;
+        };
+        if lost.replaced {
+            warn!("another agent of the same target has joined; this one grants no key any more");
+            return;
+        }
+        warn!("another process took this agent for lost; joining again");
+        join.incarnation = Uuid::new_v4();
+        control.claims(Message::Event(Event::Rejoin(join.incarnation)));
+    }
+}
+
 /// Appends the join until it is read back; a repeat has no second effect.
-async fn join_members(log: Client, join: Join, mut status: watch::Receiver<Status>) {
+async fn join_members(log: &Client, join: &Join, status: &mut watch::Receiver<Status>) {
     while status.borrow().joined.is_none() {
-        match append(&log, Action::Join(join.clone())).await {
+        match append(log, Action::Join(join.clone())).await {
             Ok(offset) => {
                 // Running out of time means another try.
                 let _ = timeout(READ_BACK, status.wait_for(|s| s.epoch >= offset)).await;
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -26,7 +26,7 @@
 
 use tracing::{debug, error};
 
-use crate::agents::Agents;
+use crate::{agents::Agents, members};
 
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
@@ -95,6 +95,7 @@
     wake: Arc<OnceLock<Waker>>,
     metrics: Arc<metrics::Entry>,
     agents: Arc<Agents>,
+    log: platform::log::Client,
     traffic: runtime::Handle,
     verdicts: HashMap<RequestId, mpsc::UnboundedSender<Verdict>>,
     reserving: HashMap<Id, AbortHandle>,
@@ -125,6 +126,7 @@
         wake: Arc::clone(&wake),
         metrics,
         agents,
+        log: platform::log::open(&settings.platform.log),
         traffic: runtime::Handle::current(),
         verdicts: HashMap::new(),
         reserving: HashMap::new(),
@@ -342,6 +344,16 @@
                     }
                 });
             }
+            Effect::Lost(leave) => {
+                let messages = self.messages.clone();
+                self.traffic.spawn(async move {
+                    members::wait_in_turn().await;
+                    let _ = messages.send(Message::Event(Event::Remove(leave)));
+                });
+            }
+            Effect::Remove(leave) => {
+                self.traffic.spawn(members::remove(self.log.clone(), leave));
+            }
             Effect::Start(start) => self.tell(start.id.request, Verdict::Start(start)),
             Effect::Refuse { request, owner, refusal } => {
                 self.tell(request, Verdict::Refuse { owner, refusal });
--- a/components/model/src/membership.rs
+++ b/components/model/src/membership.rs
@@ -24,7 +24,7 @@
     pub control: SocketAddr,
 }
 
-/// An agent that takes part no more: appended by itself once it grants nothing more.
+/// An agent that takes part no more.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Leave {
@@ -35,6 +35,8 @@
     /// Epoch under which it handed all its claims to the members that stay; `None` where it
     /// handed none over. The record has no effect unless this epoch still stands at its offset.
     pub handed_over: Option<Offset>,
+    /// Whether it surely grants nothing any more: only the agent itself can say so.
+    pub ended: bool,
 }
 
 /// What a record does.
--- a/components/scheduler/examples/homes.rs
+++ b/components/scheduler/examples/homes.rs
@@ -89,7 +89,8 @@
 
     fn leave(&mut self, index: usize, handed_over: Option<Offset>) {
         let target = format!("target-{index}");
-        self.append(Action::Leave(Leave { target, incarnation: run(index as u128), handed_over }));
+        let incarnation = run(index as u128);
+        self.append(Action::Leave(Leave { target, incarnation, handed_over, ended: true }));
     }
 
     fn append(&mut self, action: Action) {
--- a/components/scheduler/src/claim/event.rs
+++ b/components/scheduler/src/claim/event.rs
@@ -51,6 +51,8 @@
     HandOverFailed,
     /// Grant nothing more, so that nothing is left to hand over.
     Freeze,
+    /// Another process took this run for lost: go on as a new run, with all that is remembered.
+    Rejoin(IncarnationId),
     /// Go on granting: this agent stays after all.
     Thaw,
 }
--- a/components/scheduler/src/claim/mod.rs
+++ b/components/scheduler/src/claim/mod.rs
@@ -64,6 +64,8 @@
 #[derive(Clone, Debug)]
 pub struct State {
     settings: Settings,
+    /// Earlier runs of this process that were taken for lost; it remembers their claims.
+    past: BTreeSet<IncarnationId>,
     members: membership::State,
     /// When the log last confirmed the epoch.
     confirmed: Option<Instant>,
@@ -83,6 +85,7 @@
 pub fn open(settings: Settings) -> State {
     State {
         settings,
+        past: BTreeSet::new(),
         members: membership::State::default(),
         confirmed: None,
         gap: false,
@@ -111,6 +114,10 @@
         Event::HandOver => state.hand_over(&mut effects),
         Event::HandOverFailed => state.handover.fail(),
         Event::Freeze => state.handover.frozen = true,
+        Event::Rejoin(incarnation) => {
+            state.past.insert(state.settings.incarnation);
+            state.settings.incarnation = incarnation;
+        }
         Event::Thaw => state.handover = Handover::default(),
     }
     effects
@@ -122,6 +129,11 @@
         &self.members
     }
 
+    /// The run of the agent that this is now.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.settings.incarnation
+    }
+
     /// Claims that are remembered.
     pub fn len(&self) -> usize {
         self.table.len()
@@ -207,8 +219,7 @@
         let ask = *ask;
         let homes = self.members.homes(ask.key).into_iter();
         homes.filter(move |home| {
-            let own = home.incarnation.id == self.settings.incarnation;
-            !own && !home.handed_over() && !is_over(home, clock, &ask)
+            !self.is_own(home.incarnation.id) && !home.handed_over() && !is_over(home, clock, &ask)
         })
     }
 
@@ -273,7 +284,7 @@
 
     /// Answers a later home of a key, and fences the key against grants under older epochs.
     fn tell(&mut self, question: Question) -> Answer {
-        if question.incarnation != self.settings.incarnation {
+        if !self.is_own(question.incarnation) {
             return Answer::Stranger;
         }
         if question.epoch > self.members.epoch() {
@@ -342,6 +353,11 @@
         self.members.home(key).is_some_and(|home| home.id == self.settings.incarnation)
     }
 
+    /// Whether a run's claims are those that this process remembers.
+    fn is_own(&self, incarnation: IncarnationId) -> bool {
+        incarnation == self.settings.incarnation || self.past.contains(&incarnation)
+    }
+
     fn is_fenced(&self, key: ClaimKey) -> bool {
         let fence = self.fenced.get(&key).copied().unwrap_or_default().max(self.fence);
         fence > self.members.epoch()
@@ -357,14 +373,18 @@
     if holder == attempt { Verdict::Granted } else { Verdict::Held }
 }
 
-/// Whether a run that grants nothing any more surely never granted the key, or would have
-/// forgotten it by now. The clocks of the system's hosts bound both, never a caller's: a home
-/// refuses keys that are ahead of its own clock.
+/// Whether a run that ended surely never granted the key, or would have forgotten it by now. The
+/// clocks of the system's hosts bound both, never a caller's: a home refuses keys that are ahead
+/// of its own clock. A run that may go on does so no longer than without the log.
 fn is_over(home: &Home<'_>, clock: Clock, ask: &Ask) -> bool {
-    let Some(former) = home.former.filter(|former| former.end == End::Ended) else {
+    let Some(former) = home.former else {
         return false;
     };
-    let surely_after = former.left_at + AHEAD_LIMIT + CLOCK_ERROR * 2;
-    let forgotten = former.left_at + RETENTION + CLOCK_ERROR * 2;
-    ask.minted.is_some_and(|minted| minted > surely_after) || clock.wall > forgotten
+    let goes_on = match former.end {
+        End::Lost => STALE_LIMIT,
+        End::Ended | End::HandedOver => Duration::ZERO,
+    };
+    let last_grant = former.left_at + goes_on + CLOCK_ERROR * 2;
+    let is_later = |minted| minted > last_grant + AHEAD_LIMIT;
+    ask.minted.is_some_and(is_later) || clock.wall > last_grant + RETENTION
 }
--- a/components/scheduler/src/entry/event.rs
+++ b/components/scheduler/src/entry/event.rs
@@ -12,6 +12,7 @@
     id::{
         AccountName, IdempotencyKey, ModelName, Offset, PoolName, RequestId, TargetName, TierName,
     },
+    membership::Leave,
     reservation::{Ask, BlockHash, Denial, Grant, Id, Load},
 };
 
@@ -121,6 +122,8 @@
         /// The request.
         request: RequestId,
     },
+    /// The wait before a lost member is removed is over.
+    Remove(Leave),
     /// Records of the membership stream were read, in order.
     Members(Vec<Record>),
     /// A request is over for this process: answered, torn, or given up by its caller.
@@ -188,6 +191,11 @@
         /// How often it was tried, with this time.
         tries: u32,
     },
+    /// A member seems lost: wait for a random time, so that not every process removes it at once,
+    /// and give it back as an event.
+    Lost(Leave),
+    /// Append the record that removes a lost member.
+    Remove(Leave),
     /// Send the body to the agent that granted, and relay the answer.
     Start(Start),
     /// Answer the caller with a refusal.
--- a/components/scheduler/src/entry/leave.rs
+++ b/components/scheduler/src/entry/leave.rs
@@ -20,6 +20,8 @@
     /// Takes the platform's list in.
     pub(super) fn list(&mut self, now: Instant, hosts: Vec<Host>, effects: &mut Vec<Effect>) {
         self.count_entries(&hosts);
+        self.lost.see(now, &hosts);
+        self.report_lost(now, effects);
         let leaving = hosts.into_iter().filter(|host| host.state == host::State::Leaving);
         let leaving: BTreeSet<HostName> = leaving.map(|host| host.name).collect();
         if leaving != self.leaving {
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod feed;
 pub mod freshness;
 mod leave;
+mod lost;
 mod pending;
 mod seek;
 mod shed;
@@ -27,6 +28,7 @@
 use claiming::Claim;
 pub use event::{Call, Effect, Event, Owner, Record, Request, Start};
 use freshness::Freshness;
+pub use lost::ABSENCE;
 use pending::{Order, Pending, Stage, Timer};
 pub use seek::Policy;
 use seek::Pools;
@@ -77,6 +79,7 @@
     policy: Policy,
     config: config::State,
     members: membership::State,
+    lost: lost::Watch,
     /// Hosts that the platform's list shows as leaving.
     leaving: BTreeSet<HostName>,
     /// Requests that haven't ended.
@@ -110,6 +113,7 @@
         policy,
         config: config::State::default(),
         members: membership::State::default(),
+        lost: lost::Watch::default(),
         leaving: BTreeSet::new(),
         requests: BTreeMap::new(),
         waiting: BTreeSet::new(),
@@ -150,6 +154,7 @@
         Event::Unsettled { settle, tries } => state.settle_key(settle, tries, &mut effects),
         Event::Ran { request } => state.ran(request, &mut effects),
         Event::Members(records) => state.follow(records),
+        Event::Remove(leave) => state.remove(leave, &mut effects),
         Event::Ended { request } => {
             state.freshness.forget(request);
             state.forget(request, &mut effects);
--- a/components/scheduler/src/membership.rs
+++ b/components/scheduler/src/membership.rs
@@ -194,7 +194,11 @@
         if !is_member || !is_current {
             return Outcome::Ignored;
         }
-        let end = if leave.handed_over.is_some() { End::HandedOver } else { End::Ended };
+        let end = match leave.handed_over {
+            Some(_) => End::HandedOver,
+            None if leave.ended => End::Ended,
+            None => End::Lost,
+        };
         if let Some(incarnation) = self.members.remove(&leave.target) {
             self.former.push_back(Former { incarnation, left: offset, left_at: at, end });
         }
--- a/components/scheduler/tests/claim_fuzz.rs
+++ b/components/scheduler/tests/claim_fuzz.rs
@@ -34,6 +34,8 @@
     Leave(usize),
     Thaw(usize),
     Drain(usize),
+    Remove(usize),
+    Rejoin(usize),
     Advance(Duration),
 }
 
@@ -60,6 +62,8 @@
         6 => agent().prop_map(Step::Start),
         2 => agent().prop_map(Step::Kill),
         3 => agent().prop_map(Step::Drain),
+        2 => agent().prop_map(Step::Remove),
+        3 => agent().prop_map(Step::Rejoin),
         10 => (agent(), 0..3_u64).prop_map(|(agent, behind)| Step::CatchUp { agent, behind }),
         4 => agent().prop_map(Step::HandOver),
         3 => agent().prop_map(Step::Freeze),
@@ -143,6 +147,8 @@
         Step::Leave(agent) => world.leave(agent),
         Step::Thaw(agent) => world.thaw(agent),
         Step::Drain(agent) => world.drain(agent),
+        Step::Remove(agent) => world.remove(agent),
+        Step::Rejoin(agent) => world.rejoin(agent),
         Step::Advance(by) => world.advance(by),
     }
 }
--- a/components/scheduler/tests/claiming.rs
+++ b/components/scheduler/tests/claiming.rs
@@ -6,14 +6,17 @@
 use std::time::{Duration, Instant};
 
 use model::{
+    Host,
     claim::{Settle, Verdict},
+    host,
     id::RequestId,
+    membership::Leave,
     refusal::{Ran, Reason},
     reservation::{Grant, Id, Load},
 };
 use scheduler::{
     agent::Room,
-    entry::{self, Effect, Event, Record, Request, State},
+    entry::{self, ABSENCE, Effect, Event, Record, Request, State},
 };
 use support::{epoch_clock, join, run};
 use test_case::test_case;
@@ -224,3 +227,69 @@
 
     assert_eq!(refusal(&effects), Some((Reason::Unclaimed, Ran::MayHaveRun, true)));
 }
+
+fn host(index: usize) -> Host {
+    Host { name: support::target(index), zone: "a".to_owned(), state: host::State::Live }
+}
+
+/// An entry with three members, whose list lacks the first one's host from now on.
+fn with_a_host_gone() -> Entry {
+    let mut entry = open();
+    let record = |index: usize| Record {
+        offset: index as u64 + 1,
+        payload: join(index, index as u128 + 1, epoch_clock()),
+    };
+    entry.feed(Event::Members(vec![record(1), record(2)]));
+    entry.feed(Event::Hosts(vec![host(0), host(1), host(2)]));
+    entry.feed(Event::Hosts(vec![host(1), host(2)]));
+    entry
+}
+
+fn lost(effects: &[Effect]) -> Option<Leave> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Lost(leave) => Some(leave.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_member_whose_host_is_gone_for_long_is_removed_once_it_was_given_time() {
+    let mut entry = with_a_host_gone();
+
+    let early = entry.feed(Event::Hosts(vec![host(1), host(2)]));
+    entry.now += ABSENCE;
+    let reported = entry.feed(Event::Hosts(vec![host(1), host(2)]));
+    let again = entry.feed(Event::Hosts(vec![host(1), host(2)]));
+    let leave = lost(&reported).unwrap();
+    let removed = entry.feed(Event::Remove(leave.clone()));
+
+    assert_eq!((lost(&early), lost(&again)), (None, None));
+    assert_eq!(
+        (leave.target.as_str(), leave.incarnation, leave.ended),
+        ("target-0", run(1), false)
+    );
+    assert_eq!(removed, [Effect::Remove(leave)]);
+}
+
+#[test]
+fn a_member_whose_host_came_back_meanwhile_is_not_removed() {
+    let mut entry = with_a_host_gone();
+    entry.now += ABSENCE;
+    let leave = lost(&entry.feed(Event::Hosts(vec![host(1), host(2)]))).unwrap();
+
+    entry.feed(Event::Hosts(vec![host(0), host(1), host(2)]));
+    let effects = entry.feed(Event::Remove(leave));
+
+    assert_eq!(effects, []);
+}
+
+#[test]
+fn a_list_that_lacks_most_hosts_removes_nobody() {
+    let mut entry = with_a_host_gone();
+    entry.feed(Event::Hosts(vec![host(2)]));
+
+    entry.now += ABSENCE;
+    let effects = entry.feed(Event::Hosts(vec![host(2)]));
+
+    assert_eq!(lost(&effects), None);
+}
--- a/components/scheduler/tests/claims.rs
+++ b/components/scheduler/tests/claims.rs
@@ -17,7 +17,7 @@
     entry::Record,
 };
 use support::{
-    cases, epoch_clock, join, leave, run,
+    cases, epoch_clock, join, leave, removal, run,
     world::{self, Stage},
 };
 use uuid::Uuid;
@@ -218,6 +218,45 @@
     assert_eq!(effects, [Effect::Reply { attempt: attempt(1), verdict: behind }]);
 }
 
+#[test]
+fn a_run_that_was_taken_for_lost_is_over_once_it_would_have_stopped_without_the_log() {
+    let now = clock();
+    let mut state = claim::open(Settings { incarnation: run(2), claims: 9 });
+    let log = [join(0, 1, now.wall), join(1, 2, now.wall), removal(0, 1, now.wall)];
+    claim::reduce(&mut state, now, records(&log));
+    let minted = |clock: Clock| Ask { minted: Some(clock.wall), ..ask(1, 3) };
+    let soon = later(now, AHEAD_LIMIT * 9);
+    let late = later(now, STALE_LIMIT + AHEAD_LIMIT * 9);
+
+    claim::reduce(&mut state, soon, Event::CaughtUp);
+    let asked = claim::reduce(&mut state, soon, Event::Claim(minted(soon)));
+    let answered = Event::Answered { key: KEY, incarnation: run(1), answer: None };
+    let unsure = claim::reduce(&mut state, soon, answered);
+    claim::reduce(&mut state, late, Event::CaughtUp);
+    let granted = verdict(&mut state, late, minted(late));
+
+    assert!(matches!(asked.as_slice(), [Effect::Ask { .. }]), "{asked:?}");
+    assert_eq!(unsure, [Effect::Reply { attempt: attempt(1), verdict: Verdict::Unsure }]);
+    assert_eq!(granted, Verdict::Granted);
+}
+
+#[test]
+fn a_run_that_joins_again_answers_for_what_it_granted_before() {
+    let now = clock();
+    let mut state = alone(now, 9);
+    verdict(&mut state, now, ask(1, 1));
+    let log = [join(0, 1, now.wall), removal(0, 1, now.wall), join(0, 2, now.wall)];
+    claim::reduce(&mut state, now, Event::Rejoin(run(2)));
+    claim::reduce(&mut state, now, records(&log));
+
+    let question = Question { key: KEY, incarnation: run(1), epoch: 3, free: None };
+    let told = claim::reduce(&mut state, now, Event::Asked(question));
+    let again = verdict(&mut state, now, ask(2, 3));
+
+    assert_eq!(told, [Effect::Tell(Answer::Known(Mark::Held(attempt(1))))]);
+    assert_eq!(again, Verdict::Held);
+}
+
 /// A step of a history without faults.
 #[derive(Clone, Debug)]
 enum Step {
--- a/components/scheduler/tests/support/mod.rs
+++ b/components/scheduler/tests/support/mod.rs
@@ -60,7 +60,22 @@
 
 /// A leave.
 pub fn leave(index: usize, number: u128, handed_over: Option<Offset>, at: SystemTime) -> String {
-    let leave = Leave { target: target(index), incarnation: run(number), handed_over };
+    leave_with(index, number, handed_over, true, at)
+}
+
+/// A leave that another process appends, which can't know whether the run is over.
+pub fn removal(index: usize, number: u128, at: SystemTime) -> String {
+    leave_with(index, number, None, false, at)
+}
+
+fn leave_with(
+    index: usize,
+    number: u128,
+    handed_over: Option<Offset>,
+    ended: bool,
+    at: SystemTime,
+) -> String {
+    let leave = Leave { target: target(index), incarnation: run(number), handed_over, ended };
     render(at, Action::Leave(leave))
 }
 
--- a/components/scheduler/tests/support/world.rs
+++ b/components/scheduler/tests/support/world.rs
@@ -13,7 +13,7 @@
 };
 use uuid::Uuid;
 
-use super::{epoch_clock, join, leave, run};
+use super::{epoch_clock, join, leave, removal, run, target};
 
 const CLAIM_LIMIT: usize = 1_000;
 
@@ -129,6 +129,29 @@
         self.agents[index] = None;
     }
 
+    /// Another process takes a member for lost, whether or not it is.
+    pub fn remove(&mut self, index: usize) {
+        let member = self.epochs.last().unwrap().incarnation(&target(index));
+        if let Some(number) = member.map(|member| member.id.as_u128()) {
+            self.append(removal(index, number, self.clock.wall));
+        }
+    }
+
+    /// An agent that finds itself removed joins again, with what it remembers.
+    pub fn rejoin(&mut self, index: usize) {
+        let Some(agent) = self.agents[index].as_mut() else { return };
+        let is_member = agent.state.members().members().any(|m| m.id == agent.incarnation);
+        if is_member || agent.left {
+            return;
+        }
+        agent.incarnation = run(self.next_run);
+        let record = join(index, self.next_run, self.clock.wall);
+        self.next_run += 1;
+        let incarnation = self.agents[index].as_ref().unwrap().incarnation;
+        self.feed(index, Event::Rejoin(incarnation));
+        self.append(record);
+    }
+
     /// Lets an agent read the log up to an offset.
     pub fn catch_up(&mut self, index: usize, to: Offset) {
         let numbered = (1..).zip(&self.log).take_while(|(offset, _)| *offset <= to);
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use http::StatusCode;
-use model::{claim, resource::Backing};
+use model::{
+    claim,
+    membership::{Action, Leave, Record, SCHEMA},
+    resource::Backing,
+};
 use platform::MEMBERSHIP;
 use reqwest::{Client, RequestBuilder, Response};
 use scheduler::membership::State;
@@ -275,6 +279,27 @@
     assert_eq!(site.runs(&key), 1);
 }
 
+#[tokio::test]
+async fn a_home_that_was_taken_for_lost_joins_again_with_its_keys() {
+    let site = open(Duration::from_millis(1)).await;
+    let key = site.key_at(1);
+    site.run(0, &key).await;
+    site.repeat(0, &key).await;
+    let home = site.members().incarnation(TARGETS[1]).unwrap().clone();
+    let leave =
+        Leave { target: home.target, incarnation: home.id, handed_over: None, ended: false };
+    let action = Action::Leave(leave);
+    let record = Record { schema: SCHEMA, at: SystemTime::now(), action };
+
+    site.log.append(MEMBERSHIP, serde_json::to_string(&record).unwrap());
+    site.joined(TARGETS.len()).await;
+    let back = site.members().incarnation(TARGETS[1]).unwrap().clone();
+
+    assert!(back.joined > home.joined && back.id != home.id);
+    assert_eq!(site.repeat(1, &key).await, duplicate("ran"));
+    assert_eq!(site.runs(&key), 1);
+}
+
 #[test_case(|log| log.fault(|faults| faults.down = true); "down")]
 #[test_case(|log| log.fault(|faults| faults.slow = Duration::from_secs(30)); "slow")]
 #[tokio::test]
