--- a/components/scheduler/benches/membership.rs
+++ b/components/scheduler/benches/membership.rs
@@ -3,7 +3,8 @@
 #[path = "support/mod.rs"]
 mod support;
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use scheduler::membership::State;
 
 const MEMBERS: [usize; 4] = [20, 100, 1_000, 10_000];
 /// Replacements within the window, for each hundred members: a day's at the target size.
@@ -42,13 +43,12 @@
 fn replace(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("membership/replace");
     for members in MEMBERS {
-        let mut state = support::membership(members, 0);
+        let state = support::membership(members, members * REPLACED_PERCENT / 100);
+        let offset = state.epoch() + 1;
+        let record = support::join(0, offset);
         group.bench_function(BenchmarkId::from_parameter(members), |bencher| {
-            bencher.iter(|| {
-                let offset = state.epoch() + 1;
-                let number = offset as usize % members;
-                state.apply(offset, &support::join(number, offset)).expect("no gap")
-            });
+            let apply = |state: &mut State| state.apply(offset, &record).expect("no gap");
+            bencher.iter_batched_ref(|| state.clone(), apply, BatchSize::LargeInput);
         });
     }
     group.finish();
--- a/components/scheduler/benches/support/mod.rs
+++ b/components/scheduler/benches/support/mod.rs
@@ -19,7 +19,7 @@
 };
 use scheduler::{
     agent::{self, Room},
-    config,
+    claim, config,
     entry::{self, Call, Event, Record, Request},
     membership as fold,
 };
@@ -283,6 +283,24 @@
     ClaimKey::from_le_bytes(hash[..size_of::<ClaimKey>()].try_into().expect("a hash is longer"))
 }
 
+/// An agent, alone in its deployment, that remembers as many claims as asked.
+pub fn claims(count: usize) -> claim::State {
+    let incarnation = Uuid::from_u128(1);
+    let mut state = claim::open(claim::Settings { incarnation, claims: count });
+    let clock = claim::Clock { now: Instant::now(), wall: SystemTime::now() };
+    let record = Record { offset: 1, payload: join(0, 1) };
+    claim::reduce(&mut state, clock, claim::Event::Records(vec![record]));
+    claim::reduce(&mut state, clock, claim::Event::CaughtUp);
+    for number in 0..count as u64 {
+        let attempt = Uuid::from_u128(number.into());
+        let ask = model::claim::Ask { key: claim_key(number), attempt, epoch: 1, minted: None };
+        let effects = claim::reduce(&mut state, clock, claim::Event::Claim(ask));
+        let granted = claim::Effect::Reply { attempt, verdict: model::claim::Verdict::Granted };
+        assert_eq!(effects, [granted]);
+    }
+    state
+}
+
 /// A configuration in which one account was changed again and again.
 pub fn changed(changes: usize) -> config::State {
     let mut state = configuration(Shape { accounts: 1, targets: 1, waiting: 0 });
--- a/components/scheduler/examples/memory.rs
+++ b/components/scheduler/examples/memory.rs
@@ -15,7 +15,8 @@
 use support::Shape;
 
 const KIB: usize = 1_024;
-const USAGE: &str = "usage: memory accounts|targets|changes|members|requests|reservations COUNT";
+const USAGE: &str =
+    "usage: memory accounts|targets|changes|members|claims|requests|reservations COUNT";
 const EMPTY: Shape = Shape { accounts: 1, targets: 1, waiting: 0 };
 const SLOTS: usize = 64;
 
@@ -29,6 +30,7 @@
         "targets" => grow(|| support::configuration(Shape { targets: count, ..EMPTY }))?,
         "changes" => grow(|| support::changed(count))?,
         "members" => grow(|| support::membership(count, 0))?,
+        "claims" => grow(|| support::claims(count))?,
         "requests" => grow(|| support::entry(Shape { waiting: count, ..EMPTY }))?,
         "reservations" => grow(|| support::agent(SLOTS, count))?,
         _ => return Err(Error::other(USAGE)),
