Quarantine bodies that crash targets after two crashes

Cause: a body that crashes its engine crashed every target in turn: each time its caller sent it again, another target ran it with its neighbours.

Change: each reservation carries a fingerprint (BLAKE3 of path and body, 16 bytes). An agent whose target died records the running set in the stream `crashes`, once, before it answers. Entries follow it: a suspected body waits at one target at a time, the first in its own rendezvous order, and runs alone; a second crash quarantines it, a whole run clears it. The entry that lost a start and the agent that saw the second crash know it at once, also while the log is down.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -15,6 +15,7 @@
 use model::{
     id::IncarnationId,
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
+    suspect::Crash,
 };
 use scheduler::{
     agent::{self, Effect, Event, Room, State},
@@ -26,7 +27,7 @@
     time::sleep_until,
 };
 
-use crate::{claims, orders};
+use crate::{claims, crashes, orders};
 
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
@@ -56,6 +57,7 @@
     Orders(order::Event),
     Ended { id: Id, finish: Finish },
     Close(oneshot::Sender<()>),
+    Died(oneshot::Sender<Crash>),
 }
 
 /// Who waits for the answer to the message that is being reduced.
@@ -63,6 +65,7 @@
     Nobody,
     Start { run: Run, reply: oneshot::Sender<Started> },
     Fate(oneshot::Sender<Fate>),
+    Crash(oneshot::Sender<Crash>),
 }
 
 /// Speaks to the control thread; clones speak to the same one.
@@ -100,6 +103,7 @@
     claims: claims::Desk,
     members: watch::Receiver<claims::Status>,
     orders: orders::Desk,
+    crashes: crashes::Desk,
     drained: bool,
 }
 
@@ -140,6 +144,7 @@
         claims,
         members: handle.members.clone(),
         orders,
+        crashes: crashes::desk(settings),
         drained: false,
     };
     let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
@@ -208,6 +213,14 @@
         self.send(Message::Confirmed { asked });
     }
 
+    /// Tells that the target takes no connection any more; gives what has to be recorded, if
+    /// that isn't told already.
+    pub async fn died(&self) -> Option<Crash> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Died(reply));
+        answer.await.ok()
+    }
+
     /// Brings an event before the reducer of orders.
     pub fn orders(&self, event: order::Event) {
         self.send(Message::Orders(event));
@@ -249,6 +262,9 @@
 impl Drop for Run {
     fn drop(&mut self) {
         if self.dispatched {
+            if self.finish.digest.is_some() {
+                self.control.event(Event::Served(self.id));
+            }
             self.control.send(Message::Ended { id: self.id, finish: self.finish });
         }
     }
@@ -329,6 +345,7 @@
                 self.recorder.finished(id, finish);
                 (Event::Ended(id), Reply::Nobody)
             }
+            Message::Died(reply) => (Event::Died, Reply::Crash(reply)),
             Message::Claims(_)
             | Message::Close(_)
             | Message::Confirmed { .. }
@@ -362,6 +379,15 @@
                 let _ = sender.send(fate);
                 Reply::Nobody
             }
+            (Effect::Crash { running, alone }, Reply::Crash(sender)) => {
+                // Whoever asked may have gone; the bodies stay suspected at the entries.
+                let _ = sender.send(self.crashes.crash(running, alone));
+                Reply::Nobody
+            }
+            (Effect::Clear(body), reply) => {
+                self.crashes.clear(body);
+                reply
+            }
             (Effect::Drained, reply) => {
                 self.drained = true;
                 reply
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod config;
 mod control;
+mod crashes;
 mod engine;
 mod membership;
 mod operator;
@@ -69,6 +70,7 @@
     let context = Arc::new(traffic::Context {
         control: control.clone(),
         engine: engine::open(settings.engine.address),
+        crashes: crashes::watch(&settings, control.clone()),
         metrics: Arc::clone(&metrics),
     });
     let traffic = server::bind(settings.listen.traffic, context).await?;
--- a/components/agent/src/traffic.rs
+++ b/components/agent/src/traffic.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     control::{self, Run},
+    crashes::Watch,
     engine::{Call, Engine},
 };
 
@@ -41,6 +42,8 @@
     pub control: control::Handle,
     /// The target.
     pub engine: Engine,
+    /// Looks after broken connections to the target.
+    pub crashes: Watch,
     /// The metrics.
     pub metrics: Arc<metrics::Agent>,
 }
@@ -58,7 +61,7 @@
 
 /// Writes the frames of one answer.
 struct Writer {
-    request: RequestId,
+    id: Id,
     sequence: u64,
     chunks: u64,
     hasher: blake3::Hasher,
@@ -101,13 +104,8 @@
     };
     info!(request = %id.request, attempt = id.attempt, "dispatched");
     let (sender, frames) = mpsc::channel(FRAMES_AHEAD);
-    let writer = Writer {
-        request: id.request,
-        sequence: 0,
-        chunks: 0,
-        hasher: blake3::Hasher::new(),
-        frames: sender,
-    };
+    let writer =
+        Writer { id, sequence: 0, chunks: 0, hasher: blake3::Hasher::new(), frames: sender };
     tokio::spawn(serve(context, run, call, writer));
     let frames =
         ReceiverStream::new(frames).map(|bytes| Ok::<_, Infallible>(body::Frame::data(bytes)));
@@ -117,12 +115,15 @@
 /// Runs one call to its end. The run is over when this returns, and dropping the answer's body
 /// cancels the call at the target.
 async fn serve(context: Arc<Context>, mut run: Run, call: Call, mut writer: Writer) {
-    let request = writer.request;
+    let request = writer.id.request;
     let answered = match context.engine.call(call).await {
-        Ok(answer) => relay(answer, &mut writer).await,
+        Ok(answer) => relay(&context, answer, &mut writer).await,
         Err(error) => {
             warn!(%request, %error, ran = ?error.ran(), "no answer from the target");
             run.finish(Finish { ran: error.ran(), digest: None });
+            if error.ran() != Ran::NotRun {
+                context.crashes.look(writer.id).await;
+            }
             writer.fail(error.ran(), &error.to_string()).await
         }
     };
@@ -139,7 +140,11 @@
 /// The target's answer ended before its end.
 struct Torn;
 
-async fn relay(answer: Response<Incoming>, writer: &mut Writer) -> Result<Option<Torn>, Unread> {
+async fn relay(
+    context: &Context,
+    answer: Response<Incoming>,
+    writer: &mut Writer,
+) -> Result<Option<Torn>, Unread> {
     let status = answer.status().as_u16();
     let content_type = content_type(answer.headers());
     let is_stream = content_type.starts_with("text/event-stream");
@@ -165,6 +170,7 @@
                 return writer.end().await;
             }
             Some(Err(_)) | None => {
+                context.crashes.look(writer.id).await;
                 return writer.fail(Ran::Yes, "the target's answer was cut off").await;
             }
         }
@@ -198,7 +204,7 @@
     }
 
     async fn send(&mut self, part: Part) -> Result<(), Unread> {
-        let frame = Frame { request: self.request, sequence: self.sequence, part };
+        let frame = Frame { request: self.id.request, sequence: self.sequence, part };
         self.sequence += 1;
         let bytes = frame::encode(&frame).map_err(|_| Unread)?;
         self.frames.send(bytes).await.map_err(|_| Unread)
--- a/components/bench/src/carry.rs
+++ b/components/bench/src/carry.rs
@@ -83,6 +83,7 @@
             prefill: job.prefill,
             decode: if pool.backing == Backing::Model { job.decode } else { 0 },
             prefix: job.prefix.iter().take(HASHED_BLOCKS).copied().collect(),
+            fingerprint: id.into_bytes(),
             findings: Vec::new(),
         }
     }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -128,6 +128,8 @@
 async fn run(context: &Arc<Context>, request: Request, outgoing: Outgoing) -> Response<Body> {
     let arrived = Instant::now();
     let id = request.id;
+    let request =
+        Request { fingerprint: read::fingerprint(&outgoing.path, &outgoing.body), ..request };
     let mut ticket = context.control.arrive(request);
     loop {
         match ticket.verdict().await {
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -15,7 +15,7 @@
     recorder::entry::{self as recorder, Recorder},
 };
 use follower::Waker;
-use model::{Refusal, id::Offset, id::RequestId, reservation::Id};
+use model::{Refusal, id::Offset, id::RequestId, refusal::Reason, reservation::Id};
 use scheduler::entry::{self, Effect, Event, Owner, Request, Start, State};
 use tokio::{
     runtime,
@@ -223,6 +223,9 @@
 
     /// Tells that the caller was refused after a start, or got a torn answer.
     pub fn torn(&self, refusal: &Refusal) {
+        if matches!(refusal.reason, Reason::TargetLost | Reason::TornAnswer) {
+            self.control.event(Event::Lost { request: self.request });
+        }
         let (reason, ran) = (refusal.reason, refusal.ran);
         self.end(Outcome::Refused { reason, ran, left_waiting: None });
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod append;
 mod caller;
 mod control;
+mod crashes;
 mod fault;
 mod feed;
 mod members;
@@ -46,6 +47,7 @@
     evidence: append::Handle,
     feeds: feed::Handle,
     members: JoinHandle<()>,
+    crashes: JoinHandle<()>,
     caller_server: HttpServer<Arc<caller::Context>>,
     operator_server: HttpServer<Arc<api::Context>>,
 }
@@ -60,6 +62,7 @@
     let control = control::spawn(&settings, metrics_control, agents_control, outbox.buffer())?;
     let evidence = append::spawn(&settings, outbox, agents);
     let feeds = feed::spawn(&settings, &control);
+    let crashes = crashes::spawn(&settings.platform.log, settings.timing.poll, control.clone());
     let members = members::spawn(&settings.platform.log, settings.timing.poll, control.clone());
     let caller_server = serve_callers(&settings, &control, &metrics, relay)?;
     let context = operator::context(&settings, &control, &metrics, &feeds);
@@ -75,6 +78,7 @@
         evidence,
         feeds,
         members,
+        crashes,
         caller_server,
         operator_server,
     })
@@ -101,6 +105,7 @@
         self.operator_server.close().await.map_err(Error::Server)?;
         self.feeds.stop();
         self.members.abort();
+        self.crashes.abort();
         info!("drained");
         Ok(())
     }
--- a/components/entry/src/read.rs
+++ b/components/entry/src/read.rs
@@ -7,7 +7,7 @@
 use model::{
     Finding, credential,
     finding::place,
-    id::{ModelName, PoolName, RequestId},
+    id::{Fingerprint, ModelName, PoolName, RequestId},
     reservation::BlockHash,
 };
 use scheduler::entry::{Call, Request};
@@ -90,6 +90,7 @@
         prefill: 0,
         decode: 0,
         prefix: Vec::new(),
+        fingerprint: Default::default(),
         findings,
     }
 }
@@ -121,6 +122,17 @@
     }
 }
 
+/// What names a body wherever it is sent again.
+pub fn fingerprint(path: &str, body: &Bytes) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(path.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(body);
+    let mut fingerprint = Fingerprint::default();
+    hasher.finalize_xof().fill(&mut fingerprint);
+    fingerprint
+}
+
 fn prefix(model: &str, prompt: &[u8]) -> Vec<BlockHash> {
     let mut hasher = blake3::Hasher::new();
     hasher.update(model.as_bytes());
--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -10,6 +10,8 @@
 pub type IdempotencyKey = String;
 /// Hash of a client account and an idempotency key of its own.
 pub type ClaimKey = u128;
+/// BLAKE3 hash of a request's path and body, cut to 16 bytes.
+pub type Fingerprint = [u8; 16];
 /// Name of a host as the platform's list gives it.
 pub type HostName = String;
 /// Id of one run of an agent, minted when its process starts.
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod resource;
 pub mod setup;
 pub mod snapshot;
+pub mod suspect;
 
 pub use change::Change;
 pub use finding::Finding;
--- a/components/model/src/reservation.rs
+++ b/components/model/src/reservation.rs
@@ -7,6 +7,7 @@
 use crate::{
     id::{Offset, Rank, RequestId},
     refusal::Reason,
+    suspect::Body,
 };
 
 /// Hash of one block of a prompt together with all blocks before it.
@@ -38,6 +39,8 @@
     pub prefix: Vec<BlockHash>,
     /// Configuration offset that the entry has applied.
     pub offset: Offset,
+    /// What is known of the request's body.
+    pub body: Body,
 }
 
 /// What became of a reservation; all but the first two are final.
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -10,5 +10,7 @@
 pub const EVIDENCE: &str = "evidence";
 /// Name of the stream that carries the joins and leaves of agents.
 pub const MEMBERSHIP: &str = "membership";
+/// Name of the stream that carries records of crashed targets.
+pub const CRASHES: &str = "crashes";
 /// Name of the stream that carries snapshots of the configuration, in parts.
 pub const SNAPSHOTS: &str = "config-snapshots";
--- a/components/scheduler/benches/support/mod.rs
+++ b/components/scheduler/benches/support/mod.rs
@@ -86,7 +86,16 @@
         let id = Id { request: Uuid::from_u128(self.next), attempt: 1 };
         let prefix = (0..4).collect();
         let (prefill, decode) = (2_000, 500);
-        let ask = Ask { id, rank, remaining: DEADLINE, prefill, decode, prefix, offset: 0 };
+        let ask = Ask {
+            id,
+            rank,
+            remaining: DEADLINE,
+            prefill,
+            decode,
+            prefix,
+            offset: 0,
+            body: Default::default(),
+        };
         self.reduce(agent::Event::Reserve(ask));
     }
 
@@ -171,6 +180,7 @@
         prefill: 2_000,
         decode: 500,
         prefix: vec![number as u64; 4],
+        fingerprint: Default::default(),
         findings: Vec::new(),
     }
 }
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -1,7 +1,7 @@
 //! Events that the agent's reducer takes and effects that it gives.
 
 use model::{
-    id::Offset,
+    id::{Fingerprint, Offset},
     reservation::{Ask, Denial, Fate, Grant, Id},
 };
 
@@ -16,6 +16,14 @@
     Cancel(Id),
     /// An entry asks what became of a reservation; one that hasn't started never will.
     Settle(Id),
+    /// The target answered a request whole; its end follows.
+    Served(Id),
+    /// The connection of a run broke; its end follows, and whether the target died.
+    Lost(Id),
+    /// The target takes no connection any more.
+    Died,
+    /// The target takes connections: what broke had another cause.
+    Lives,
     /// The target is done with a request, in whatever way.
     Ended(Id),
     /// A configuration offset was heard of or applied.
@@ -59,6 +67,15 @@
         /// What became of it.
         fate: Fate,
     },
+    /// Record that the target died.
+    Crash {
+        /// Bodies that it ran and that weren't recorded before.
+        running: Vec<Fingerprint>,
+        /// Whether the only one of them was suspected before.
+        alone: bool,
+    },
+    /// Record that a suspected body ran alone to its end.
+    Clear(Fingerprint),
     /// Nothing waits or runs any more, and nothing will.
     Drained,
 }
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod prefixes;
 mod queue;
 mod shares;
+mod suspects;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -24,6 +25,7 @@
 use prefixes::Prefixes;
 use queue::{Order, Queue};
 use shares::Shares;
+use suspects::Suspects;
 
 /// Time for which an ended reservation is remembered.
 pub const TOMBSTONE_LIFE: Duration = Duration::from_secs(600);
@@ -104,6 +106,7 @@
     shed: Option<Shed>,
     heard: Offset,
     draining: bool,
+    suspects: Suspects,
 }
 
 /// Gives the state of an agent whose target is idle.
@@ -129,6 +132,7 @@
         shed: None,
         heard: 0,
         draining: false,
+        suspects: Suspects::default(),
     }
 }
 
@@ -140,6 +144,10 @@
         Event::Reserve(ask) => state.reserve(now, ask, &mut effects),
         Event::Start(id) => state.start(now, id, &mut effects),
         Event::Cancel(id) | Event::Settle(id) => state.cancel(now, id, &mut effects),
+        Event::Served(id) => effects.extend(state.suspects.cleared(id).map(Effect::Clear)),
+        Event::Lost(id) => state.suspects.lose(id),
+        Event::Died => state.die(now, &mut effects),
+        Event::Lives => state.suspects.acquit(),
         Event::Ended(id) => state.end(now, id),
         Event::Heard(offset) => state.heard = state.heard.max(offset),
         Event::Drain => state.drain(now, &mut effects),
@@ -200,6 +208,7 @@
         let run = self.least_run(now, work);
         let order = self.queue.push(now, &ask, work, run);
         self.live.insert(ask.id, Stage::Waiting { order });
+        self.suspects.add(ask.id, ask.body);
         // Room comes first: nobody is evicted for a place that the best no longer needs.
         self.fill(now, effects);
         if self.queue.len() > self.room.waiting {
@@ -250,6 +259,24 @@
         self.pace.end(now, id, since, hold.work);
     }
 
+    /// Blames what ran; a body that ran alone is barred, also for those that wait.
+    fn die(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let is_running = |stage: &Stage| matches!(stage, Stage::Running { .. });
+        let running = self.live.iter().filter(|(_, stage)| is_running(stage));
+        let running: Vec<Id> = running.map(|(id, _)| *id).collect();
+        let (running, alone) = self.suspects.blame(now, &running);
+        if !running.is_empty() {
+            effects.push(Effect::Crash { running, alone });
+        }
+    }
+
+    fn deny_barred(&mut self, now: Instant, id: Id, wait: Duration, effects: &mut Vec<Effect>) {
+        self.live.remove(&id);
+        self.remember(now, id, Fate::Cancelled);
+        let denial = Denial { reason: Reason::Quarantined, retry_after: wait, load: self.load() };
+        effects.push(Effect::Deny { id, denial });
+    }
+
     fn drain(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.draining = true;
         while let Some(waiting) = self.queue.pop() {
@@ -261,8 +288,15 @@
     /// Grants room to those who wait, best first; the best is never passed over for a smaller.
     fn fill(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(first) = self.queue.first() {
+            if let Some(wait) = self.suspects.barred(now, first.id) {
+                let id = first.id;
+                self.queue.pop();
+                self.deny_barred(now, id, wait, effects);
+                continue;
+            }
             let fits = self.held_tokens + first.tokens <= self.room.tokens || self.held == 0;
-            if self.held >= self.slots() || !fits {
+            let may = self.suspects.may_grant(first.id, self.held);
+            if self.held >= self.slots() || !fits || !may {
                 return;
             }
             let Some(waiting) = self.queue.pop() else {
@@ -272,6 +306,7 @@
             self.held_tokens += waiting.tokens;
             self.prefixes.insert(&waiting.prefix);
             self.shares.grant(waiting.rank, waiting.work);
+            self.suspects.grant(waiting.id);
             let until = now + self.room.grant;
             let hold = Hold { tokens: waiting.tokens, work: waiting.work };
             self.live.insert(waiting.id, Stage::Granted { until, hold });
@@ -349,6 +384,7 @@
     }
 
     fn remember(&mut self, now: Instant, id: Id, fate: Fate) {
+        self.suspects.remove(id);
         self.ended.insert(id, fate);
         self.tombstones.push_back(Tombstone { until: now + TOMBSTONE_LIFE, id });
     }
--- a/components/scheduler/src/entry/admit.rs
+++ b/components/scheduler/src/entry/admit.rs
@@ -66,6 +66,7 @@
         attempts: 0,
         open: Default::default(),
         tried: Default::default(),
+        alone: false,
         rounds: 0,
         denial: None,
         request,
--- a/components/scheduler/src/entry/event.rs
+++ b/components/scheduler/src/entry/event.rs
@@ -10,7 +10,8 @@
     claim::{self, Settle, Verdict},
     credential::KeyHash,
     id::{
-        AccountName, IdempotencyKey, ModelName, Offset, PoolName, RequestId, TargetName, TierName,
+        AccountName, Fingerprint, IdempotencyKey, ModelName, Offset, PoolName, RequestId,
+        TargetName, TierName,
     },
     membership::Leave,
     reservation::{Ask, BlockHash, Denial, Grant, Id, Load},
@@ -50,6 +51,8 @@
     pub decode: u32,
     /// Hashes of the prompt's leading blocks, shortest prefix first.
     pub prefix: Vec<BlockHash>,
+    /// Fingerprint of its path and body.
+    pub fingerprint: Fingerprint,
     /// Faults that were found while reading it.
     pub findings: Vec<Finding>,
 }
@@ -144,6 +147,13 @@
     },
     /// All records that stood at the log's last answer are applied.
     CaughtUp,
+    /// A start ended without a whole answer, perhaps because its target died.
+    Lost {
+        /// The request.
+        request: RequestId,
+    },
+    /// Records of the stream of crashes were read, in order.
+    Crashes(Vec<Record>),
     /// The platform's list of hosts was read.
     Hosts(Vec<Host>),
     /// The process will be asked to leave soon: it says so, and still takes requests.
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod pending;
 mod seek;
 mod shed;
+mod suspects;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,7 +20,7 @@
 
 use model::{
     Refusal,
-    id::{AccountName, HostName, Offset, Rank, RequestId, TargetName, ZoneName},
+    id::{AccountName, Fingerprint, HostName, Offset, Rank, RequestId, TargetName, ZoneName},
     refusal::Reason,
     reservation::{Denial, Id},
 };
@@ -33,7 +34,7 @@
 pub use seek::Policy;
 use seek::Pools;
 
-use crate::{config, limit, membership};
+use crate::{config, limit, membership, suspect};
 
 /// Time for which a target whose agent couldn't be reached is asked last.
 const DOWN_LIFE: Duration = Duration::from_secs(2);
@@ -91,6 +92,9 @@
     seen: BTreeMap<TargetName, Seen>,
     pools: Pools,
     usage: BTreeMap<AccountName, limit::Usage>,
+    suspects: suspect::State,
+    /// Bodies that this process suspects by itself, and until when.
+    own_suspects: BTreeMap<Fingerprint, Instant>,
     freshness: Freshness,
     /// Hosts that run entry processes, this one included, as far as is known; at least 1.
     entries: u32,
@@ -121,6 +125,8 @@
         seen: BTreeMap::new(),
         pools: Pools::default(),
         usage: BTreeMap::new(),
+        suspects: suspect::State::default(),
+        own_suspects: BTreeMap::new(),
         freshness: Freshness::default(),
         entries: 1,
         ready: false,
@@ -169,6 +175,8 @@
         }
         Event::Confirmed { asked, highest } => state.confirm(now, asked, highest, &mut effects),
         Event::CaughtUp => state.ready = true,
+        Event::Lost { request } => state.suspect(now, request),
+        Event::Crashes(records) => state.heed(now, records, &mut effects),
         Event::Hosts(hosts) => state.list(now, hosts, &mut effects),
         Event::Leave => state.unlisted = true,
         Event::Drain => state.draining = true,
@@ -313,6 +321,9 @@
         };
         pending.tried.insert(target.clone(), now);
         pending.note(denial);
+        if let Some(denial) = denial.filter(|denial| denial.reason == Reason::Quarantined) {
+            return self.refuse_quarantined(id.request, Some(denial.retry_after), effects);
+        }
         if denial.is_some_and(|denial| denial.reason == Reason::Draining) {
             self.seen.entry(target).or_default().down_until = Some(now + DOWN_LIFE);
         }
--- a/components/scheduler/src/entry/pending.rs
+++ b/components/scheduler/src/entry/pending.rs
@@ -49,6 +49,8 @@
     pub open: BTreeMap<Id, TargetName>,
     /// Targets that were asked, and when they last were or denied.
     pub tried: BTreeMap<TargetName, Instant>,
+    /// Whether its body is suspected: it waits at one target at a time, and runs alone.
+    pub alone: bool,
     /// Times that old denials were forgotten, to ask again.
     pub rounds: u32,
     /// Last denial, for the refusal's reason and time.
--- a/components/scheduler/src/entry/seek.rs
+++ b/components/scheduler/src/entry/seek.rs
@@ -10,6 +10,7 @@
     id::{HostName, Offset, PoolName, Rank, RequestId, TargetName},
     reservation::{Ask, BlockHash, Id, Load},
     resource::{Kind, Target},
+    suspect::Body,
 };
 
 use super::{DOWN_LIFE, Effect, RETRY, SHED_LIFE, Seen, Shed, State, pending::Pending};
@@ -51,6 +52,9 @@
 impl State {
     /// Asks the next target for room, or refuses where no target is left to ask.
     pub(super) fn seek(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
+        if self.is_quarantined(now, id) {
+            return self.refuse_quarantined(id, None, effects);
+        }
         let Some(pool) = self.requests.get(&id).map(|pending| pending.pool.clone()) else {
             return;
         };
@@ -58,6 +62,9 @@
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
+        if pending.alone && !pending.open.is_empty() {
+            return;
+        }
         match self.choose(now, pending).cloned() {
             Some(target) => self.reserve(now, id, &target, effects),
             None if pending.open.is_empty() => self.give_up(now, id, effects),
@@ -145,6 +152,7 @@
             decode: pending.request.decode,
             prefix: pending.request.prefix.clone(),
             offset,
+            body: Body { fingerprint: pending.request.fingerprint, alone: pending.alone },
         };
         effects.push(Effect::Reserve { target: target.name.clone(), address: target.control, ask });
     }
@@ -210,7 +218,11 @@
 }
 
 /// Requests that share their first blocks share this key; one without a prefix has its own.
+/// All copies of a suspected body find the same target first.
 fn placement_key(pending: &Pending) -> BlockHash {
+    if pending.alone {
+        return u128::from_le_bytes(pending.request.fingerprint) as BlockHash;
+    }
     const SHARED_BLOCKS: usize = 4;
     let prefix = &pending.request.prefix;
     let shared = prefix.get(SHARED_BLOCKS - 1).or(prefix.last());
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod order;
 pub mod placement;
 pub mod presence;
+pub mod suspect;
--- a/components/scheduler/tests/config_machine.rs
+++ b/components/scheduler/tests/config_machine.rs
@@ -356,6 +356,7 @@
             prefill: 1,
             decode: 1,
             prefix: Vec::new(),
+            fingerprint: Default::default(),
             findings: vec![model::Finding::new("key", key.to_string())],
         };
         self.processes[index].pending.insert(request.id, self.now);
--- a/components/scheduler/tests/freshness.rs
+++ b/components/scheduler/tests/freshness.rs
@@ -60,6 +60,7 @@
         prefill: 1,
         decode: 1,
         prefix: Vec::new(),
+        fingerprint: Default::default(),
         findings: Vec::new(),
     })
 }
--- a/components/scheduler/tests/hope.rs
+++ b/components/scheduler/tests/hope.rs
@@ -19,7 +19,16 @@
 }
 
 fn ask(request: u128, rank: Rank, remaining: Duration) -> Ask {
-    Ask { id: id(request), rank, remaining, prefill: 0, decode: 99, prefix: Vec::new(), offset: 0 }
+    Ask {
+        id: id(request),
+        rank,
+        remaining,
+        prefill: 0,
+        decode: 99,
+        prefix: Vec::new(),
+        offset: 0,
+        body: Default::default(),
+    }
 }
 
 /// An agent with one slot whose runs have taken a second each; the slot is taken.
--- a/components/scheduler/tests/tiers.rs
+++ b/components/scheduler/tests/tiers.rs
@@ -155,7 +155,7 @@
                         prefill: tokens,
                         decode: 0,
                         prefix: Vec::new(),
-                        offset: 0,
+                        offset: 0, body: Default::default(),
                     })
                 }
                 Step::Start(index) => match pick(&index, &naive.held, false) {
--- a/components/scheduler/tests/world/mod.rs
+++ b/components/scheduler/tests/world/mod.rs
@@ -497,6 +497,7 @@
         prefill: 10,
         decode: 10,
         prefix: Vec::new(),
+        fingerprint: Default::default(),
         findings: Vec::new(),
     }
 }
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -281,7 +281,8 @@
     let batched = Batched { shared: Arc::clone(&shared), index };
     if shared.faults().crash_on.is_some_and(|text| prompt.contains(&text)) {
         shared.crash();
-        return Err(Cut);
+        // The listener and all connections end together, as with a process that dies.
+        return std::future::pending().await;
     }
     for _ in 0..prefill_steps {
         shared.step().await;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -42,7 +42,16 @@
 
 fn ask(id: Id) -> Ask {
     let remaining = Duration::from_secs(20);
-    Ask { id, rank: 0, remaining, prefill: 1, decode: 1, prefix: Vec::new(), offset: 0 }
+    Ask {
+        id,
+        rank: 0,
+        remaining,
+        prefill: 1,
+        decode: 1,
+        prefix: Vec::new(),
+        offset: 0,
+        body: Default::default(),
+    }
 }
 
 fn long() -> context::Context {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -160,7 +160,10 @@
         tokio::spawn(async move {
             match request.send().await {
                 Ok(answer) => outcome(answer).await,
-                Err(_) => Outcome::Cut,
+                Err(error) => {
+                    println!("cut: {error:?}");
+                    Outcome::Cut
+                }
             }
         })
     }
