--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -63,8 +63,6 @@
     /// Lowest rank number that the target's agent shed, and until when we believe it.
     shed: Option<Shed>,
     down_until: Option<Instant>,
-    /// Whether anything waited there when its agent answered last.
-    waits: bool,
     /// When its agent answered last.
     heard: Option<Instant>,
 }
--- a/components/scheduler/src/entry/seek.rs
+++ b/components/scheduler/src/entry/seek.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use model::{
@@ -16,12 +16,6 @@
 use super::{DOWN_LIFE, Effect, RETRY, SHED_LIFE, Seen, Shed, State, pending::Pending};
 use crate::placement;
 
-/// Targets beyond its homes that a request asks at most, and among how many they are sought.
-const SPARES: usize = 2;
-const CANDIDATES: usize = 24;
-/// Time for which a target where nothing waited counts as idle.
-const IDLE_LIFE: Duration = Duration::from_millis(500);
-
 /// What an entry weighs when it reserves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
@@ -87,31 +81,7 @@
         let sheds = |target: &&&Target| self.sheds(now, &target.name, pending.rank);
         let best = homes.iter().filter(untried).find(|target| !sheds(target));
         let any = homes.iter().find(untried).filter(|_| pending.open.is_empty());
-        let spare = || self.spare(now, pending).filter(|_| pending.open.is_empty());
-        best.or(any).copied().or_else(spare)
-    }
-
-    /// The next target of the order beyond the homes where nothing waited a moment ago: there a
-    /// prompt that is recomputed takes no room from others.
-    fn spare(&self, now: Instant, pending: &Pending) -> Option<&Target> {
-        if pending.tried.len() >= self.policy.homes.saturating_add(SPARES) {
-            return None;
-        }
-        let index = self.pools.indices.get(&pending.pool)?;
-        let names = index.order(placement_key(pending)).take(CANDIDATES);
-        let mut targets = names.filter_map(|name| self.config.target(name));
-        targets.find(|target| {
-            let untried = !pending.tried.contains_key(&target.name);
-            untried && self.is_serving(target) && self.is_idle(now, &target.name)
-        })
-    }
-
-    fn is_idle(&self, now: Instant, target: &str) -> bool {
-        let seen = self.seen.get(target);
-        seen.is_some_and(|seen| {
-            let is_fresh = seen.heard.is_some_and(|heard| heard + IDLE_LIFE > now);
-            is_fresh && !seen.waits && !self.is_down(now, target)
-        })
+        best.or(any).copied()
     }
 
     fn homes(&self, now: Instant, pending: &Pending) -> Vec<&Target> {
@@ -197,10 +167,7 @@
             return;
         };
         let shed = load.floor.map(|rank| Shed { rank, until: now + SHED_LIFE });
-        self.seen.insert(
-            name,
-            Seen { shed, down_until: None, heard: Some(now), waits: load.waiting > 0 },
-        );
+        self.seen.insert(name, Seen { shed, down_until: None, heard: Some(now) });
     }
 
     pub(super) fn mark_down(&mut self, now: Instant, id: Id) {
