Let the quick start end with what the evidence says of each promise

Cause: a newcomer saw answers and a summary by tier, and nothing of what the product is for: that each promise can be checked afterwards.

Change: once all processes have drained, the quick start reads the evidence from the log and prints one line a rule with its verdict and the number of cases. It exits with 0 only if every answer was whole and every rule was held. README says so.

Rules without a case in this traffic (shedding, refusals, leaving targets) show 0 cases.

--- a/components/standin/examples/claims.rs
+++ b/components/standin/examples/claims.rs
@@ -57,7 +57,8 @@
         bench.in_an_outage(way).await;
     }
     bench.site.log.fault(|faults| faults.down = false);
-    bench.site.close().await
+    bench.site.close().await?;
+    Ok(())
 }
 
 async fn open() -> Result<Site, Box<dyn Error>> {
--- a/components/standin/examples/gaps.rs
+++ b/components/standin/examples/gaps.rs
@@ -23,7 +23,8 @@
     let http = reqwest::Client::builder().no_proxy().build()?;
     print("call", calls(&site, &http).await?);
     print("gap", gaps(&site, &http).await?);
-    site.close().await
+    site.close().await?;
+    Ok(())
 }
 
 async fn open() -> Result<Site, Box<dyn Error>> {
--- a/components/standin/examples/quickstart.rs
+++ b/components/standin/examples/quickstart.rs
@@ -1,7 +1,8 @@
 //! Brings the stand-ins, two entry processes and five unlike targets up in this process, sends
-//! the traffic of a drawing viewer and of a permit office, and prints a summary by tier.
+//! the traffic of a drawing viewer and of a permit office, and prints a summary by tier and what the
+//! evidence says of each rule.
 //!
-//! Exits with 0 only if every answer was whole.
+//! Exits with 0 only if every answer was whole and every rule was held.
 
 mod site;
 
@@ -13,13 +14,16 @@
     time::{Duration, Instant},
 };
 
+use evidence::{audit::Verdict, read::Range};
 use futures::{StreamExt, future};
 use model::Resource;
 use serde_json::{Value, json};
 use site::Site;
 use standin::{
     engine::{self, Shape},
-    fixture, service,
+    fixture,
+    log::Log,
+    service,
 };
 
 const DRAWING: &str = "drawing-7b";
@@ -70,8 +74,20 @@
     let whole = outcomes.iter().filter(|outcome| outcome.whole).count();
     summarise(&outcomes);
     println!("{whole} of {} answers were whole.", outcomes.len());
-    site.close().await?;
-    Ok(whole == outcomes.len())
+    let log = site.close().await?;
+    let held = judge(&log).await?;
+    Ok(whole == outcomes.len() && held)
+}
+
+/// Judges the evidence that the processes left in the log, as `wagtailhill audit` does.
+async fn judge(log: &Log) -> Result<bool, Box<dyn Error>> {
+    let client = platform::log::open(&log.base());
+    let scope = evidence::read::read(&client, Range::default()).await?;
+    let report = evidence::audit(&scope.history, scope.span);
+    for finding in &report.findings {
+        println!("{}: {} ({} cases)", finding.verdict, finding.rule, finding.checked);
+    }
+    Ok(report.verdict() == Verdict::Held)
 }
 
 async fn open() -> Result<Site, Box<dyn Error>> {
--- a/components/standin/examples/site/mod.rs
+++ b/components/standin/examples/site/mod.rs
@@ -69,15 +69,15 @@
         Ok(())
     }
 
-    /// Drains everything.
-    pub async fn close(self) -> Result<(), Box<dyn Error>> {
+    /// Drains everything; gives the log, which holds the evidence.
+    pub async fn close(self) -> Result<Log, Box<dyn Error>> {
         for entry in self.entries {
             entry.drain().await?;
         }
         for agent in self.agents {
             agent.drain().await?;
         }
-        Ok(())
+        Ok(self.log)
     }
 
     async fn add_agent(
