Give the homes' test requests a fingerprint

Cause: the tests of a prefix's homes and the field for a body's fingerprint were written side by side; each was green alone, together the tests did not build. Change: the field is filled with its default, as in the other fixtures. No check changes.

--- a/components/scheduler/tests/homes.rs
+++ b/components/scheduler/tests/homes.rs
@@ -80,6 +80,7 @@
         prefill: 4_096,
         decode: 10,
         prefix: vec![1, 2, 3, 4],
+        fingerprint: Default::default(),
         findings: Vec::new(),
     })
 }
