Name things by what they do, and keep one copy of test fixtures

Cause: read as a newcomer. `Desk` (three structs), `hope`, `heir` and `PATIENCE` are pictures, where the house style asks for the field's terms. `tests/support/platform.rs` and `scheduler/tests/world/fixture.rs` hold what stood twice. Conclusion: no behaviour and no assertion changed.

--- a/components/agent/src/claims.rs
+++ b/components/agent/src/claims.rs
@@ -62,7 +62,7 @@
 }
 
 /// The reducer's state and those who wait for it.
-pub struct Desk {
+pub struct Executor {
     state: State,
     target: TargetName,
     verdicts: HashMap<RequestId, Vec<oneshot::Sender<Verdict>>>,
@@ -80,8 +80,8 @@
     control: control::Handle,
     status: watch::Sender<Status>,
     metrics: Arc<metrics::Agent>,
-) -> Desk {
-    Desk {
+) -> Executor {
+    Executor {
         state: claim::open(Settings { incarnation, claims: CLAIM_LIMIT }),
         target,
         verdicts: HashMap::new(),
@@ -93,7 +93,7 @@
     }
 }
 
-impl Desk {
+impl Executor {
     /// Takes one message in and carries out what follows. A reader that went away needs no
     /// answer: it asks again, or its question counts as unanswered.
     pub fn take(&mut self, message: Message) {
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -100,10 +100,10 @@
     status: watch::Sender<Status>,
     metrics: Arc<metrics::Agent>,
     granting: HashMap<Id, oneshot::Sender<Granted>>,
-    claims: claims::Desk,
+    claims: claims::Executor,
     members: watch::Receiver<claims::Status>,
-    orders: orders::Desk,
-    crashes: crashes::Desk,
+    orders: orders::Executor,
+    crashes: crashes::Executor,
     drained: bool,
 }
 
@@ -144,7 +144,7 @@
         claims,
         members: handle.members.clone(),
         orders,
-        crashes: crashes::desk(settings),
+        crashes: crashes::executor(settings),
         drained: false,
     };
     let runtime = runtime::Builder::new_current_thread().enable_time().build()?;
--- a/components/agent/src/crashes.rs
+++ b/components/agent/src/crashes.rs
@@ -35,8 +35,8 @@
     control: control::Handle,
 }
 
-/// Writes the records that the reducer asks for.
-pub struct Desk {
+/// Carries out the effects of the reducer: writes the records that it asks for.
+pub struct Executor {
     target: TargetName,
     log: Client,
     traffic: runtime::Handle,
@@ -49,9 +49,9 @@
 }
 
 /// Gives the writer of records; must be called on the traffic runtime.
-pub fn desk(settings: &settings::Agent) -> Desk {
+pub fn executor(settings: &settings::Agent) -> Executor {
     let log = log::open(&settings.platform.log);
-    Desk { target: settings.target.clone(), log, traffic: runtime::Handle::current() }
+    Executor { target: settings.target.clone(), log, traffic: runtime::Handle::current() }
 }
 
 impl Watch {
@@ -83,7 +83,7 @@
     }
 }
 
-impl Desk {
+impl Executor {
     /// The record of a crash.
     pub fn crash(&self, running: Vec<Fingerprint>, alone: bool) -> Crash {
         Crash { target: self.target.clone(), running, alone }
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -35,7 +35,7 @@
 /// Longest wait for an appended record to be read back.
 const READ_BACK: Duration = Duration::from_secs(2);
 /// Longest time that an agent tries to leave with its claims handed over.
-const PATIENCE: Duration = Duration::from_secs(10);
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A running membership.
 pub struct Handle {
@@ -84,7 +84,7 @@
         self.join.abort();
         // Whether it is still a member afterwards tells what came of it; an append that is cut
         // off here may take effect, and nothing is granted after it either way.
-        let _ = timeout(PATIENCE, self.leave_in_order()).await;
+        let _ = timeout(LEAVE_TIMEOUT, self.leave_in_order()).await;
         if self.is_member() {
             self.leave_alone().await;
         }
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -43,7 +43,7 @@
 }
 
 /// The reducer's state and the way to the engine.
-pub struct Desk {
+pub struct Executor {
     state: State,
     engine: SocketAddr,
     control: control::Handle,
@@ -51,8 +51,8 @@
 }
 
 /// Gives the orders of an agent that starts; must be called on the traffic runtime.
-pub fn open(engine: settings::agent::Engine, control: control::Handle) -> Desk {
-    Desk {
+pub fn open(engine: settings::agent::Engine, control: control::Handle) -> Executor {
+    Executor {
         state: order::open(Instant::now(), engine.checks_fence),
         engine: engine.address,
         control,
@@ -60,7 +60,7 @@
     }
 }
 
-impl Desk {
+impl Executor {
     /// Takes one event in and carries out what follows.
     pub fn take(&mut self, event: Event) {
         let Some(effect) = order::reduce(&mut self.state, Instant::now(), event) else {
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -1,7 +1,7 @@
 //! The agent's reducer: who waits for the target, who may start, what runs.
 
+mod estimate;
 mod event;
-mod hope;
 mod pace;
 mod prefixes;
 mod queue;
@@ -19,8 +19,8 @@
     reservation::{Ask, Denial, Fate, Grant, Id, Load},
 };
 
+pub use estimate::Policy;
 pub use event::{Effect, Event};
-pub use hope::Policy;
 use pace::Pace;
 use prefixes::Prefixes;
 use queue::{Order, Queue};
--- a/components/scheduler/src/claim/handover.rs
+++ b/components/scheduler/src/claim/handover.rs
@@ -49,14 +49,14 @@
         let is_first = self.handover.epoch != Some(epoch);
         let changed = std::mem::take(&mut self.handover.changed);
         self.handover.epoch = Some(epoch);
-        let mut heirs: BTreeMap<SocketAddr, Vec<Transfer>> = BTreeMap::new();
+        let mut by_home: BTreeMap<SocketAddr, Vec<Transfer>> = BTreeMap::new();
         let wanted = |transfer: &Transfer| is_first || changed.contains(&transfer.key);
         for transfer in self.table.iter().filter(wanted) {
-            if let Some(heir) = self.members.heir(transfer.key, self.settings.incarnation) {
-                heirs.entry(heir.control).or_default().push(transfer);
+            if let Some(home) = self.members.next_home(transfer.key, self.settings.incarnation) {
+                by_home.entry(home.control).or_default().push(transfer);
             }
         }
-        for (address, claims) in heirs {
+        for (address, claims) in by_home {
             let batches = claims.chunks(BATCH).map(<[Transfer]>::to_vec);
             effects.extend(batches.map(|claims| Effect::HandOver { address, claims }));
         }
@@ -66,7 +66,7 @@
     pub fn handed_over(&self) -> Option<Offset> {
         let epoch = self.handover.epoch.filter(|epoch| *epoch == self.members.epoch())?;
         let is_whole = self.handover.frozen && self.handover.changed.is_empty();
-        let has_heirs = self.members.members().any(|m| m.id != self.settings.incarnation);
-        (is_whole && (has_heirs || self.is_empty())).then_some(epoch)
+        let has_by_home = self.members.members().any(|m| m.id != self.settings.incarnation);
+        (is_whole && (has_by_home || self.is_empty())).then_some(epoch)
     }
 }
--- a/components/scheduler/src/membership/home.rs
+++ b/components/scheduler/src/membership/home.rs
@@ -38,7 +38,7 @@
     }
 
     /// The key's home once an agent has left.
-    pub fn heir(&self, key: ClaimKey, leaving: IncarnationId) -> Option<&Incarnation> {
+    pub fn next_home(&self, key: ClaimKey, leaving: IncarnationId) -> Option<&Incarnation> {
         best(self.members.values().filter(|member| member.id != leaving), key)
     }
 
--- a/components/scheduler/tests/limit.rs
+++ b/components/scheduler/tests/limit.rs
@@ -1,29 +1,15 @@
 //! Limits of a client account.
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use model::resource::Limit;
-use proptest::{
-    prelude::{ProptestConfig, prop},
-    prop_assert, proptest,
-    test_runner::RngSeed,
-};
+use proptest::{prelude::prop, prop_assert, proptest};
 use scheduler::limit;
+use support::cases;
 use test_case::test_case;
 
-fn cases() -> u32 {
-    std::env::var("WAGTAILHILL_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(64)
-}
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: cases(),
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(23),
-        ..ProptestConfig::default()
-    }
-}
-
 fn limit(concurrency: u32, requests_per_second: u32) -> Limit {
     Limit { concurrency, requests_per_second }
 }
@@ -69,7 +55,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(64))]
 
     #[test]
     fn no_stretch_of_time_admits_more_than_its_rate_and_one_burst(
--- a/components/scheduler/tests/placement.rs
+++ b/components/scheduler/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement against a naive version, and how evenly and steadily it spreads keys.
 
+mod support;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
@@ -7,24 +9,11 @@
 
 use model::resource::{Desired, Target};
 use proptest::{
-    prelude::{ProptestConfig, any, prop},
+    prelude::{any, prop},
     prop_assert, prop_assert_eq, proptest,
-    test_runner::RngSeed,
 };
 use scheduler::placement;
-
-fn cases() -> u32 {
-    std::env::var("WAGTAILHILL_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(64)
-}
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: cases(),
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(17),
-        ..ProptestConfig::default()
-    }
-}
+use support::cases;
 
 fn target(index: usize, speed_percent: u32) -> Target {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
@@ -59,7 +48,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(64))]
 
     #[test]
     fn a_small_pool_has_the_order_of_the_naive_version(
--- a/components/scheduler/tests/world/mod.rs
+++ b/components/scheduler/tests/world/mod.rs
@@ -5,24 +5,25 @@
 
 #![allow(dead_code)]
 
+mod fixture;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
+pub use fixture::request;
+use fixture::{create, resources};
 use model::{
-    Change, Host, Resource,
-    change::{Action, SCHEMA},
-    credential, host,
+    Host, host,
     id::{Rank, RequestId},
     refusal::{Ran, Reason},
     reservation::{Ask, Denial, Fate, Grant, Id},
-    resource::{Account, Backing, Desired, Pool, Target, Tier},
 };
 use scheduler::{
     agent::{self, Room},
-    entry::{self, Call, Event, Record, Request, Settings},
+    entry::{self, Event, Record, Settings},
 };
 use uuid::Uuid;
 
@@ -442,62 +443,3 @@
     entry::reduce(&mut state, now, Event::CaughtUp);
     state
 }
-
-fn create(resource: Resource) -> String {
-    let action = Action::Put(resource);
-    let change = Change { schema: SCHEMA, id: Uuid::new_v4(), expected: 0, action };
-    serde_json::to_string(&change).unwrap()
-}
-
-fn resources() -> Vec<Resource> {
-    let tier = |(rank, name): (Rank, &&str)| {
-        Resource::Tier(Tier { name: (*name).to_owned(), rank, deadline: Duration::from_secs(10) })
-    };
-    let account = Resource::Account(Account {
-        name: "viewer".to_owned(),
-        key_hash: credential::hash("key"),
-        tiers: TIERS.iter().map(|tier| (*tier).to_owned()).collect(),
-        limit: None,
-    });
-    let pool = Resource::Pool(Pool {
-        name: "drawings".to_owned(),
-        backing: Backing::Model,
-        models: vec!["m".to_owned()],
-        patience: Duration::from_millis(100),
-        idempotent: true,
-    });
-    let tiers = (0..).zip(TIERS.iter()).map(tier);
-    tiers.chain([account, pool]).chain((0..TARGETS).map(target)).collect()
-}
-
-fn target(index: usize) -> Resource {
-    let offset = u16::try_from(index).unwrap();
-    Resource::Target(Target {
-        name: name(index),
-        pool: "drawings".to_owned(),
-        host: name(index),
-        zone: "a".to_owned(),
-        control: ([127, 0, 0, 1], CONTROL_PORT + offset).into(),
-        traffic: ([127, 0, 0, 1], TRAFFIC_PORT + offset).into(),
-        speed_percent: 100,
-        desired: Desired::Serving,
-        setup: None,
-    })
-}
-
-pub fn request(id: RequestId, rank: Rank, deadline: Duration) -> Request {
-    Request {
-        id,
-        credential: Some(credential::hash("key")),
-        tier: Some(TIERS[usize::from(rank)].to_owned()),
-        call: Some(Call::Completion("m".to_owned())),
-        deadline: Some(deadline),
-        idempotent: None,
-        key: None,
-        prefill: 10,
-        decode: 10,
-        prefix: Vec::new(),
-        fingerprint: Default::default(),
-        findings: Vec::new(),
-    }
-}
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -11,11 +11,11 @@
 use standin::{
     engine::{self, Engine, Shape},
     fixture::{self, ANY},
-    hosts, log,
 };
 use support::{
     Process,
-    operator::{self, delete, get, put},
+    operator::{delete, get, put},
+    platform::{Platform, platform, settings},
     way,
 };
 use tokio::time::sleep;
@@ -27,21 +27,6 @@
 /// Longest read of the log by the process that is cut off.
 const POLL: Duration = Duration::from_millis(50);
 
-struct Platform {
-    log: log::Log,
-    hosts: hosts::Hosts,
-}
-
-async fn platform() -> Platform {
-    Platform { log: log::bind(ANY).await.unwrap(), hosts: hosts::bind(ANY).await.unwrap() }
-}
-
-fn settings(name: &str, platform: &Platform) -> settings::Entry {
-    let mut settings = fixture::entry(name, &platform.log, &platform.hosts);
-    settings.operators = vec![operator::setting()];
-    settings
-}
-
 async fn entry(settings: &settings::Entry) -> Process {
     let entry = support::serve(settings);
     support::ready(&entry).await;
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -10,30 +10,14 @@
 use standin::{
     engine::{self, Engine, Shape},
     fixture::{self, ANY},
-    hosts, log,
 };
 use support::{
     Process,
     operator::{self, call, delete, get, put, send},
+    platform::{Platform, platform, settings},
 };
 use test_case::test_case;
 
-/// The platform's services.
-struct Platform {
-    log: log::Log,
-    hosts: hosts::Hosts,
-}
-
-async fn platform() -> Platform {
-    Platform { log: log::bind(ANY).await.unwrap(), hosts: hosts::bind(ANY).await.unwrap() }
-}
-
-fn settings(name: &str, platform: &Platform) -> settings::Entry {
-    let mut settings = fixture::entry(name, &platform.log, &platform.hosts);
-    settings.operators = vec![operator::setting()];
-    settings
-}
-
 async fn entry(name: &str, platform: &Platform) -> Process {
     let entry = support::serve(&settings(name, platform));
     support::ready(&entry).await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crossing;
 pub mod operator;
+pub mod platform;
 pub mod site;
 pub mod way;
 
