Promise nothing of a key whose body could not be read

Cause: a body over the limit, or one that was cut off, was refused as `not_run` by the HTTP library's extractor, without a look at the idempotency key. Change: the callers' endpoints read the body themselves, and a body that can't be read is refused as `may_have_run` where the request names a key. Figures: the new case of `a_body_over_the_limit_is_refused` got `not_run` before and passes after.

--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
-use dropshot::{ApiDescription, Body, Path, RequestContext, UntypedBody, endpoint};
+use dropshot::{ApiDescription, Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
+use futures::TryStreamExt;
 use http::{HeaderMap, Method, Response, Uri};
 use model::{
     Finding, Refusal,
@@ -59,14 +60,14 @@
 
 /// Completes a prompt.
 #[endpoint { method = POST, path = "/v1/completions" }]
-async fn complete(context: RequestContext<Arc<Context>>, body: UntypedBody) -> Answer {
-    Ok(run_completion(&context, "/v1/completions", &body).await)
+async fn complete(context: RequestContext<Arc<Context>>, body: StreamingBody) -> Answer {
+    run_completion(&context, "/v1/completions", body).await
 }
 
 /// Completes a conversation.
 #[endpoint { method = POST, path = "/v1/chat/completions" }]
-async fn chat(context: RequestContext<Arc<Context>>, body: UntypedBody) -> Answer {
-    Ok(run_completion(&context, "/v1/chat/completions", &body).await)
+async fn chat(context: RequestContext<Arc<Context>>, body: StreamingBody) -> Answer {
+    run_completion(&context, "/v1/chat/completions", body).await
 }
 
 /// Calls a plain service.
@@ -74,9 +75,9 @@
 async fn call_service(
     context: RequestContext<Arc<Context>>,
     path: Path<ServicePath>,
-    body: UntypedBody,
+    body: StreamingBody,
 ) -> Answer {
-    let body = Bytes::copy_from_slice(body.as_bytes());
+    let body = collect(context.request.headers(), body).await?;
     Ok(run_service(&context, Method::POST, path.into_inner(), body).await)
 }
 
@@ -89,13 +90,24 @@
 async fn run_completion(
     context: &RequestContext<Arc<Context>>,
     path: &str,
-    body: &UntypedBody,
-) -> Response<Body> {
+    body: StreamingBody,
+) -> Answer {
     let headers = context.request.headers();
-    let body = Bytes::copy_from_slice(body.as_bytes());
+    let body = collect(headers, body).await?;
     let request = read::completion(Uuid::new_v4(), headers, &body);
     let outgoing = outgoing(headers, Method::POST, path.to_owned(), body);
-    run(context.context(), request, outgoing).await
+    Ok(run(context.context(), request, outgoing).await)
+}
+
+/// Reads a whole body. One that can't be read is refused without a look at what became of its
+/// idempotency key, if it has one, so that the refusal can't say that the key didn't run.
+async fn collect(headers: &HeaderMap, body: StreamingBody) -> Result<Bytes, Fault> {
+    let chunks: Result<Vec<Bytes>, HttpError> = body.into_stream().try_collect().await;
+    match chunks {
+        Ok(chunks) => Ok(chunks.concat().into()),
+        Err(error) if headers.contains_key(read::KEY) => Err(Fault::from(error).may_have_run()),
+        Err(error) => Err(Fault::from(error)),
+    }
 }
 
 async fn run_service(
--- a/components/entry/src/fault.rs
+++ b/components/entry/src/fault.rs
@@ -43,6 +43,13 @@
     }
 }
 
+impl Fault {
+    /// The same, without the promise that nothing ran.
+    pub fn may_have_run(self) -> Fault {
+        Fault { error: Refusal { ran: Ran::MayHaveRun, ..self.error }, ..self }
+    }
+}
+
 impl HttpResponseError for Fault {
     fn status_code(&self) -> ErrorStatusCode {
         let own = || ErrorStatusCode::from_status(status(&self.error));
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -195,14 +195,20 @@
     assert_eq!(refusal(answer).await["reason"], "unauthorized");
 }
 
+#[test_case(None => "not_run"; "without a key")]
+#[test_case(Some("key-1") => "may_have_run"; "with a key that an earlier copy may have used")]
 #[tokio::test]
-async fn a_body_over_the_limit_is_refused() {
+async fn a_body_over_the_limit_is_refused(key: Option<&str>) -> String {
     let site = open().await;
+    let mut request = post(&site, "/v1/completions").body(vec![b'x'; 2 << 20]);
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key);
+    }
 
-    let answer = post(&site, "/v1/completions").body(vec![b'x'; 2 << 20]).send().await.unwrap();
+    let answer = request.send().await.unwrap();
 
     assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
-    assert_eq!(refusal(answer).await["ran"], "not_run");
+    refusal(answer).await["ran"].as_str().unwrap().to_owned()
 }
 
 #[test_case(|engine| engine.fault(|f| f.cut_after = Some(3)); "connection cut")]
