Copy a request's key on arrival, not the whole request

Cause: read once more, the entry's reducer copied each arriving request, its prefix hashes and findings included, so that a refusal could speak of the key. Only the key is needed, and most requests have none. Change: `claiming::speak` takes the key; `arrive` keeps a copy of that alone. The time saved isn't measured. Conclusion: no behaviour changed.

--- a/components/scheduler/src/entry/claiming.rs
+++ b/components/scheduler/src/entry/claiming.rs
@@ -5,12 +5,12 @@
 use model::{
     Finding, Refusal,
     claim::{self, Ask, Settle, Verdict},
-    id::{ClaimKey, RequestId},
+    id::{ClaimKey, IdempotencyKey, RequestId},
     refusal::{Ran, Reason},
 };
 
 use super::{
-    Effect, KEY_LIMIT, Record, Request, State,
+    Effect, KEY_LIMIT, Record, State,
     pending::{Pending, Stage},
 };
 
@@ -194,8 +194,8 @@
 }
 
 /// Makes a refusal speak of the key: only the attempt that holds it may say that nothing ran.
-pub(super) fn speak(request: &Request, claim: Claim, refusal: Refusal) -> Refusal {
-    let names_key = request.key.as_ref().is_some_and(|key| (1..=KEY_LIMIT).contains(&key.len()));
+pub(super) fn speak(key: Option<&IdempotencyKey>, claim: Claim, refusal: Refusal) -> Refusal {
+    let names_key = key.is_some_and(|key| (1..=KEY_LIMIT).contains(&key.len()));
     let is_known = refusal.reason != Reason::Unauthorized;
     if refusal.ran == Ran::NotRun && names_key && is_known && claim != Claim::Held {
         return Refusal { ran: Ran::MayHaveRun, ..refusal };
--- a/components/scheduler/src/entry/feed.rs
+++ b/components/scheduler/src/entry/feed.rs
@@ -80,6 +80,6 @@
 fn not_fresh(request: &Request) -> Effect {
     let message = "this process is behind the configuration and can't catch up now";
     let refusal = Refusal::not_run(Reason::NotReady, message).retry_after(RETRY);
-    let refusal = claiming::speak(request, Claim::None, refusal);
+    let refusal = claiming::speak(request.key.as_ref(), Claim::None, refusal);
     Effect::Refuse { request: request.id, owner: Owner::default(), refusal }
 }
--- a/components/scheduler/src/entry/mod.rs
+++ b/components/scheduler/src/entry/mod.rs
@@ -231,8 +231,9 @@
 
     fn arrive(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
         let id = request.id;
-        if let Err((owner, refusal)) = self.admit(now, request.clone()) {
-            let refusal = claiming::speak(&request, Claim::None, refusal);
+        let key = request.key.clone();
+        if let Err((owner, refusal)) = self.admit(now, request) {
+            let refusal = claiming::speak(key.as_ref(), Claim::None, refusal);
             return effects.push(Effect::Refuse { request: id, owner, refusal });
         }
         if self.waiting.len() > self.settings.waiting {
@@ -383,7 +384,7 @@
         let Some(pending) = self.forget(id, effects) else {
             return;
         };
-        let refusal = claiming::speak(&pending.request, pending.claim, refusal);
+        let refusal = claiming::speak(pending.request.key.as_ref(), pending.claim, refusal);
         effects.push(Effect::Refuse { request: id, owner: pending.owner, refusal });
     }
 
