Name the clients of the log and the host list source

What was components/platform are the clients of the log and of the host list as the product's own interface publishes them; they keep their code and tests under the name source. Only paths change.

--- a/components/agent/src/config.rs
+++ b/components/agent/src/config.rs
@@ -12,12 +12,12 @@
     presence::{Report, Summary},
     snapshot::{self, Head, Part},
 };
-use platform::log;
 use scheduler::{
     agent::Event,
     config::{Snapshot, State},
     order, presence,
 };
+use source::log;
 use tokio::{sync::watch, task::JoinHandle, time::timeout};
 use tracing::{error, info};
 use wire::control::Relayed;
--- a/components/agent/src/crashes.rs
+++ b/components/agent/src/crashes.rs
@@ -7,11 +7,11 @@
     reservation::Id,
     suspect::{Action, Clear, Crash, Record, SCHEMA},
 };
-use platform::{
+use scheduler::agent::Event;
+use source::{
     CRASHES,
     log::{self, Client},
 };
-use scheduler::agent::Event;
 use tokio::{
     net::TcpStream,
     runtime,
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -9,12 +9,12 @@
     id::{IncarnationId, Offset, TargetName},
     membership::{Action, Join, Leave, Record, SCHEMA},
 };
-use platform::{
+use scheduler::{claim::Event, entry};
+use source::{
     MEMBERSHIP,
     log::{self, Client},
     tail::{self, News},
 };
-use scheduler::{claim::Event, entry};
 use tokio::{
     sync::{oneshot, watch},
     task::JoinHandle,
--- a/components/agent/src/outbox.rs
+++ b/components/agent/src/outbox.rs
@@ -11,7 +11,7 @@
     outbox::{self, Handed},
 };
 use model::id::IncarnationId;
-use platform::log;
+use source::log;
 use tokio::time::timeout;
 use tracing::warn;
 
--- a/components/agent/src/recent.rs
+++ b/components/agent/src/recent.rs
@@ -7,7 +7,7 @@
 };
 
 use model::id::Offset;
-use platform::log;
+use source::log;
 use wire::control::{Record, Relayed};
 
 /// Records that are kept to be passed on.
--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -45,7 +45,7 @@
     /// Recent changes, for watches.
     pub history: Arc<History>,
     /// The platform's log.
-    pub log: platform::log::Client,
+    pub log: source::log::Client,
 }
 
 /// What live processes have applied, as far as they could be asked.
--- a/components/api/src/write.rs
+++ b/components/api/src/write.rs
@@ -7,8 +7,8 @@
     change::Action,
     id::{ChangeId, Offset},
 };
-use platform::log;
 use scheduler::config::Outcome;
+use source::log;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
@@ -71,14 +71,14 @@
 async fn append(context: &Context, payload: &str) -> Result<Offset, log::Error> {
     let log = context.log.clone();
     let payload = payload.to_owned();
-    let appending = tokio::spawn(async move { log.append(platform::CONFIG, &payload).await });
+    let appending = tokio::spawn(async move { log.append(source::CONFIG, &payload).await });
     appending.await.unwrap_or(Err(log::Error::Unknown))
 }
 
 /// Catches up with the end of the log, so that nothing is decided on an old state.
 async fn refresh(context: &Context, due: Instant) -> Result<(), Failure> {
     let applied = *context.applied.borrow();
-    let read = context.log.read(platform::CONFIG, applied + 1, 1, Duration::ZERO);
+    let read = context.log.read(source::CONFIG, applied + 1, 1, Duration::ZERO);
     let behind = "this process can't catch up with the log; nothing was changed";
     let end = match timeout_at(due, read).await {
         Ok(Ok(page)) => page.next - 1,
--- a/components/api/tests/write.rs
+++ b/components/api/tests/write.rs
@@ -21,7 +21,7 @@
 /// A server whose process applies the log's records only after a while.
 fn lagging(log: &log::Log, fold: &Arc<Mutex<State>>) -> Context {
     let (applied_writer, applied) = watch::channel(fold.lock().unwrap().applied());
-    let records = log.records(platform::CONFIG);
+    let records = log.records(source::CONFIG);
     let follower = Arc::clone(fold);
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -43,7 +43,7 @@
         presence: Box::new(|| Box::pin(async { Presence::default() })),
         applied,
         history: Arc::new(History::default()),
-        log: platform::log::open(&log.base()),
+        log: source::log::open(&log.base()),
     }
 }
 
@@ -61,7 +61,7 @@
     assert_eq!(answer.status(), StatusCode::CONFLICT);
     let conflict: Value = answer.json().await.unwrap();
     assert_eq!(conflict["error"]["version"], 1);
-    assert_eq!(log.records(platform::CONFIG).len(), 1);
+    assert_eq!(log.records(source::CONFIG).len(), 1);
 }
 
 #[tokio::test]
--- a/components/entry/src/append.rs
+++ b/components/entry/src/append.rs
@@ -10,7 +10,7 @@
     batch::{Process, Role, Sealed, Sequence},
     outbox::{self, Handed},
 };
-use platform::log;
+use source::log;
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
--- a/components/entry/src/crashes.rs
+++ b/components/entry/src/crashes.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use platform::{
+use scheduler::entry::{Event, Record};
+use source::{
     CRASHES, log,
     tail::{self, News},
 };
-use scheduler::entry::{Event, Record};
 use tokio::task::JoinHandle;
 
 use crate::control;
--- a/components/entry/src/feed.rs
+++ b/components/entry/src/feed.rs
@@ -8,11 +8,11 @@
     writer::{self, Schedule},
 };
 use model::host;
-use platform::{
+use scheduler::entry::{Event, Record};
+use source::{
     hosts::{self, List},
     log,
 };
-use scheduler::entry::{Event, Record};
 use tokio::{
     sync::{oneshot, watch},
     task::JoinHandle,
--- a/components/entry/src/members.rs
+++ b/components/entry/src/members.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, SystemTime};
 
 use model::membership::{self, Leave};
-use platform::{
+use scheduler::entry::{Event, Record};
+use source::{
     MEMBERSHIP, log,
     tail::{self, News},
 };
-use scheduler::entry::{Event, Record};
 use tokio::{task::JoinHandle, time::sleep};
 use tracing::warn;
 use uuid::Uuid;
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::log;
+use source::log;
 
 use crate::{control, feed, presence};
 
--- a/components/evidence/src/append.rs
+++ b/components/evidence/src/append.rs
@@ -1,6 +1,6 @@
 //! Appends sealed batches to the platform's log, several to a record.
 
-use platform::log;
+use source::log;
 
 use crate::batch::{Envelope, Sealed};
 
@@ -28,6 +28,6 @@
 
 async fn send(log: &log::Client, envelope: &Envelope) -> Result<(), log::Error> {
     let payload = serde_json::to_string(envelope).expect("an envelope is JSON");
-    log.append(platform::EVIDENCE, &payload).await?;
+    log.append(source::EVIDENCE, &payload).await?;
     Ok(())
 }
--- a/components/evidence/src/read.rs
+++ b/components/evidence/src/read.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use model::id::Offset;
-use platform::log;
+use source::log;
 
 use crate::history::{self, Flaw, Gap, History, Read, Span};
 
@@ -41,7 +41,7 @@
     let mut expired = None;
     let mut reads = Vec::new();
     loop {
-        let page = match log.read(platform::EVIDENCE, next, PAGE, Duration::ZERO).await {
+        let page = match log.read(source::EVIDENCE, next, PAGE, Duration::ZERO).await {
             Ok(page) => page,
             Err(log::Error::Expired(first)) if first > next => {
                 expired = Some(first);
--- a/components/follower/src/archive.rs
+++ b/components/follower/src/archive.rs
@@ -6,8 +6,8 @@
     id::Offset,
     snapshot::{Assembly, Part},
 };
-use platform::{SNAPSHOTS, log};
 use scheduler::config::{Snapshot, snapshot};
+use source::{SNAPSHOTS, log};
 use tracing::warn;
 
 /// Parts of one read.
--- a/components/follower/src/lib.rs
+++ b/components/follower/src/lib.rs
@@ -11,8 +11,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration, time::Instant};
 
 use model::id::Offset;
-use platform::log;
 use scheduler::config::Snapshot;
+use source::log;
 use tokio::{
     sync::{Notify, watch},
     task::JoinHandle,
--- a/components/follower/src/read.rs
+++ b/components/follower/src/read.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use model::id::Offset;
-use platform::{CONFIG, log};
+use source::{CONFIG, log};
 use tokio::time::sleep;
 use tracing::{error, info, warn};
 
--- a/components/follower/src/relay.rs
+++ b/components/follower/src/relay.rs
@@ -8,7 +8,7 @@
 
 use futures::future::BoxFuture;
 use model::id::Offset;
-use platform::log::{Page, Record};
+use source::log::{Page, Record};
 use tarpc::context;
 use wire::{AgentClient, control::Relayed};
 
--- a/components/follower/src/writer.rs
+++ b/components/follower/src/writer.rs
@@ -4,8 +4,8 @@
 
 use futures::future::BoxFuture;
 use model::{id::Offset, snapshot};
-use platform::{SNAPSHOTS, log};
 use scheduler::config::Snapshot;
+use source::{SNAPSHOTS, log};
 use tokio::{task::JoinHandle, time::sleep};
 use tracing::{info, warn};
 
--- a/components/follower/tests/gap.rs
+++ b/components/follower/tests/gap.rs
@@ -10,7 +10,7 @@
 
 use follower::{Sink, Source, Update};
 use http::StatusCode;
-use platform::log::{Page, Record};
+use source::log::{Page, Record};
 use standin::{fixture::ANY, server};
 use tokio::sync::mpsc;
 
@@ -49,7 +49,7 @@
         }
     });
     let source = Source {
-        log: platform::log::open(&format!("http://{}", log.address)),
+        log: source::log::open(&format!("http://{}", log.address)),
         poll: Duration::from_secs(1),
         relays: Arc::new(|| Box::pin(async { Vec::new() })),
         peers: Vec::new(),
--- a/components/platform/tests/hosts.rs
+++ b/components/source/tests/hosts.rs
@@ -4,8 +4,8 @@
     Host,
     host::State::{self, Leaving, Live},
 };
-use platform::hosts::{List, Page};
 use proptest::prelude::*;
+use source::hosts::{List, Page};
 
 fn host(name: &str, state: State) -> Host {
     Host { name: name.to_owned(), zone: "a".to_owned(), state }
--- a/components/standin/examples/claims.rs
+++ b/components/standin/examples/claims.rs
@@ -36,14 +36,14 @@
 struct Bench {
     site: Site,
     http: reqwest::Client,
-    log: platform::log::Client,
+    log: source::log::Client,
 }
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let site = open().await?;
     let http = reqwest::Client::builder().no_proxy().build()?;
-    let log = platform::log::open(&site.log.base());
+    let log = source::log::open(&site.log.base());
     let bench = Bench { site, http, log };
     bench.call(Way::Claim, "first").await;
     for way in [Way::Open, Way::Claim, Way::Append] {
--- a/components/standin/examples/load/site.rs
+++ b/components/standin/examples/load/site.rs
@@ -153,7 +153,7 @@
 
     /// What stands in the stream of evidence.
     pub fn evidence(&self) -> Evidence {
-        let records = self.log.records(platform::EVIDENCE);
+        let records = self.log.records(source::EVIDENCE);
         let bytes = records.iter().map(|record| record.payload.len() as u64).sum();
         Evidence { appends: records.len() as u64, bytes }
     }
--- a/components/standin/examples/quickstart.rs
+++ b/components/standin/examples/quickstart.rs
@@ -81,7 +81,7 @@
 
 /// Judges the evidence that the processes left in the log, as `wagtailhill audit` does.
 async fn judge(log: &Log) -> Result<bool, Box<dyn Error>> {
-    let client = platform::log::open(&log.base());
+    let client = source::log::open(&log.base());
     let scope = evidence::read::read(&client, Range::default()).await?;
     let report = evidence::audit(&scope.history, scope.span);
     for finding in &report.findings {
--- a/components/standin/src/fixture.rs
+++ b/components/standin/src/fixture.rs
@@ -88,7 +88,7 @@
 pub fn seed(log: &Log, resources: Vec<Resource>) {
     for resource in resources {
         let record = serde_json::to_string(&create(resource)).expect("a change is JSON");
-        log.append(platform::CONFIG, record);
+        log.append(source::CONFIG, record);
     }
 }
 
--- a/components/standin/src/hosts.rs
+++ b/components/standin/src/hosts.rs
@@ -9,7 +9,7 @@
 
 use http::StatusCode;
 use model::{Host, id::HostName};
-use platform::hosts::{Page, Version};
+use source::hosts::{Page, Version};
 
 use crate::server::{self, Server};
 
--- a/components/standin/src/log.rs
+++ b/components/standin/src/log.rs
@@ -11,8 +11,8 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use model::id::Offset;
-use platform::log::{Append, Appended, Gone, Page, Record};
 use serde::Deserialize;
+use source::log::{Append, Appended, Gone, Page, Record};
 use tokio::{sync::watch, time::sleep, time::timeout};
 
 use crate::server::{self, Answer, Cut, Server};
--- a/src/cmd/audit.rs
+++ b/src/cmd/audit.rs
@@ -29,7 +29,7 @@
         Ok(runtime) => runtime,
         Err(error) => return exit::failed(error),
     };
-    let log = platform::log::open(log);
+    let log = source::log::open(log);
     let scope = match runtime.block_on(read::read(&log, range)) {
         Ok(scope) => scope,
         Err(error) => {
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -66,7 +66,7 @@
     let log = log::bind(ANY).await.unwrap();
     for sealed in batches {
         let envelope = Envelope { batches: vec![sealed] };
-        log.append(platform::EVIDENCE, serde_json::to_string(&envelope).unwrap());
+        log.append(source::EVIDENCE, serde_json::to_string(&envelope).unwrap());
     }
     let mut command = Command::new(support::ENTRY);
     command.args(["audit", "--log", &log.base()]).args(arguments);
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -10,10 +10,10 @@
     membership::{Action, Leave, Record, SCHEMA},
     resource::Backing,
 };
-use platform::MEMBERSHIP;
 use reqwest::{Client, RequestBuilder, Response};
 use scheduler::membership::State;
 use serde_json::{Value, json};
+use source::MEMBERSHIP;
 use standin::{
     engine::{self, Engine, Shape},
     fixture::{self, ANY},
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -25,7 +25,7 @@
 }
 
 fn crashes(site: &Site) -> Vec<bool> {
-    let records = site.log.records(platform::CRASHES);
+    let records = site.log.records(source::CRASHES);
     let records = records.iter().map(|record| serde_json::from_str(&record.payload).unwrap());
     let crashes = records.filter_map(|record: Record| match record.action {
         Action::Crash(crash) => Some(crash.alone),
--- a/tests/operator_cli.rs
+++ b/tests/operator_cli.rs
@@ -87,7 +87,7 @@
     assert!(text(&applied.stdout).contains("target `engine-1` accepted at 4"));
     assert_eq!(again.status.code(), Some(0));
     assert!(text(&again.stdout).contains("tier `crew` unchanged at 1"));
-    assert_eq!(site.log.records(platform::CONFIG).len(), 4);
+    assert_eq!(site.log.records(source::CONFIG).len(), 4);
 }
 
 #[test_case(&["engine-1"]; "one target")]
@@ -153,7 +153,7 @@
     for place in ["[0].rank: ", "[0]: ", "[1].kind: ", "[2].name: ", "[2].tiers: "] {
         assert!(told.contains(place), "{place} in {told}");
     }
-    assert!(site.log.records(platform::CONFIG).is_empty());
+    assert!(site.log.records(source::CONFIG).is_empty());
 }
 
 #[tokio::test]
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -63,7 +63,7 @@
 /// Waits until the log has a snapshot as of an offset.
 async fn snapshot_as_of(platform: &Platform, offset: u64) {
     loop {
-        let records = platform.log.records(platform::SNAPSHOTS);
+        let records = platform.log.records(source::SNAPSHOTS);
         let parts = records.iter().filter_map(|record| serde_json::from_str(&record.payload).ok());
         if parts.into_iter().any(|part: snapshot::Part| part.head.as_of >= offset) {
             return;
@@ -88,7 +88,7 @@
     snapshot_as_of(&platform, 2).await;
     put(&first, &tier("desk", 2), 2, "").await;
 
-    platform.log.expire(platform::CONFIG, 3);
+    platform.log.expire(source::CONFIG, 3);
     let second = entry(&settings("entry-2", &platform)).await;
     let repeat = put(&second, &tier("crew", 0), 0, id).await;
     let gone = get(&second, "/v1/watch?from=1").await;
@@ -103,7 +103,7 @@
 async fn a_gap_that_no_snapshot_covers_is_never_skipped() {
     let platform = platform().await;
     fixture::seed(&platform.log, vec![tier("crew", 0), tier("desk", 1)]);
-    platform.log.expire(platform::CONFIG, 2);
+    platform.log.expire(source::CONFIG, 2);
 
     let entry = support::serve(&settings("entry-1", &platform));
     sleep(Duration::from_millis(500)).await;
@@ -132,11 +132,11 @@
     forged.text = sound.to_owned();
     let mut torn = good.clone();
     torn.head.count = 2;
-    platform.log.append(platform::SNAPSHOTS, part(&good));
-    platform.log.append(platform::SNAPSHOTS, part(&forged));
-    platform.log.append(platform::SNAPSHOTS, part(&torn));
-    platform.log.append(platform::SNAPSHOTS, "no part".to_owned());
-    platform.log.expire(platform::CONFIG, 2);
+    platform.log.append(source::SNAPSHOTS, part(&good));
+    platform.log.append(source::SNAPSHOTS, part(&forged));
+    platform.log.append(source::SNAPSHOTS, part(&torn));
+    platform.log.append(source::SNAPSHOTS, "no part".to_owned());
+    platform.log.expire(source::CONFIG, 2);
 
     let second = entry(&settings("entry-2", &platform)).await;
 
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -86,7 +86,7 @@
     async fn reaches(&self) -> bool {
         let tier = fixture::tier("crew", 0, Duration::from_secs(1));
         let record = serde_json::to_string(&fixture::create(tier)).unwrap();
-        let offset = self.log.append(platform::CONFIG, record);
+        let offset = self.log.append(source::CONFIG, record);
         let due = Instant::now() + LOST;
         while Instant::now() < due {
             let status = operator::get(&self.entry, "/v1/status").await.body;
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -48,7 +48,7 @@
 }
 
 fn accepted(platform: &Platform) -> usize {
-    platform.log.records(platform::CONFIG).len()
+    platform.log.records(source::CONFIG).len()
 }
 
 #[tokio::test]
@@ -314,7 +314,7 @@
         put(entry, &tier("crew", round), 0, "").await;
         // Records that aren't accepted are passed over, and covered by the bookmark.
         fixture::seed(&platform.log, vec![tier("crew", 9)]);
-        platform.log.append(platform::CONFIG, "no change".to_owned());
+        platform.log.append(source::CONFIG, "no change".to_owned());
         delete(entry, "/v1/resources/tier/crew", u64::from(round) * 4 + 1).await;
         let lines = operator::watch(entry, next, u64::from(round) * 4 + 4).await;
         next = bookmark(&lines) + 1;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -121,7 +121,7 @@
     let resource = fixture::target(&name(index), "drawings", address, traffic.address);
     let Resource::Target(target) = resource.clone() else { unreachable!() };
     let record = serde_json::to_string(&fixture::create(resource)).unwrap();
-    let version = site.log.append(platform::CONFIG, record);
+    let version = site.log.append(source::CONFIG, record);
     site.targets.push(Declared { resource: target, version });
     site.agents.push(agent);
     site.engines.push(engine);
@@ -225,7 +225,7 @@
         let action = Action::Put(Resource::Target(resource));
         let change = fixture::change(action, version);
         let record = serde_json::to_string(&change).unwrap();
-        let version = self.log.append(platform::CONFIG, record);
+        let version = self.log.append(source::CONFIG, record);
         self.targets[target].version = version;
         for entry in &self.entries {
             let address = entry.address("operators");
