--- /dev/null
+++ b/components/gateway/src/call.rs
@@ -0,0 +1,285 @@
+//! The life of one caller's request.
+
+use std::{sync::Arc, time::Duration};
+
+use async_stream::try_stream;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, response};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use model::id::Fingerprint;
+use scheduler::direct::{self, Event, Outcome, Reason, Refusal, Start, Ticket};
+use tokio::{sync::mpsc, time::timeout};
+
+use crate::{
+    Body, Broken, Call, Dialect,
+    control::{self, Order},
+    dispatch::{self, Events, Opened, Targets},
+    events::Piece,
+    ingress::Open,
+};
+
+/// Longest time for which a body is read.
+const BODY_WAIT: Duration = Duration::from_secs(10);
+/// Largest body before the configuration says it, in bytes.
+const BODY_MAX: usize = 4 << 20;
+
+/// What all requests share.
+pub struct Context {
+    /// The control thread.
+    pub control: control::Handle,
+    /// How requests and answers are spelled.
+    pub dialect: Dialect,
+    /// Connections to targets.
+    pub targets: Targets,
+}
+
+/// A request that the control thread knows; dropping it before its end tells that the caller left.
+struct Session {
+    context: Arc<Context>,
+    call: Arc<Call>,
+    ticket: Ticket,
+    orders: mpsc::UnboundedReceiver<Order>,
+    /// The failure that a target answered with last.
+    failure: Option<Response<Bytes>>,
+    /// The last event that went to the caller.
+    last: Option<String>,
+    /// Whether any event went to the caller.
+    begun: bool,
+    ended: bool,
+    _open: Open,
+}
+
+enum Head {
+    Whole(Response<Bytes>),
+    Stream(Box<response::Parts>, Piece, Box<Events>),
+}
+
+/// Answers a request.
+pub async fn serve(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+    open: Open,
+) -> Response<Body> {
+    let dialect = context.dialect;
+    let (call, fingerprint) = match read(&context, request).await {
+        Ok(call) => call,
+        Err(response) => return response,
+    };
+    let ticket = context.control.ticket();
+    let orders = context.control.arrive(ask(&call, ticket, fingerprint));
+    let mut session = Session {
+        context,
+        last: call.ask.last_event.clone(),
+        call: Arc::new(call),
+        ticket,
+        orders,
+        failure: None,
+        begun: false,
+        ended: false,
+        _open: open,
+    };
+    match session.head().await {
+        Ok(Head::Whole(response)) => response.map(full),
+        Ok(Head::Stream(parts, first, events)) => {
+            let body = relay(session, first, *events);
+            Response::from_parts(*parts, BodyExt::boxed_unsync(StreamBody::new(body)))
+        }
+        Err(refusal) => (dialect.refuse)(&refusal, Some(&session.call.ask.id)).map(full),
+    }
+}
+
+async fn read(
+    context: &Context,
+    request: Request<Incoming>,
+) -> Result<(Call, Fingerprint), Response<Body>> {
+    let (head, body) = request.into_parts();
+    let ask = (context.dialect.read)(&head)
+        .map_err(|message| plain(StatusCode::BAD_REQUEST, &message))?;
+    let most = context.control.plan().map_or(BODY_MAX, |plan| plan.body_max);
+    let body = match timeout(BODY_WAIT, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body is larger than {most} bytes");
+            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, &message));
+        }
+        Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
+        Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
+    };
+    let fingerprint = fingerprint(&head, &ask.key, &body);
+    Ok((Call { head, body, ask }, fingerprint))
+}
+
+fn fingerprint(head: &http::request::Parts, key: &Option<String>, body: &[u8]) -> Fingerprint {
+    let mut hash = blake3::Hasher::new();
+    hash.update(head.uri.path().as_bytes());
+    hash.update(key.as_deref().unwrap_or_default().as_bytes());
+    hash.update(body);
+    let mut short = Fingerprint::default();
+    let length = short.len();
+    short.copy_from_slice(&hash.finalize().as_bytes()[..length]);
+    short
+}
+
+fn ask(call: &Call, ticket: Ticket, fingerprint: Fingerprint) -> direct::Request {
+    let draw = blake3::hash(call.ask.id.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&draw.as_bytes()[..8]);
+    direct::Request {
+        ticket,
+        id: call.ask.id.clone(),
+        host: call.ask.host.clone(),
+        path: call.head.uri.path().to_owned(),
+        key: call.ask.key.clone(),
+        patience: call.ask.patience,
+        tokens: call.ask.tokens,
+        resumes: call.ask.last_event.is_some(),
+        fingerprint,
+        draw: u64::from_le_bytes(bytes),
+    }
+}
+
+impl Session {
+    /// Waits and dispatches until there is something to tell the caller.
+    async fn head(&mut self) -> Result<Head, Refusal> {
+        loop {
+            let start = match self.order().await {
+                Ok(start) => start,
+                Err(Some(refusal)) => return Err(refusal),
+                Err(None) => return self.failure.take().map(Head::Whole).ok_or(LOST),
+            };
+            match self.send(&start).await {
+                Ok(Opened::Whole(response)) => {
+                    self.began();
+                    self.report(Outcome::Done, 0);
+                    return Ok(Head::Whole(response));
+                }
+                Ok(Opened::Failure(response)) => {
+                    self.failure = Some(response);
+                    self.report(Outcome::Failed, 0);
+                }
+                Ok(Opened::Stream(parts, mut events)) => match events.next().await {
+                    Ok(Some(piece)) => {
+                        self.began();
+                        return Ok(Head::Stream(parts, piece, events));
+                    }
+                    Ok(None) => {
+                        self.report(Outcome::Done, 0);
+                        return Ok(Head::Whole(Response::from_parts(*parts, Bytes::new())));
+                    }
+                    Err(outcome) => self.report(outcome, 0),
+                },
+                Err(outcome) => self.report(outcome, 0),
+            }
+        }
+    }
+
+    /// Waits for a new dispatch of a stream that broke off.
+    async fn resume(&mut self) -> Result<Box<Events>, Broken> {
+        loop {
+            let start = self.order().await.map_err(|_| Broken)?;
+            match self.send(&start).await {
+                Ok(Opened::Stream(_, events)) => return Ok(events),
+                Ok(_) => self.report(Outcome::Lost { crashed: false }, 0),
+                Err(outcome) => self.report(outcome, 0),
+            }
+        }
+    }
+
+    /// The next dispatch; else the refusal, or nothing where the last failure is to be passed on.
+    async fn order(&mut self) -> Result<Start, Option<Refusal>> {
+        match self.orders.recv().await {
+            Some(Order::Start(start)) => Ok(start),
+            Some(Order::Refuse(refusal)) => {
+                self.ended = true;
+                Err(Some(refusal))
+            }
+            Some(Order::Pass) => {
+                self.ended = true;
+                Err(None)
+            }
+            None => Err(Some(LOST)),
+        }
+    }
+
+    async fn send(&self, start: &Start) -> Result<Opened, Outcome> {
+        let Context { targets, dialect, .. } = &*self.context;
+        dispatch::send(targets, dialect, &self.call, start, self.last.as_deref()).await
+    }
+
+    fn began(&self) {
+        self.context.control.send(Event::Began { ticket: self.ticket });
+    }
+
+    fn report(&mut self, outcome: Outcome, events: u32) {
+        self.ended = outcome == Outcome::Done;
+        let (ticket, begun) = (self.ticket, self.begun);
+        self.context.control.send(Event::Ended { ticket, outcome, begun, events });
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.context.control.send(Event::Left { ticket: self.ticket });
+        }
+    }
+}
+
+/// Passes whole events on, from one target after another where the stream may be resumed.
+fn relay(
+    mut session: Session,
+    first: Piece,
+    mut events: Events,
+) -> impl futures::Stream<Item = Result<Frame<Bytes>, Broken>> {
+    try_stream! {
+        let mut next = Ok(Some(first));
+        let mut count = 0;
+        loop {
+            match next {
+                Ok(Some(piece)) => {
+                    if is_new(session.last.as_deref(), piece.id.as_deref()) {
+                        session.begun = true;
+                        count += 1;
+                        if piece.id.is_some() {
+                            session.last = piece.id;
+                        }
+                        yield Frame::data(piece.bytes);
+                    }
+                }
+                Ok(None) => {
+                    session.report(Outcome::Done, count);
+                    break;
+                }
+                Err(outcome) => {
+                    session.report(outcome, count);
+                    drop(events);
+                    events = *session.resume().await?;
+                    count = 0;
+                }
+            }
+            next = events.next().await;
+        }
+    }
+}
+
+/// Whether an event hasn't been passed on yet. Ids grow within a stream.
+fn is_new(last: Option<&str>, id: Option<&str>) -> bool {
+    let number = |text: Option<&str>| text.and_then(|text| text.parse::<u64>().ok());
+    match (number(last), number(id)) {
+        (Some(last), Some(id)) => id > last,
+        _ => true,
+    }
+}
+
+const LOST: Refusal = Refusal { reason: Reason::Lost, not_run: false, retry_after: None };
+
+fn full(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+fn plain(status: StatusCode, message: &str) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::from(format!("{message}\n"))));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/components/gateway/src/control.rs
@@ -0,0 +1,317 @@
+//! The control thread: owns the reducer's state, takes events in and carries effects out.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::time::{ClockId, clock_gettime};
+use scheduler::direct::{
+    self, Effect, Event, Now, Refusal, Request, Start, State, Ticket, peers::Row, plan::Plan,
+};
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval, sleep_until},
+};
+use tracing::{error, info};
+
+use crate::{Feed, Settings, peer, record};
+
+/// Longest sleep of the control thread, in case no timer is due.
+const IDLE: Duration = Duration::from_secs(60);
+/// Period of the exchange with other entry processes.
+const EXCHANGE: Duration = Duration::from_millis(100);
+/// Exchanges between two that tell all that is known, not just the own row.
+const FULL: u64 = 10;
+
+/// What a request is told to do next.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Dispatch it.
+    Start(Start),
+    /// End it with an answer of our own.
+    Refuse(Refusal),
+    /// End it with the failure that its target answered with.
+    Pass,
+}
+
+enum Message {
+    Event(Event),
+    Arrived(Request, mpsc::UnboundedSender<Order>),
+    Exchange { rows: Vec<Row>, all: bool, reply: oneshot::Sender<Vec<Row>> },
+    Exchanged { address: SocketAddr, answer: Option<(peer::PeerClient, Vec<Row>)> },
+}
+
+/// Speaks to the control thread; clones speak to the same one.
+#[derive(Clone)]
+pub struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    tickets: Arc<AtomicU64>,
+    lame: Arc<AtomicBool>,
+    status: watch::Receiver<Status>,
+}
+
+/// What the control thread says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    /// Whether the balancer should send requests here.
+    pub ready: bool,
+    /// The configuration in force.
+    pub plan: Option<Arc<Plan>>,
+}
+
+#[derive(Default)]
+struct Link {
+    client: Option<peer::PeerClient>,
+    busy: bool,
+}
+
+struct Thread {
+    state: State,
+    orders: HashMap<Ticket, mpsc::UnboundedSender<Order>>,
+    ids: HashMap<Ticket, String>,
+    links: HashMap<SocketAddr, Link>,
+    messages: mpsc::UnboundedSender<Message>,
+    status: watch::Sender<Status>,
+    own: SocketAddr,
+    exchanges: u64,
+}
+
+/// Starts the control thread.
+pub fn spawn(settings: &Settings, feed: Feed) -> io::Result<Handle> {
+    let (messages, inbox) = mpsc::unbounded_channel();
+    let (status, reader) = watch::channel(Status::default());
+    let handle = Handle {
+        messages: messages.clone(),
+        tickets: Arc::default(),
+        lame: Arc::default(),
+        status: reader,
+    };
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let thread = Thread {
+        state: direct::open(Instant::now(), settings.direct.clone()),
+        orders: HashMap::new(),
+        ids: HashMap::new(),
+        links: HashMap::new(),
+        messages,
+        status,
+        own: settings.peers,
+        exchanges: 0,
+    };
+    let (settings, given) = (settings.clone(), handle.clone());
+    thread::Builder::new().name("control".into()).spawn(move || {
+        runtime.block_on(async move {
+            if let Err(error) = peer::bind(settings.peers, given.clone()).await {
+                error!(%error, address = %settings.peers, "can't listen for entry processes");
+            }
+            given.send(Event::Introduced(settings.seeds));
+            tokio::spawn(feed(given));
+            thread.run(inbox).await;
+        });
+    })?;
+    Ok(handle)
+}
+
+/// The time now.
+pub fn now() -> Now {
+    let boot = clock_gettime(ClockId::Boottime);
+    let boot = Duration::new(
+        boot.tv_sec.try_into().unwrap_or_default(),
+        boot.tv_nsec.try_into().unwrap_or_default(),
+    );
+    Now { steady: Instant::now(), boot }
+}
+
+impl Handle {
+    /// Gives an event to the reducer.
+    pub fn send(&self, event: Event) {
+        // The thread ends only with the process.
+        let _ = self.messages.send(Message::Event(event));
+    }
+
+    /// A number for a new request.
+    pub fn ticket(&self) -> Ticket {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Takes a request in; what it is told comes through the receiver.
+    pub fn arrive(&self, request: Request) -> mpsc::UnboundedReceiver<Order> {
+        let (orders, receiver) = mpsc::unbounded_channel();
+        let _ = self.messages.send(Message::Arrived(request, orders));
+        receiver
+    }
+
+    /// Takes rows of another process in.
+    pub async fn exchange(&self, rows: Vec<Row>, all: bool) -> Vec<Row> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.messages.send(Message::Exchange { rows, all, reply });
+        answer.await.unwrap_or_default()
+    }
+
+    /// Lets the health check fail from now on.
+    pub fn lame(&self) {
+        self.lame.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.status.borrow().ready && !self.lame.load(Ordering::Relaxed)
+    }
+
+    /// The configuration in force.
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        self.status.borrow().plan.clone()
+    }
+}
+
+impl Thread {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut exchange = interval(EXCHANGE);
+        exchange.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let wake = direct::next_wake(&self.state, Instant::now());
+            let wake = wake.unwrap_or_else(|| Instant::now() + IDLE);
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = exchange.tick() => self.exchange(),
+                () = sleep_until(wake.into()) => self.reduce(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Event(event) => {
+                if let Event::Left { ticket } = event {
+                    self.forget(ticket);
+                }
+                self.reduce(event);
+            }
+            Message::Arrived(request, orders) => {
+                self.orders.insert(request.ticket, orders);
+                self.ids.insert(request.ticket, request.id.clone());
+                self.reduce(Event::Arrived(request));
+            }
+            Message::Exchange { rows, all, reply } => {
+                self.reduce(Event::Heard(rows));
+                let _ = reply.send(self.rows(all));
+            }
+            Message::Exchanged { address, answer } => {
+                let link = self.links.entry(address).or_default();
+                link.busy = false;
+                link.client = None;
+                if let Some((client, rows)) = answer {
+                    link.client = Some(client);
+                    self.reduce(Event::Heard(rows));
+                }
+            }
+        }
+    }
+
+    fn reduce(&mut self, event: Event) {
+        let now = now();
+        if let Event::Ended { ticket, outcome, begun, events } = &event
+            && let Some(id) = self.ids.get(ticket)
+        {
+            info!(request = id, ?outcome, begun, events, "a dispatch ended");
+        }
+        let ended = match &event {
+            Event::Ended { ticket, outcome: direct::Outcome::Done, .. } => Some(*ticket),
+            _ => None,
+        };
+        for effect in direct::reduce(&mut self.state, now, event) {
+            record::decided(&self.state, now.steady, &effect);
+            self.carry_out(effect);
+        }
+        if let Some(ticket) = ended {
+            self.forget(ticket);
+        }
+        self.tell();
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Start(start) => {
+                if let Some(orders) = self.orders.get(&start.ticket) {
+                    let _ = orders.send(Order::Start(start));
+                }
+            }
+            Effect::Refuse { ticket, refusal } => {
+                let id = self.ids.get(&ticket).map(String::as_str).unwrap_or_default();
+                record::refused(id, ticket, &refusal, self.state.open_requests());
+                self.end(ticket, Order::Refuse(refusal));
+            }
+            Effect::Pass { ticket } => self.end(ticket, Order::Pass),
+            Effect::Note(_) => {}
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, order: Order) {
+        if let Some(orders) = self.orders.remove(&ticket) {
+            let _ = orders.send(order);
+        }
+        self.ids.remove(&ticket);
+    }
+
+    fn forget(&mut self, ticket: Ticket) {
+        self.orders.remove(&ticket);
+        self.ids.remove(&ticket);
+    }
+
+    fn tell(&mut self) {
+        let ready = self.state.is_ready();
+        let plan = self.state.plan_in_force();
+        self.status.send_if_modified(|status| {
+            let version = |plan: Option<&Arc<Plan>>| plan.map(|plan| plan.version);
+            let changed = status.ready != ready || version(status.plan.as_ref()) != version(plan);
+            if changed {
+                *status = Status { ready, plan: plan.cloned() };
+            }
+            changed
+        });
+    }
+
+    fn rows(&mut self, all: bool) -> Vec<Row> {
+        let mut rows = vec![self.state.row()];
+        if all {
+            rows.extend(self.state.rows(Instant::now()));
+        }
+        rows
+    }
+
+    /// Exchanges rows with those whose address is higher, and with all that aren't heard.
+    fn exchange(&mut self) {
+        self.exchanges += 1;
+        let all = self.exchanges.is_multiple_of(FULL);
+        let now = Instant::now();
+        let peers: Vec<SocketAddr> = self.state.peers().collect();
+        self.links.retain(|address, _| peers.contains(address));
+        for address in peers {
+            if address < self.own && self.state.hears(now, address) {
+                continue;
+            }
+            let rows = self.rows(all);
+            let link = self.links.entry(address).or_default();
+            if std::mem::replace(&mut link.busy, true) {
+                continue;
+            }
+            let (client, messages) = (link.client.clone(), self.messages.clone());
+            tokio::spawn(async move {
+                let answer = peer::exchange(client, address, rows, all).await;
+                let _ = messages.send(Message::Exchanged { address, answer });
+            });
+        }
+        self.reduce(Event::Tick);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatch.rs
@@ -0,0 +1,160 @@
+//! One dispatch of a request to a target.
+
+use std::{pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper_util::{
+    client::legacy::{
+        self,
+        connect::{CaptureConnection, HttpConnector, capture_connection},
+    },
+    rt::{TokioExecutor, TokioTimer},
+};
+use scheduler::direct::{Outcome, Start};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    Call, Dialect, Verdict,
+    events::{Piece, Splitter},
+};
+
+/// Longest wait for a connection. A target nearby takes one within a few milliseconds; one that is
+/// cut off or dark takes none, and the request has then surely not been sent.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Longest time for which data may stay unacknowledged before the connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// Time for which an unused connection is kept; targets close theirs later.
+const IDLE: Duration = Duration::from_secs(3);
+/// Time after the end of a request's time in which the target's own word on that is waited for.
+const WORD: Duration = Duration::from_millis(100);
+/// Largest answer that is held whole, in bytes.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// Connections to all targets.
+pub type Targets = legacy::Client<HttpConnector, Full<Bytes>>;
+
+/// Gives a set without connections.
+pub fn open() -> Targets {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT));
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    legacy::Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE)
+        .build(connector)
+}
+
+/// What a dispatch gave.
+pub enum Opened {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// A whole answer that tells of a failure.
+    Failure(Response<Bytes>),
+    /// The head of a stream, and what follows.
+    Stream(Box<response::Parts>, Box<Events>),
+}
+
+/// The events of one dispatch.
+pub struct Events {
+    body: Pin<Box<Incoming>>,
+    splitter: Splitter,
+    connection: CaptureConnection,
+    until: Instant,
+}
+
+/// Sends a request and reads its answer, or the head of it where that is a stream.
+pub async fn send(
+    targets: &Targets,
+    dialect: &Dialect,
+    call: &Call,
+    start: &Start,
+    last_event: Option<&str>,
+) -> Result<Opened, Outcome> {
+    let until = Instant::from_std(start.until) + WORD;
+    let remaining = start.until.saturating_duration_since(std::time::Instant::now());
+    if remaining.is_zero() {
+        return Err(Outcome::Expired);
+    }
+    let mut request = (dialect.forward)(call, start, remaining, last_event);
+    let connection = capture_connection(&mut request);
+    let answer = timeout_at(until, targets.request(request)).await;
+    let answer = answer.map_err(|_| Outcome::Expired)?.map_err(|error| lost(&error))?;
+    let (mut head, body) = answer.into_parts();
+    let verdict = (dialect.judge)(&head, call);
+    (dialect.strip)(&mut head);
+    match verdict {
+        Verdict::NotRun => Err(Outcome::Rejected),
+        Verdict::Replaced => Err(Outcome::Replaced),
+        Verdict::Foreign => {
+            poison(&connection);
+            Err(Outcome::Lost { crashed: false })
+        }
+        Verdict::Answer if start.stream => {
+            let body = Box::pin(body);
+            let events = Events { body, splitter: Splitter::default(), connection, until };
+            Ok(Opened::Stream(Box::new(head), Box::new(events)))
+        }
+        Verdict::Answer => Ok(Opened::Whole(whole(head, body, until).await?)),
+        Verdict::Failure => Ok(Opened::Failure(whole(head, body, until).await?)),
+    }
+}
+
+impl Events {
+    /// The next whole event; `None` at the end of a whole stream.
+    pub async fn next(&mut self) -> Result<Option<Piece>, Outcome> {
+        loop {
+            if let Some(piece) = self.splitter.next() {
+                return Ok(Some(piece));
+            }
+            let frame = timeout_at(self.until, self.body.frame()).await;
+            match frame.map_err(|_| Outcome::Expired)? {
+                Some(Ok(frame)) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.splitter.push(bytes);
+                    }
+                }
+                Some(Err(_)) => return Err(Outcome::Lost { crashed: true }),
+                None if self.splitter.is_empty() => return Ok(None),
+                None => return Err(Outcome::Lost { crashed: true }),
+            }
+        }
+    }
+}
+
+impl Drop for Events {
+    fn drop(&mut self) {
+        // A stream that is left before its end still runs until its connection is closed.
+        if !self.body.is_end_stream() {
+            poison(&self.connection);
+        }
+    }
+}
+
+async fn whole(
+    head: response::Parts,
+    body: Incoming,
+    until: Instant,
+) -> Result<Response<Bytes>, Outcome> {
+    let body = timeout_at(until, Limited::new(body, ANSWER_MAX).collect()).await;
+    match body.map_err(|_| Outcome::Expired)? {
+        Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+        Err(_) => Err(Outcome::Lost { crashed: true }),
+    }
+}
+
+fn lost(error: &legacy::Error) -> Outcome {
+    if error.is_connect() {
+        return Outcome::Unreached;
+    }
+    Outcome::Lost { crashed: true }
+}
+
+fn poison(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,162 @@
+//! The entry process of a deployment whose targets have no agent beside them: takes callers'
+//! requests, dispatches them straight to targets and relays the answers.
+//!
+//! One thread holds the control state and speaks to the other entry processes; another carries the
+//! traffic. How requests and answers are spelled is told by a [`Dialect`], where the configuration
+//! and the list of targets come from by a [`Feed`].
+
+mod call;
+pub mod control;
+mod dispatch;
+mod events;
+mod ingress;
+mod peer;
+pub mod record;
+
+use std::{future::Future, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{request, response};
+use http_body_util::{Full, combinators::UnsyncBoxBody};
+use scheduler::direct::{self, Refusal, Start, Tokens};
+use thiserror::Error;
+use tracing::info;
+
+/// A body that goes to a caller; an error breaks the connection off.
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// the answer broke off
+#[derive(Clone, Copy, Debug, Display, Error)]
+pub struct Broken;
+
+/// Reads the configuration and the targets, and feeds them to the control thread, on which it runs.
+pub type Feed = Box<dyn FnOnce(control::Handle) -> Pin<Box<dyn Future<Output = ()> + Send>> + Send>;
+
+/// Why the process can't run.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// can't listen at {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// the control thread can't be started: {0}
+    Thread(io::Error),
+}
+
+/// What the process is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name, for logs.
+    pub name: String,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's health check and metrics readers.
+    pub operators: SocketAddr,
+    /// For other entry processes.
+    pub peers: SocketAddr,
+    /// Other entry processes that may be alive.
+    pub seeds: Vec<SocketAddr>,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+    /// What the reducer is told.
+    pub direct: direct::Settings,
+}
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Ask {
+    /// Its id, as its caller gave it.
+    pub id: String,
+    /// Host name that it asks for.
+    pub host: String,
+    /// The key that it bears.
+    pub key: Option<String>,
+    /// Time for which its caller waits.
+    pub patience: Option<Duration>,
+    /// Its tokens.
+    pub tokens: Option<Tokens>,
+    /// The event after which its answer goes on.
+    pub last_event: Option<String>,
+}
+
+/// A request that arrived whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its head.
+    pub head: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// What it says of itself.
+    pub ask: Ask,
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The answer to the request; it goes to the caller as it is.
+    Answer,
+    /// A failure with the target's mark, which goes to the caller unless the request is repeated.
+    Failure,
+    /// The target did not run the request.
+    NotRun,
+    /// Another target has the address, and did not run the request.
+    Replaced,
+    /// No proper answer to this request.
+    Foreign,
+}
+
+/// Makes the request to a target, with the time that remains and the event to go on after.
+pub type Forward = fn(&Call, &Start, Duration, Option<&str>) -> http::Request<Full<Bytes>>;
+
+/// How requests and answers are spelled.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Reads the head of a caller's request; an error says what is wrong with it.
+    pub read: fn(&request::Parts) -> Result<Ask, String>,
+    /// Makes the request to a target, with the time that remains and the event to go on after.
+    pub forward: Forward,
+    /// Judges the head of a target's answer.
+    pub judge: fn(&response::Parts, &Call) -> Verdict,
+    /// Takes the headers out of a target's answer that concern its connection only.
+    pub strip: fn(&mut response::Parts),
+    /// Makes an answer of our own.
+    pub refuse: fn(&Refusal, Option<&str>) -> http::Response<Bytes>,
+}
+
+/// A running process.
+pub struct Handle {
+    control: control::Handle,
+    ingress: ingress::Handle,
+    grace: Duration,
+}
+
+/// Starts the process on the current `tokio` runtime, which becomes its traffic thread.
+pub async fn spawn(settings: Settings, dialect: Dialect, feed: Feed) -> Result<Handle, Error> {
+    let control = control::spawn(&settings, feed).map_err(Error::Thread)?;
+    let context =
+        Arc::new(call::Context { control: control.clone(), dialect, targets: dispatch::open() });
+    let ingress = ingress::bind(&settings, context).await?;
+    let Settings { name, callers, operators, peers, .. } = &settings;
+    info!(name, %callers, %operators, %peers, "listening");
+    Ok(Handle { control, ingress, grace: settings.grace })
+}
+
+/// Time after the request to stop for which new requests are still taken: the balancer needs up to
+/// two seconds to send no more.
+const LAME: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace in which the process ends by itself.
+const MARGIN: Duration = Duration::from_millis(300);
+
+impl Handle {
+    /// Tells the balancer to send no more, finishes what is in progress, and ends.
+    pub async fn drain(self) {
+        let end = tokio::time::Instant::now() + self.grace - MARGIN;
+        info!(open = self.ingress.open(), "leaving: the health check fails from now on");
+        self.control.lame();
+        self.ingress.close_idle();
+        tokio::time::sleep(LAME).await;
+        info!(open = self.ingress.open(), "draining: new requests are refused");
+        self.control.send(direct::Event::Drain);
+        let ended = tokio::time::timeout_at(end, self.ingress.ended()).await;
+        info!(open = self.ingress.open(), whole = ended.is_ok(), "stopped");
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/direct/allowance.rs
@@ -0,0 +1,113 @@
+//! Limits of client accounts that all entry processes keep together.
+//!
+//! Each process knows what the others let through and keeps the whole limit's bucket. While any
+//! process that may take requests is silent, each keeps to an equal part instead, so that the
+//! parts add up to the limit whoever is cut off from whom.
+
+use std::time::{Duration, Instant};
+
+use super::plan::Limit;
+
+/// What one process knows of an account's use.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    /// Units let through by this process since its start; only grows, but for what is given back.
+    pub spent: u64,
+    /// Units left of the whole limit; at most the burst, negative after an overshoot.
+    whole: f64,
+    /// Units left of an equal part of the limit.
+    part: f64,
+    refilled: Instant,
+}
+
+/// How far a deployment lets an account's use lie above its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Part of what the limit allows over the window.
+    pub ratio: f64,
+    /// Units besides.
+    pub slack: f64,
+    /// Time over which use is counted.
+    pub window: Duration,
+}
+
+/// Part of the tolerance that is given out, so that nothing below the limit is refused where
+/// requests come in clumps. The rest is left for what processes let through before they hear of
+/// each other, and for the parts that come on top when one is cut off.
+const GIVEN: f64 = 0.5;
+
+impl Tolerance {
+    fn extra(&self, limit: &Limit) -> f64 {
+        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
+        GIVEN * (self.ratio * allowed + self.slack)
+    }
+}
+
+/// What a process may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Processes among which the limit is parted; at least 1.
+    pub among: u32,
+    /// Whether what all of them let through is known.
+    pub known: bool,
+    /// How far the limit may be passed.
+    pub tolerance: Tolerance,
+}
+
+/// An account that hasn't been used. Its buckets are empty when the process starts: one that was
+/// started again doesn't know what it let through before.
+pub fn open(started: Instant) -> Allowance {
+    Allowance { spent: 0, whole: 0.0, part: 0.0, refilled: started }
+}
+
+impl Allowance {
+    /// Takes units, or says how long it lasts until they are there, in seconds.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        limit: &Limit,
+        share: Share,
+        units: f64,
+    ) -> Result<(), f64> {
+        self.refill(now, limit, share);
+        let among = f64::from(share.among);
+        // A request larger than the burst is let through by a full bucket.
+        let wants = |most: f64| units.min(most);
+        let missing = if share.known {
+            (wants(limit.burst) - self.whole) / limit.rate
+        } else {
+            (wants(limit.burst / among) - self.part) / (limit.rate / among)
+        };
+        if missing > 0.0 {
+            return Err(missing);
+        }
+        self.whole -= units;
+        self.part -= units;
+        self.spent += units as u64;
+        Ok(())
+    }
+
+    /// Gives back units of a request that did not run.
+    pub fn give_back(&mut self, units: f64) {
+        self.whole += units;
+        self.part += units;
+        self.spent = self.spent.saturating_sub(units as u64);
+    }
+
+    /// Counts what another process let through.
+    pub fn charge(&mut self, units: f64) {
+        self.whole -= units;
+    }
+
+    fn refill(&mut self, now: Instant, limit: &Limit, share: Share) {
+        let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let among = f64::from(share.among);
+        // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
+        // lock its account out.
+        let floor = -limit.burst.max(limit.rate);
+        let most = limit.burst + share.tolerance.extra(limit);
+        self.whole = (self.whole + passed * limit.rate).clamp(floor, most);
+        self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/direct/event.rs
@@ -0,0 +1,254 @@
+//! Events that the reducer of direct dispatch takes and effects that it gives.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName};
+
+use super::{peers::Row, plan::Plan};
+
+/// Number of a request in this process.
+pub type Ticket = u64;
+
+/// The time, by two clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Doesn't count the time for which the host was suspended.
+    pub steady: Instant,
+    /// Time since the host started, suspensions included.
+    pub boot: Duration,
+}
+
+/// Tokens of a request, as its caller states them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tokens {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Most tokens of the answer.
+    pub output: u32,
+}
+
+/// A request that arrived whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its number here.
+    pub ticket: Ticket,
+    /// Its id, as its caller gave it.
+    pub id: String,
+    /// Host name that it asks for.
+    pub host: String,
+    /// Its path, without the query.
+    pub path: String,
+    /// The key that it bears.
+    pub key: Option<String>,
+    /// Time for which its caller waits.
+    pub patience: Option<Duration>,
+    /// Its tokens, where it says them.
+    pub tokens: Option<Tokens>,
+    /// Whether it goes on after an event of an earlier answer.
+    pub resumes: bool,
+    /// Fingerprint of its path, caller and body.
+    pub fingerprint: Fingerprint,
+    /// Spread evenly over requests.
+    pub draw: u64,
+}
+
+/// What became of one dispatch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The whole answer went to the caller.
+    Done,
+    /// The target says that it did not run the request.
+    Rejected,
+    /// Another target has the address, which says that it did not run the request.
+    Replaced,
+    /// No connection: the request wasn't sent.
+    Unreached,
+    /// The target answered whole with a failure.
+    Failed,
+    /// No whole answer; it may have run. `crashed` where the connection broke off.
+    Lost {
+        /// Whether the connection broke off, as it does when a target dies.
+        crashed: bool,
+    },
+    /// The time was over; it may have run.
+    Expired,
+}
+
+impl Outcome {
+    /// Whether the target may have run the request.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Rejected | Outcome::Replaced | Outcome::Unreached)
+    }
+}
+
+/// A target, as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Its name, new with each start.
+    pub name: TargetName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub ready: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request arrived whole.
+    Arrived(Request),
+    /// The first event or the head of an answer came.
+    Began {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// A dispatch ended.
+    Ended {
+        /// The request.
+        ticket: Ticket,
+        /// How.
+        outcome: Outcome,
+        /// Whether a part of the answer went to the caller.
+        begun: bool,
+        /// Events of a stream that came in this dispatch.
+        events: u32,
+    },
+    /// The caller left.
+    Left {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// A configuration was read.
+    Planned(Arc<Plan>),
+    /// Nothing newer than the configuration in force existed at a time of the boot clock.
+    Confirmed {
+        /// When.
+        boot: Duration,
+    },
+    /// All targets that the platform lists.
+    Targets(Vec<Target>),
+    /// Entry processes that the platform's service names.
+    Introduced(Vec<SocketAddr>),
+    /// What another entry process says of itself and of others.
+    Heard(Vec<Row>),
+    /// The process is asked to leave.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// Why a request gets no answer of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No configuration is known, or it may be out of date.
+    NotReady,
+    /// No route fits.
+    NoRoute,
+    /// The key is missing or unknown.
+    BadKey,
+    /// The account is beyond its limit.
+    Limit,
+    /// No target had room in time.
+    NoRoom,
+    /// The process is leaving.
+    Draining,
+    /// Its body crashed targets.
+    Quarantined,
+    /// The time was over and it has not run.
+    Late,
+    /// The time was over and it may have run.
+    Expired,
+    /// It may have run and can't be repeated.
+    Lost,
+    /// Every dispatch failed before it ran.
+    Unserved,
+}
+
+/// An answer of our own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether the request provably did not run and never will.
+    pub not_run: bool,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// Everything that is needed to dispatch a request.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The request.
+    pub ticket: Ticket,
+    /// The target.
+    pub target: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whose the request is.
+    pub account: Option<AccountName>,
+    /// When its time is over.
+    pub until: Instant,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Which dispatch of the request this is, from 1.
+    pub attempt: u32,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Dispatch a request.
+    Start(Start),
+    /// End a request with an answer of our own, or by breaking its answer off where that began.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// What to answer.
+        refusal: Refusal,
+    },
+    /// Give the caller the failure that the target answered with.
+    Pass {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// A change of what is believed, for the log.
+    Note(Note),
+}
+
+/// A change of what is believed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Note {
+    /// A configuration is in force.
+    Planned {
+        /// Its version.
+        version: u64,
+    },
+    /// The targets in use changed.
+    Targets {
+        /// Targets that take requests.
+        ready: usize,
+        /// Targets that are listed.
+        listed: usize,
+    },
+    /// The configuration is known to be current again, or no longer.
+    Fresh(bool),
+    /// All entry processes that may take requests are heard, or not all.
+    Peers {
+        /// Those that are heard.
+        heard: usize,
+        /// Those that may take requests.
+        expected: usize,
+    },
+    /// A body is refused from now on.
+    Quarantined(Fingerprint),
+}
--- /dev/null
+++ b/components/scheduler/src/direct/mod.rs
@@ -0,0 +1,660 @@
+//! The reducer of direct dispatch: requests go from the entry process straight to targets that
+//! have no agent beside them.
+//!
+//! A request waits here until a target has room, highest tier first, and is dispatched once. What
+//! may be repeated is dispatched again within the route's attempts and the pool's budget.
+
+pub mod allowance;
+pub mod budget;
+pub mod event;
+pub mod peers;
+mod pending;
+pub mod plan;
+pub mod room;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::id::{AccountName, Fingerprint, PoolName, ZoneName};
+
+use allowance::{Allowance, Share};
+use budget::Budget;
+pub use event::{
+    Effect, Event, Note, Now, Outcome, Reason, Refusal, Request, Start, Target, Ticket, Tokens,
+};
+use peers::{Peers, Row};
+use pending::{Order, Pending, Running, Stage};
+use plan::{Plan, Repeat};
+use room::{Place, Room, Wish};
+
+/// Time for which a target that vanished from the platform's list in an outage is still used:
+/// living ones are listed again within two seconds of the outage's end.
+const RETURN: Duration = Duration::from_millis(2_200);
+/// Longest time between two answers of the platform that isn't an outage.
+const SILENCE: Duration = Duration::from_millis(2_800);
+/// Crashes after which a body is refused.
+const CRASHES: u32 = 2;
+/// Time within which a target that takes no connection is blamed on what it ran before.
+const BLAME: Duration = Duration::from_secs(2);
+/// Time to come back in, where no target has room.
+const RETRY: Duration = Duration::from_millis(400);
+/// Part of the time that a caller has after which a request that still waits is refused.
+const WAIT_PART: f64 = 0.5;
+/// Time for which a stream that broke off waits for another target.
+const RESUME_WAIT: Duration = Duration::from_millis(1_500);
+/// Time that is assumed where a caller doesn't say how long it waits.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What the reducer is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Where this process listens for other entry processes.
+    pub address: SocketAddr,
+    /// Differs with each start of the process.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Longest time since the configuration was known to be current for which keys count.
+    pub freshness: Duration,
+    /// Time after which a process that is silent can't take requests with a key any more.
+    pub gone: Duration,
+    /// What may be repeated.
+    pub repeats: budget::Rule,
+    /// How far accounts may pass their limits.
+    pub tolerance: allowance::Tolerance,
+}
+
+/// Everything that direct dispatch decides from.
+#[derive(Clone, Debug)]
+pub struct State {
+    settings: Settings,
+    /// When the process started.
+    opened: Instant,
+    plan: Option<Arc<Plan>>,
+    /// When the plan was last known to be current, by the boot clock.
+    confirmed: Option<Duration>,
+    fresh: bool,
+    /// When the platform was silent for the last time.
+    outage: Option<Instant>,
+    /// The last list, while vanished targets are still used.
+    listed: Option<Vec<Target>>,
+    room: Room,
+    requests: HashMap<Ticket, Pending>,
+    waiting: BTreeMap<PoolName, BTreeSet<Order>>,
+    timers: BTreeSet<(Instant, Ticket)>,
+    accounts: BTreeMap<AccountName, Allowance>,
+    budgets: BTreeMap<PoolName, Budget>,
+    peers: Peers,
+    place: Place,
+    known: bool,
+    sequence: u64,
+    crashes: BTreeMap<Fingerprint, u32>,
+    /// Bodies whose connection broke off, by target, until it is known whether that died.
+    lost: Vec<Loss>,
+    draining: bool,
+}
+
+/// What a dispatch was decided from.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Id that the caller gave.
+    pub id: &'a str,
+    /// Its route.
+    pub route: &'a str,
+    /// Time since it arrived.
+    pub waited: Duration,
+    /// Requests of this process that the target has, this one included.
+    pub running: u32,
+    /// Requests of the others that it has, by their last rows.
+    pub elsewhere: u32,
+    /// Version of the configuration.
+    pub plan: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Loss {
+    at: Instant,
+    target: String,
+    body: Fingerprint,
+}
+
+/// Gives the state of a process that knows nothing yet.
+pub fn open(now: Instant, settings: Settings) -> State {
+    State {
+        settings,
+        opened: now,
+        plan: None,
+        confirmed: None,
+        fresh: false,
+        outage: None,
+        listed: None,
+        room: Room::default(),
+        requests: HashMap::new(),
+        waiting: BTreeMap::new(),
+        timers: BTreeSet::new(),
+        accounts: BTreeMap::new(),
+        budgets: BTreeMap::new(),
+        peers: Peers::default(),
+        place: Place { index: 0, among: 1 },
+        known: true,
+        sequence: 0,
+        crashes: BTreeMap::new(),
+        lost: Vec::new(),
+        draining: false,
+    }
+}
+
+/// Takes one event in and gives what has to be done about it.
+pub fn reduce(state: &mut State, now: Now, event: Event) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    match event {
+        Event::Arrived(request) => state.arrive(now, request, &mut effects),
+        Event::Began { ticket } => state.began(now.steady, ticket),
+        Event::Ended { ticket, outcome, begun, events } => {
+            state.ended(now, ticket, outcome, begun || events > 0, &mut effects);
+        }
+        Event::Left { ticket } => {
+            state.remove(ticket);
+        }
+        Event::Planned(plan) => state.plan(plan, &mut effects),
+        Event::Confirmed { boot } => state.confirm(now, boot),
+        Event::Targets(targets) => state.list(now.steady, targets, &mut effects),
+        Event::Introduced(addresses) => {
+            for address in addresses.into_iter().filter(|&at| at != state.settings.address) {
+                state.peers.introduce(now.steady, address);
+            }
+            state.look_round(now.steady, &mut effects);
+        }
+        Event::Heard(rows) => state.hear(now.steady, rows, &mut effects),
+        Event::Drain => state.draining = true,
+        Event::Tick => state.look_round(now.steady, &mut effects),
+    }
+    state.freshen(now, &mut effects);
+    state.relist(now.steady, &mut effects);
+    state.expire(now.steady, &mut effects);
+    state.place(now, &mut effects);
+    effects
+}
+
+/// When the next `Event::Tick` is due, if nothing else happens before.
+pub fn next_wake(state: &State, now: Instant) -> Option<Instant> {
+    let timer = state.timers.first().map(|&(at, _)| at);
+    let waits = state.waiting.values().any(|queue| !queue.is_empty());
+    let up = if waits { state.room.next_up(now) } else { None };
+    timer.into_iter().chain(up).min()
+}
+
+impl State {
+    /// Whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.plan.is_some() && self.fresh && !self.draining
+    }
+
+    /// Requests that haven't ended.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether another process's row is current.
+    pub fn hears(&self, now: Instant, address: SocketAddr) -> bool {
+        self.peers.hears(now, address)
+    }
+
+    /// What a dispatch was decided from.
+    pub fn view(&self, ticket: Ticket, now: Instant) -> Option<View<'_>> {
+        let pending = self.requests.get(&ticket)?;
+        let Stage::Running(running) = &pending.stage else {
+            return None;
+        };
+        let seat = self.room.seat(&running.target);
+        Some(View {
+            id: &pending.request.id,
+            route: &pending.route,
+            waited: now.saturating_duration_since(pending.arrived),
+            running: seat.map_or(0, |seat| seat.own),
+            elsewhere: seat.map_or(0, |seat| seat.others),
+            plan: self.plan.as_ref().map_or(0, |plan| plan.version),
+        })
+    }
+
+    /// The configuration in force.
+    pub fn plan_in_force(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
+    }
+
+    /// Other entry processes that may be alive.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.addresses()
+    }
+
+    /// What this process says of itself.
+    pub fn row(&mut self) -> Row {
+        self.sequence += 1;
+        Row {
+            address: Some(self.settings.address),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            age: Duration::ZERO,
+            leaving: self.draining && self.requests.is_empty(),
+            spent: self.accounts.iter().map(|(name, use_)| (name.clone(), use_.spent)).collect(),
+            running: self.room.running(),
+            crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
+        }
+    }
+
+    /// What this process knows of the others.
+    pub fn rows(&self, now: Instant) -> Vec<Row> {
+        self.peers.rows(now).collect()
+    }
+
+    fn arrive(&mut self, now: Now, request: Request, effects: &mut Vec<Effect>) {
+        let ticket = request.ticket;
+        match self.admit(now, request) {
+            Ok(pending) => {
+                self.requests.insert(ticket, pending);
+                self.enqueue(ticket);
+            }
+            Err(refusal) => effects.push(Effect::Refuse { ticket, refusal }),
+        }
+    }
+
+    fn admit(&mut self, now: Now, request: Request) -> Result<Pending, Refusal> {
+        if self.draining {
+            return Err(refuse(Reason::Draining).after(Duration::ZERO));
+        }
+        let plan = self.plan.clone().ok_or(refuse(Reason::NotReady).after(RETRY))?;
+        // A configuration that may be out of date may lack the route or the key.
+        let no_route = if self.fresh { Reason::NoRoute } else { Reason::NotReady };
+        let route = plan.route(&request.host, &request.path).ok_or(refuse(no_route))?;
+        let account = self.authenticate(&plan, route.public, request.key.as_deref())?;
+        let pool = route.pool(request.draw).ok_or(refuse(Reason::NoRoute))?.clone();
+        if self.is_quarantined(&request.fingerprint) {
+            return Err(refuse(Reason::Quarantined));
+        }
+        let held = account.as_ref().and_then(|name| plan.accounts.get(name));
+        let units = match (&account, held.and_then(|account| account.limit)) {
+            (Some(name), Some(limit)) => self.spend(now.steady, name, &limit, &request)?,
+            _ => 0.0,
+        };
+        self.budgets.entry(pool.clone()).or_default().asked(now.steady, &self.settings.repeats);
+        let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
+        Ok(Pending {
+            rank: (held.map_or(0, |account| account.rank), route.rank),
+            arrived: now.steady,
+            until: now.steady + patience,
+            give_up: now.steady + patience.mul_f64(WAIT_PART),
+            units,
+            route: route.name.clone(),
+            account,
+            pool,
+            repeat: route.repeat,
+            stream: route.stream,
+            attempts: route.attempts,
+            dispatches: 0,
+            ran: false,
+            begun: false,
+            tried: Vec::new(),
+            stage: Stage::Waiting,
+            request,
+        })
+    }
+
+    fn authenticate(
+        &self,
+        plan: &Plan,
+        public: bool,
+        key: Option<&str>,
+    ) -> Result<Option<AccountName>, Refusal> {
+        if public || plan.accounts.is_empty() {
+            return Ok(None);
+        }
+        if !self.fresh {
+            return Err(refuse(Reason::NotReady).after(RETRY));
+        }
+        let account = key.and_then(|key| plan.keys.get(key));
+        account.cloned().map(Some).ok_or(refuse(Reason::BadKey))
+    }
+
+    fn spend(
+        &mut self,
+        now: Instant,
+        name: &AccountName,
+        limit: &plan::Limit,
+        request: &Request,
+    ) -> Result<f64, Refusal> {
+        let tokens =
+            request.tokens.map(|tokens| f64::from(tokens.prompt) + f64::from(tokens.output));
+        let units = if limit.tokens { tokens.unwrap_or(limit.plain) } else { 1.0 };
+        let tolerance = self.settings.tolerance;
+        let share = Share { among: self.place.among, known: self.known, tolerance };
+        let opened = self.opened;
+        let usage = self.accounts.entry(name.clone()).or_insert_with(|| allowance::open(opened));
+        match usage.take(now, limit, share, units) {
+            Ok(()) => Ok(units),
+            Err(wait) => Err(refuse(Reason::Limit).after(Duration::from_secs_f64(wait.min(30.0)))),
+        }
+    }
+
+    fn began(&mut self, now: Instant, ticket: Ticket) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        if let Stage::Running(running) = &pending.stage {
+            let first = now.saturating_duration_since(running.since);
+            let target = running.target.clone();
+            self.room.learn(&target, pending.prompt(), first);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        outcome: Outcome,
+        begun: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Stage::Running(Running { target, .. }) =
+            std::mem::replace(&mut pending.stage, Stage::Waiting)
+        else {
+            return;
+        };
+        pending.begun |= begun;
+        pending.ran |= outcome.may_have_run();
+        let body = pending.request.fingerprint;
+        self.room.release(&target);
+        let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. });
+        if failed || outcome == Outcome::Done {
+            self.room.judge(&target, failed);
+        }
+        match outcome {
+            Outcome::Done => {
+                self.remove(ticket);
+            }
+            Outcome::Rejected => {
+                self.room.mark_full(now.steady, &target);
+                self.again(now, ticket, true, effects);
+            }
+            Outcome::Replaced => {
+                self.room.mark_gone(&target);
+                self.again(now, ticket, true, effects);
+            }
+            Outcome::Unreached => {
+                self.room.mark_down(now.steady, &target);
+                self.blame(now.steady, &target, effects);
+                self.again(now, ticket, false, effects);
+            }
+            Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
+            Outcome::Lost { crashed } => {
+                if crashed {
+                    let loss = Loss { at: now.steady, target: target.clone(), body };
+                    self.lost.push(loss);
+                }
+                self.repeat(now, ticket, target, outcome, effects);
+            }
+            Outcome::Expired => self.refuse(ticket, Reason::Expired, true, effects),
+        }
+    }
+
+    /// Puts a request back that this target did not run.
+    fn again(&mut self, now: Now, ticket: Ticket, arrived: bool, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get(&ticket) else {
+            return;
+        };
+        if arrived && !self.pay(now.steady, &pending.pool.clone()) {
+            return self.refuse(ticket, Reason::Unserved, false, effects);
+        }
+        self.enqueue(ticket);
+    }
+
+    /// Dispatches a request again that may have run, where that is allowed.
+    fn repeat(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        target: String,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        pending.tried.push(target);
+        let allowed = match pending.repeat {
+            Repeat::Safe => !pending.begun,
+            Repeat::Resume => pending.stream,
+            Repeat::Never => false,
+        };
+        let left = pending.dispatches < pending.attempts;
+        let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
+        let harmless = !self.is_quarantined(&body);
+        if allowed && left && harmless && self.pay(now.steady, &pool) {
+            if let Some(pending) = self.requests.get_mut(&ticket) {
+                pending.give_up = pending.until.min(now.steady + RESUME_WAIT);
+            }
+            return self.enqueue(ticket);
+        }
+        if outcome == Outcome::Failed {
+            self.remove(ticket);
+            return effects.push(Effect::Pass { ticket });
+        }
+        self.refuse(ticket, Reason::Lost, true, effects);
+    }
+
+    fn pay(&mut self, now: Instant, pool: &PoolName) -> bool {
+        let budget = self.budgets.entry(pool.clone()).or_default();
+        budget.repeat(now, &self.settings.repeats, self.place.among)
+    }
+
+    /// A target takes no connection: what broke off there just before ran when it died.
+    fn blame(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
+        self.lost.retain(|loss| now.duration_since(loss.at) < BLAME);
+        let (died, rest) =
+            std::mem::take(&mut self.lost).into_iter().partition(|loss| loss.target == target);
+        self.lost = rest;
+        let died: Vec<Loss> = died;
+        for loss in died {
+            let times = self.crashes.entry(loss.body).or_default();
+            *times += 1;
+            if *times == CRASHES {
+                effects.push(Effect::Note(Note::Quarantined(loss.body)));
+            }
+        }
+    }
+
+    fn is_quarantined(&self, body: &Fingerprint) -> bool {
+        let own = self.crashes.get(body).copied().unwrap_or_default();
+        own + self.peers.crashes(body) >= CRASHES
+    }
+
+    fn refuse(&mut self, ticket: Ticket, reason: Reason, ran: bool, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.remove(ticket) else {
+            return;
+        };
+        let not_run = !ran && !pending.ran;
+        let reason = match (reason, not_run) {
+            (Reason::Late | Reason::NoRoom | Reason::Unserved, false) => Reason::Lost,
+            _ => reason,
+        };
+        let refusal = Refusal { reason, not_run, retry_after: not_run.then_some(RETRY) };
+        effects.push(Effect::Refuse { ticket, refusal });
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Pending> {
+        self.dequeue(ticket);
+        let pending = self.requests.remove(&ticket)?;
+        if let Stage::Running(running) = &pending.stage {
+            self.room.release(&running.target);
+        }
+        if !pending.ran && matches!(pending.stage, Stage::Waiting) {
+            self.give_back(&pending);
+        }
+        Some(pending)
+    }
+
+    fn give_back(&mut self, pending: &Pending) {
+        let usage = pending.account.as_ref().and_then(|name| self.accounts.get_mut(name));
+        if let Some(usage) = usage {
+            usage.give_back(pending.units);
+        }
+    }
+
+    fn enqueue(&mut self, ticket: Ticket) {
+        if let Some(pending) = self.requests.get(&ticket) {
+            self.waiting.entry(pending.pool.clone()).or_default().insert(pending.order());
+            self.timers.insert((pending.give_up, ticket));
+        }
+    }
+
+    fn dequeue(&mut self, ticket: Ticket) {
+        if let Some(pending) = self.requests.get(&ticket) {
+            if let Some(queue) = self.waiting.get_mut(&pending.pool) {
+                queue.remove(&pending.order());
+            }
+            self.timers.remove(&(pending.give_up, ticket));
+        }
+    }
+
+    fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(&(at, ticket)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, ticket));
+            let reason = match self.requests.get(&ticket) {
+                Some(pending) if pending.until <= now => Reason::Late,
+                _ => Reason::NoRoom,
+            };
+            self.refuse(ticket, reason, false, effects);
+        }
+    }
+
+    /// Dispatches what waits, as far as there is room.
+    fn place(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        for queue in self.waiting.values_mut() {
+            while let Some(order) = queue.first().copied() {
+                let Some(pending) = self.requests.get_mut(&order.ticket) else {
+                    queue.remove(&order);
+                    continue;
+                };
+                let wish = Wish { tokens: pending.prompt(), tried: &pending.tried };
+                let (place, zone) = (self.place, &self.settings.zone);
+                let Some(target) = self.room.take(now.steady, &pending.pool, place, zone, &wish)
+                else {
+                    break;
+                };
+                queue.remove(&order);
+                self.timers.remove(&(pending.give_up, order.ticket));
+                pending.dispatches += 1;
+                pending.stage =
+                    Stage::Running(Running { target: target.name.clone(), since: now.steady });
+                effects.push(Effect::Start(Start {
+                    ticket: order.ticket,
+                    target: target.name.clone(),
+                    address: target.address,
+                    account: pending.account.clone(),
+                    until: pending.until,
+                    stream: pending.stream,
+                    attempt: pending.dispatches,
+                }));
+            }
+        }
+    }
+
+    fn plan(&mut self, plan: Arc<Plan>, effects: &mut Vec<Effect>) {
+        // A configuration never steps back within the life of a process.
+        if self.plan.as_ref().is_some_and(|known| known.version >= plan.version) {
+            return;
+        }
+        effects.push(Effect::Note(Note::Planned { version: plan.version }));
+        self.plan = Some(plan);
+    }
+
+    fn confirm(&mut self, now: Now, boot: Duration) {
+        let silent = self.confirmed.is_none_or(|last| now.boot.saturating_sub(last) > SILENCE);
+        if silent {
+            self.outage = Some(now.steady);
+        }
+        self.confirmed = self.confirmed.max(Some(boot));
+    }
+
+    fn freshen(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let age = self.confirmed.map(|at| now.boot.saturating_sub(at));
+        let fresh = age.is_some_and(|age| age < self.settings.freshness);
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            effects.push(Effect::Note(Note::Fresh(fresh)));
+        }
+    }
+
+    fn list(&mut self, now: Instant, targets: Vec<Target>, effects: &mut Vec<Effect>) {
+        let returning = self.outage.is_some_and(|at| now.duration_since(at) < RETURN);
+        let mut used = targets.clone();
+        if returning {
+            let names: BTreeSet<&str> = targets.iter().map(|target| target.name.as_str()).collect();
+            let vanished =
+                self.room.listed().filter(|target| !names.contains(target.name.as_str()));
+            used.extend(vanished.cloned());
+            self.listed = Some(targets);
+        } else {
+            self.listed = None;
+        }
+        let ready = used.iter().filter(|target| target.ready).count();
+        effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
+        self.room.list(used);
+        self.look_round(now, effects);
+    }
+
+    /// Gives vanished targets up once the time in which living ones come back is over.
+    fn relist(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.listed.is_some() && self.outage.is_none_or(|at| now.duration_since(at) >= RETURN) {
+            let targets = self.listed.take().unwrap_or_default();
+            self.list(now, targets, effects);
+        }
+    }
+
+    fn hear(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
+        let (own, opened) = (self.settings.address, self.opened);
+        for row in rows.into_iter().filter(|row| row.address != Some(own)) {
+            for spent in self.peers.hear(now, row) {
+                let usage =
+                    self.accounts.entry(spent.account).or_insert_with(|| allowance::open(opened));
+                usage.charge(spent.units as f64);
+            }
+        }
+        self.look_round(now, effects);
+    }
+
+    /// Takes stock of the other processes.
+    fn look_round(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let gone = self.settings.gone;
+        self.peers.forget(now, gone);
+        let mut addresses = self.peers.active_addresses(now, gone);
+        let own = self.settings.address;
+        addresses.push(own);
+        addresses.sort_unstable();
+        let index = addresses.iter().position(|&address| address == own).unwrap_or_default();
+        self.place = Place { index: index as u32, among: addresses.len() as u32 };
+        let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
+        let known = heard == expected;
+        if known != self.known {
+            self.known = known;
+            effects.push(Effect::Note(Note::Peers { heard, expected }));
+        }
+        self.room.count_others(self.peers.running(now));
+    }
+}
+
+fn refuse(reason: Reason) -> Refusal {
+    Refusal { reason, not_run: true, retry_after: None }
+}
+
+impl Refusal {
+    fn after(self, wait: Duration) -> Refusal {
+        Refusal { retry_after: Some(wait), ..self }
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/direct/peers.rs
@@ -0,0 +1,165 @@
+//! What entry processes tell each other of themselves.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use model::id::{AccountName, Fingerprint, TargetName};
+use serde::{Deserialize, Serialize};
+
+/// A row that is older doesn't count as known: five exchanges.
+pub const KNOWN: Duration = Duration::from_millis(500);
+
+/// What one entry process says of itself.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Where it listens for the others.
+    pub address: Option<SocketAddr>,
+    /// Differs with each start of the process.
+    pub incarnation: u64,
+    /// Grows with each row of an incarnation.
+    pub sequence: u64,
+    /// Time since it was made, as far as it was seen to pass.
+    pub age: Duration,
+    /// Whether it takes no more requests.
+    pub leaving: bool,
+    /// Units that it let through for each account since its start.
+    pub spent: Vec<(AccountName, u64)>,
+    /// Requests that it has at each target.
+    pub running: Vec<(TargetName, u32)>,
+    /// Bodies that ran when a target crashed there, and how often.
+    pub crashes: Vec<(Fingerprint, u32)>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    row: Row,
+    /// When the row was made, by the clock of this process; `None` where it was only heard of.
+    made: Option<Instant>,
+    /// When this process first heard of it.
+    introduced: Instant,
+}
+
+/// All other entry processes that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+/// What another process let through since its last row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Spent {
+    /// The account.
+    pub account: AccountName,
+    /// Units.
+    pub units: u64,
+}
+
+impl Peers {
+    /// Hears that there may be a process at an address.
+    pub fn introduce(&mut self, now: Instant, address: SocketAddr) {
+        self.peers.entry(address).or_insert_with(|| Peer {
+            row: Row { address: Some(address), ..Row::default() },
+            made: None,
+            introduced: now,
+        });
+    }
+
+    /// Takes a row in; gives what was let through since the last one.
+    pub fn hear(&mut self, now: Instant, row: Row) -> Vec<Spent> {
+        let Some(address) = row.address else {
+            return Vec::new();
+        };
+        self.introduce(now, address);
+        let Some(peer) = self.peers.get_mut(&address) else {
+            return Vec::new();
+        };
+        let made = now.checked_sub(row.age).unwrap_or(now);
+        let known = &peer.row;
+        let same = known.incarnation == row.incarnation;
+        if same && known.sequence >= row.sequence {
+            return Vec::new();
+        }
+        // A row of an older incarnation that comes late by way of a third process.
+        if !same && peer.made.is_some_and(|at| at > made) {
+            return Vec::new();
+        }
+        let spent = row.spent.iter().map(|(account, total)| {
+            let before = known.spent.iter().find(|(name, _)| same && name == account);
+            let before = before.map_or(0, |&(_, total)| total);
+            Spent { account: account.clone(), units: total.saturating_sub(before) }
+        });
+        let spent = spent.filter(|spent| spent.units > 0).collect();
+        peer.row = row;
+        peer.made = Some(made);
+        spent
+    }
+
+    /// Addresses of all that may be alive.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().copied()
+    }
+
+    /// Whether a process's row is current.
+    pub fn hears(&self, now: Instant, address: SocketAddr) -> bool {
+        self.peers.get(&address).is_some_and(|peer| peer.is_known(now))
+    }
+
+    /// Processes that may take requests: those not heard for longer than `gone` can't.
+    pub fn expected(&self, now: Instant, gone: Duration) -> usize {
+        self.active(now, gone).count()
+    }
+
+    /// Those of them whose rows are current.
+    pub fn heard(&self, now: Instant, gone: Duration) -> usize {
+        self.active(now, gone).filter(|peer| peer.is_known(now)).count()
+    }
+
+    /// Addresses of those that may take requests.
+    pub fn active_addresses(&self, now: Instant, gone: Duration) -> Vec<SocketAddr> {
+        self.active(now, gone).filter_map(|peer| peer.row.address).collect()
+    }
+
+    /// Current rows, and for each how old it is.
+    pub fn rows(&self, now: Instant) -> impl Iterator<Item = Row> {
+        self.peers.values().filter_map(move |peer| {
+            let age = now.saturating_duration_since(peer.made?);
+            Some(Row { age, ..peer.row.clone() })
+        })
+    }
+
+    /// Requests that others have at their targets, as far as that is known.
+    pub fn running(&self, now: Instant) -> impl Iterator<Item = &(TargetName, u32)> {
+        let known = self.peers.values().filter(move |peer| peer.is_known(now));
+        known.flat_map(|peer| &peer.row.running)
+    }
+
+    /// How often a body ran when a target crashed elsewhere.
+    pub fn crashes(&self, body: &Fingerprint) -> u32 {
+        let rows = self.peers.values().flat_map(|peer| &peer.row.crashes);
+        rows.filter(|(crashed, _)| crashed == body).map(|&(_, times)| times).sum()
+    }
+
+    /// Forgets processes that have been silent for longer than `gone`, many times over.
+    pub fn forget(&mut self, now: Instant, gone: Duration) {
+        self.peers.retain(|_, peer| now.duration_since(peer.last()) < gone * 10);
+    }
+
+    fn active(&self, now: Instant, gone: Duration) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |peer| !peer.row.leaving && now.duration_since(peer.last()) < gone)
+    }
+}
+
+impl Peer {
+    fn last(&self) -> Instant {
+        self.made.unwrap_or(self.introduced)
+    }
+
+    fn is_known(&self, now: Instant) -> bool {
+        self.made.is_some_and(|made| now.saturating_duration_since(made) < KNOWN)
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/direct/room.rs
@@ -0,0 +1,261 @@
+//! The targets, what runs at each, and which one a request goes to.
+//!
+//! Entry processes share a target's slots without asking each other first: each has a part of the
+//! slots that it may always use, and may use slots that the others' last rows show as free.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use model::id::{PoolName, TargetName, ZoneName};
+
+use super::event::Target;
+
+/// Weight of the newest observation in a moving average.
+const NEWEST: f64 = 0.2;
+/// Time for which a target that took no connection is left alone; doubles with each repeat.
+const DOWN_MIN: Duration = Duration::from_millis(250);
+/// Longest time for which it is left alone.
+const DOWN_MAX: Duration = Duration::from_secs(2);
+/// Time for which a target that rejected a request gets no other.
+const FULL: Duration = Duration::from_millis(60);
+/// How much a target that always fails seems slower than one that never does.
+const FAILURE_COST: f64 = 8.0;
+/// Tokens that cost as much as what every request costs besides its prompt.
+const FIXED_TOKENS: f64 = 600.0;
+/// Time to the first event that is assumed of a request before any was seen, in ms a token.
+const FIRST_GUESS: f64 = 0.05;
+
+/// A target and what this process knows of it.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// As listed.
+    pub target: Target,
+    /// Requests of this process that it has.
+    pub own: u32,
+    /// Requests of the others, by their last rows.
+    pub others: u32,
+    /// Whether the platform still lists it.
+    pub listed: bool,
+    down_until: Option<Instant>,
+    down_for: Duration,
+    /// Time to the first event, in ms a token; `None` before the first.
+    first: Option<f64>,
+    /// Part of the requests that failed or were lost.
+    failing: f64,
+}
+
+/// Which of the entry processes this is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Its number among them, from 0.
+    pub index: u32,
+    /// How many there are; at least 1.
+    pub among: u32,
+}
+
+/// All targets.
+#[derive(Clone, Debug, Default)]
+pub struct Room {
+    seats: BTreeMap<TargetName, Seat>,
+    pools: HashMap<PoolName, Vec<TargetName>>,
+}
+
+impl Seat {
+    /// Slots that this process may use whatever the others do. They differ by one where they
+    /// don't come out even; who gets more differs by target.
+    fn part(&self, place: Place) -> u32 {
+        let slots = self.target.slots;
+        let turn = self
+            .target
+            .name
+            .bytes()
+            .fold(0_u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
+        let position = (place.index + turn % place.among) % place.among;
+        slots / place.among + u32::from(position < slots % place.among)
+    }
+
+    fn has_room(&self, place: Place) -> bool {
+        let used = self.own + self.others;
+        let free = self.target.slots.saturating_sub(used);
+        free > 1 || (self.own < self.part(place) && used <= self.target.slots)
+    }
+
+    fn is_up(&self, now: Instant) -> bool {
+        self.listed && self.target.ready && self.down_until.is_none_or(|until| until <= now)
+    }
+
+    fn cost(&self, tokens: f64, zone: &str, usual: f64) -> f64 {
+        let first = self.first.unwrap_or(usual) * (tokens + FIXED_TOKENS);
+        let busy = f64::from(self.own + self.others) / f64::from(self.target.slots.max(1));
+        let far = if self.target.zone == zone { 0.0 } else { 1.0 };
+        (first + far) * (1.0 + busy) * (1.0 + FAILURE_COST * self.failing)
+    }
+
+    fn leave_alone(&mut self, now: Instant, time: Duration) {
+        let until = now + time;
+        self.down_until = Some(self.down_until.map_or(until, |at| at.max(until)));
+    }
+}
+
+impl Room {
+    /// Takes the platform's list in; targets that aren't in it take no more requests.
+    pub fn list(&mut self, targets: Vec<Target>) {
+        for seat in self.seats.values_mut() {
+            seat.listed = false;
+        }
+        for target in targets {
+            match self.seats.get_mut(&target.name) {
+                Some(seat) => {
+                    seat.target = target;
+                    seat.listed = true;
+                }
+                None => self.insert(target),
+            }
+        }
+        self.seats.retain(|_, seat| seat.listed || seat.own > 0);
+        self.pools.clear();
+        for (name, seat) in &self.seats {
+            self.pools.entry(seat.target.pool.clone()).or_default().push(name.clone());
+        }
+    }
+
+    /// A target.
+    pub fn seat(&self, name: &TargetName) -> Option<&Seat> {
+        self.seats.get(name)
+    }
+
+    /// All targets that are listed now.
+    pub fn listed(&self) -> impl Iterator<Item = &Target> {
+        self.seats.values().filter(|seat| seat.listed).map(|seat| &seat.target)
+    }
+
+    /// Counts what the other processes run.
+    pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a (TargetName, u32)>) {
+        for seat in self.seats.values_mut() {
+            seat.others = 0;
+        }
+        for (name, count) in running {
+            if let Some(seat) = self.seats.get_mut(name) {
+                seat.others += count;
+            }
+        }
+    }
+
+    /// What this process runs, for the others.
+    pub fn running(&self) -> Vec<(TargetName, u32)> {
+        let busy = self.seats.iter().filter(|(_, seat)| seat.own > 0);
+        busy.map(|(name, seat)| (name.clone(), seat.own)).collect()
+    }
+
+    /// Takes a slot for a request at the target that should answer it first; `None` where none
+    /// has room.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        pool: &str,
+        place: Place,
+        zone: &ZoneName,
+        wish: &Wish<'_>,
+    ) -> Option<&Target> {
+        let names = self.pools.get(pool)?;
+        let usual = self.usual(names);
+        let open = names.iter().filter_map(|name| self.seats.get(name));
+        let open = open.filter(|seat| seat.is_up(now) && seat.has_room(place));
+        let open = open.filter(|seat| !wish.tried.contains(&seat.target.name));
+        let cost = |seat: &Seat| seat.cost(wish.tokens, zone, usual);
+        let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?.target.name.clone();
+        let seat = self.seats.get_mut(&best)?;
+        seat.own += 1;
+        Some(&seat.target)
+    }
+
+    /// Whether any target of a pool takes requests, with room or without.
+    pub fn is_served(&self, now: Instant, pool: &str) -> bool {
+        let names = self.pools.get(pool).into_iter().flatten();
+        names.filter_map(|name| self.seats.get(name)).any(|seat| seat.is_up(now))
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, name: &TargetName) {
+        if let Some(seat) = self.seats.get_mut(name) {
+            seat.own = seat.own.saturating_sub(1);
+        }
+    }
+
+    /// Learns from the time to a first event.
+    pub fn learn(&mut self, name: &TargetName, tokens: f64, first: Duration) {
+        let Some(seat) = self.seats.get_mut(name) else {
+            return;
+        };
+        let seen = first.as_secs_f64() * 1_000.0 / (tokens + FIXED_TOKENS);
+        seat.first = Some(seat.first.map_or(seen, |known| known + NEWEST * (seen - known)));
+        seat.down_for = Duration::ZERO;
+    }
+
+    /// Learns whether a target failed a request.
+    pub fn judge(&mut self, name: &TargetName, failed: bool) {
+        if let Some(seat) = self.seats.get_mut(name) {
+            let seen = if failed { 1.0 } else { 0.0 };
+            seat.failing += NEWEST * (seen - seat.failing);
+        }
+    }
+
+    /// Leaves a target that takes no connection alone.
+    pub fn mark_down(&mut self, now: Instant, name: &TargetName) {
+        if let Some(seat) = self.seats.get_mut(name) {
+            seat.down_for = (seat.down_for * 2).clamp(DOWN_MIN, DOWN_MAX);
+            seat.leave_alone(now, seat.down_for);
+        }
+    }
+
+    /// Leaves a target that has no room alone.
+    pub fn mark_full(&mut self, now: Instant, name: &TargetName) {
+        if let Some(seat) = self.seats.get_mut(name) {
+            seat.leave_alone(now, FULL);
+        }
+    }
+
+    /// Takes a target out whose address has another now.
+    pub fn mark_gone(&mut self, name: &TargetName) {
+        if let Some(seat) = self.seats.get_mut(name) {
+            seat.target.ready = false;
+        }
+    }
+
+    /// When a target may be asked again, if one is left alone.
+    pub fn next_up(&self, now: Instant) -> Option<Instant> {
+        self.seats.values().filter_map(|seat| seat.down_until).filter(|&at| at > now).min()
+    }
+
+    fn insert(&mut self, target: Target) {
+        let seat = Seat {
+            target,
+            own: 0,
+            others: 0,
+            listed: true,
+            down_until: None,
+            down_for: Duration::ZERO,
+            first: None,
+            failing: 0.0,
+        };
+        self.seats.insert(seat.target.name.clone(), seat);
+    }
+
+    /// The mean of what is known of a pool's targets, in ms a token.
+    fn usual(&self, names: &[TargetName]) -> f64 {
+        let known = names.iter().filter_map(|name| self.seats.get(name)?.first);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), first| (sum + first, count + 1.0));
+        if count > 0.0 { sum / count } else { FIRST_GUESS }
+    }
+}
+
+/// What a request asks of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Tokens of its prompt.
+    pub tokens: f64,
+    /// Targets that it was dispatched to.
+    pub tried: &'a [TargetName],
+}
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod claim;
 pub mod config;
+pub mod direct;
 pub mod entry;
 pub mod limit;
 pub mod membership;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve())
+        .subcommand(gateway())
         .subcommand(check())
         .subcommand(get())
         .subcommand(apply())
@@ -172,6 +173,13 @@
         .arg(settings("Settings of the entry process (JSON)"))
 }
 
+fn gateway() -> Command {
+    Command::new("gateway")
+        .about("Run an entry process on the users' platform")
+        .after_help("SIGTERM drains: running requests finish, new ones are refused.")
+        .arg(settings("Settings that the platform wrote (JSON)"))
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Check a settings file and print every finding with its place")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod check;
 pub mod delete;
+pub mod gateway;
 pub mod get;
 pub mod hash;
 pub mod serve;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
     let matches = cli::command().get_matches();
     match matches.subcommand() {
         Some(("serve", matches)) => cmd::serve::run(matches),
+        Some(("gateway", matches)) => cmd::gateway::run(matches),
         Some(("check", matches)) => cmd::check::run(matches),
         Some(("get", matches)) => cmd::get::run(matches),
         Some(("apply", matches)) => cmd::apply::run(matches),
