--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -272,7 +272,8 @@
     }
 }
 
-const LOST: Refusal = Refusal { reason: Reason::Lost, not_run: false, retry_after: None };
+const LOST: Refusal =
+    Refusal { reason: Reason::Lost, not_run: false, retry_after: None, lack: None };
 
 fn full(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Response, response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{
         self,
@@ -25,7 +25,12 @@
 /// cut off or dark takes none, and the request has then surely not been sent.
 const CONNECT: Duration = Duration::from_millis(300);
 /// Longest time for which data may stay unacknowledged before the connection counts as dead.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
+/// Time without data after which a connection is probed, and between two probes. A target that went
+/// dark shows itself so, also to requests that wait for its answer.
+const PROBE: Duration = Duration::from_millis(500);
+/// Probes without an answer after which the connection counts as dead.
+const PROBES: u32 = 2;
 /// Time for which an unused connection is kept; targets close theirs later.
 const IDLE: Duration = Duration::from_secs(3);
 /// Time after the end of a request's time in which the target's own word on that is waited for.
@@ -42,6 +47,9 @@
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT));
     connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    connector.set_keepalive(Some(PROBE));
+    connector.set_keepalive_interval(Some(PROBE));
+    connector.set_keepalive_retries(Some(PROBES));
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE)
@@ -63,7 +71,8 @@
     body: Pin<Box<Incoming>>,
     splitter: Splitter,
     connection: CaptureConnection,
-    until: Instant,
+    watch: Watch,
+    ended: bool,
 }
 
 /// Sends a request and reads its answer, or the head of it where that is a stream.
@@ -81,8 +90,9 @@
     }
     let mut request = (dialect.forward)(call, start, remaining, last_event);
     let connection = capture_connection(&mut request);
-    let answer = timeout_at(until, targets.request(request)).await;
-    let answer = answer.map_err(|_| Outcome::Expired)?.map_err(|error| lost(&error))?;
+    let watch = Watch { until, silence: start.silence };
+    let answer = watch.wait(targets.request(request)).await?;
+    let answer = answer.map_err(|error| lost(&error))?;
     let (mut head, body) = answer.into_parts();
     let verdict = (dialect.judge)(&head, call);
     (dialect.strip)(&mut head);
@@ -95,11 +105,30 @@
         }
         Verdict::Answer if start.stream => {
             let body = Box::pin(body);
-            let events = Events { body, splitter: Splitter::default(), connection, until };
+            let events =
+                Events { body, splitter: Splitter::default(), connection, watch, ended: false };
             Ok(Opened::Stream(Box::new(head), Box::new(events)))
         }
-        Verdict::Answer => Ok(Opened::Whole(whole(head, body, until).await?)),
-        Verdict::Failure => Ok(Opened::Failure(whole(head, body, until).await?)),
+        Verdict::Answer => Ok(Opened::Whole(whole(head, body, watch).await?)),
+        Verdict::Failure => Ok(Opened::Failure(whole(head, body, watch).await?)),
+    }
+}
+
+/// How long a target is waited for.
+#[derive(Clone, Copy)]
+struct Watch {
+    until: Instant,
+    silence: Option<Duration>,
+}
+
+impl Watch {
+    async fn wait<T>(&self, answer: impl Future<Output = T>) -> Result<T, Outcome> {
+        let silent = self.silence.map(|silence| Instant::now() + silence);
+        let (at, outcome) = match silent.filter(|&at| at < self.until) {
+            Some(at) => (at, Outcome::Silent),
+            None => (self.until, Outcome::Expired),
+        };
+        timeout_at(at, answer).await.map_err(|_| outcome)
     }
 }
 
@@ -110,15 +139,17 @@
             if let Some(piece) = self.splitter.next() {
                 return Ok(Some(piece));
             }
-            let frame = timeout_at(self.until, self.body.frame()).await;
-            match frame.map_err(|_| Outcome::Expired)? {
+            match self.watch.wait(self.body.frame()).await? {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
                     }
                 }
                 Some(Err(_)) => return Err(Outcome::Lost { crashed: true }),
-                None if self.splitter.is_empty() => return Ok(None),
+                None if self.splitter.is_empty() => {
+                    self.ended = true;
+                    return Ok(None);
+                }
                 None => return Err(Outcome::Lost { crashed: true }),
             }
         }
@@ -128,7 +159,7 @@
 impl Drop for Events {
     fn drop(&mut self) {
         // A stream that is left before its end still runs until its connection is closed.
-        if !self.body.is_end_stream() {
+        if !self.ended {
             poison(&self.connection);
         }
     }
@@ -137,10 +168,9 @@
 async fn whole(
     head: response::Parts,
     body: Incoming,
-    until: Instant,
+    watch: Watch,
 ) -> Result<Response<Bytes>, Outcome> {
-    let body = timeout_at(until, Limited::new(body, ANSWER_MAX).collect()).await;
-    match body.map_err(|_| Outcome::Expired)? {
+    match watch.wait(Limited::new(body, ANSWER_MAX).collect()).await? {
         Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
         Err(_) => Err(Outcome::Lost { crashed: true }),
     }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use scheduler::direct::{Effect, Note, Refusal, State, Ticket};
+use scheduler::direct::{Effect, Lack, Note, Refusal, State, Ticket};
 use tracing::{info, warn};
 
 /// Logs what the reducer decided.
@@ -22,6 +22,7 @@
                 running = view.running,
                 elsewhere = view.elsewhere,
                 plan = view.plan,
+                units = view.units,
                 left_ms = start.until.saturating_duration_since(now).as_millis() as u64,
                 "dispatched"
             );
@@ -36,7 +37,22 @@
     let retry_after_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64);
     let reason = refusal.reason;
     let not_run = refusal.not_run;
-    info!(request = id, ticket, ?reason, not_run, retry_after_ms, waiting, "refused");
+    let Some(lack) = refusal.lack else {
+        return info!(request = id, ticket, ?reason, not_run, retry_after_ms, waiting, "refused");
+    };
+    let Lack { units, left, rate, among } = lack;
+    info!(
+        request = id,
+        ticket,
+        ?reason,
+        not_run,
+        retry_after_ms,
+        units,
+        left,
+        rate,
+        among,
+        "refused"
+    );
 }
 
 fn noted(note: &Note) {
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::plan::Limit;
+use super::{event::Lack, plan::Limit};
 
 /// What one process knows of an account's use.
 #[derive(Clone, Debug)]
@@ -61,25 +61,24 @@
 }
 
 impl Allowance {
-    /// Takes units, or says how long it lasts until they are there, in seconds.
+    /// Takes units, or says what is lacking.
     pub fn take(
         &mut self,
         now: Instant,
         limit: &Limit,
         share: Share,
         units: f64,
-    ) -> Result<(), f64> {
+    ) -> Result<(), Lack> {
         self.refill(now, limit, share);
         let among = f64::from(share.among);
-        // A request larger than the burst is let through by a full bucket.
-        let wants = |most: f64| units.min(most);
-        let missing = if share.known {
-            (wants(limit.burst) - self.whole) / limit.rate
+        let (left, rate, burst, among) = if share.known {
+            (self.whole, limit.rate, limit.burst, 1)
         } else {
-            (wants(limit.burst / among) - self.part) / (limit.rate / among)
+            (self.part, limit.rate / among, limit.burst / among, share.among)
         };
-        if missing > 0.0 {
-            return Err(missing);
+        // A request larger than the burst is let through by a full bucket.
+        if units.min(burst) > left {
+            return Err(Lack { units, left, rate, among });
         }
         self.whole -= units;
         self.part -= units;
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -74,6 +74,8 @@
         /// Whether the connection broke off, as it does when a target dies.
         crashed: bool,
     },
+    /// Nothing came for too long; it may run.
+    Silent,
     /// The time was over; it may have run.
     Expired,
 }
@@ -174,8 +176,21 @@
     Unserved,
 }
 
+/// What an account's limit lacked for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lack {
+    /// Units that the request counts for.
+    pub units: f64,
+    /// Units that were left.
+    pub left: f64,
+    /// Units a second that come back.
+    pub rate: f64,
+    /// Processes among which the limit was parted; 1 where all of them were heard.
+    pub among: u32,
+}
+
 /// An answer of our own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
@@ -183,6 +198,8 @@
     pub not_run: bool,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// What the account's limit lacked, where that is the reason.
+    pub lack: Option<Lack>,
 }
 
 /// Everything that is needed to dispatch a request.
@@ -200,6 +217,8 @@
     pub until: Instant,
     /// Whether the answer is a stream of events.
     pub stream: bool,
+    /// Longest silence of the target, where the request may be dispatched elsewhere.
+    pub silence: Option<Duration>,
     /// Which dispatch of the request this is, from 1.
     pub attempt: u32,
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -24,11 +24,12 @@
 use allowance::{Allowance, Share};
 use budget::Budget;
 pub use event::{
-    Effect, Event, Note, Now, Outcome, Reason, Refusal, Request, Start, Target, Ticket, Tokens,
+    Effect, Event, Lack, Note, Now, Outcome, Reason, Refusal, Request, Start, Target, Ticket,
+    Tokens,
 };
 use peers::{Peers, Row};
 use pending::{Order, Pending, Running, Stage};
-use plan::{Plan, Repeat};
+use plan::Plan;
 use room::{Place, Room, Wish};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
@@ -40,10 +41,24 @@
 const CRASHES: u32 = 2;
 /// Time within which a target that takes no connection is blamed on what it ran before.
 const BLAME: Duration = Duration::from_secs(2);
+/// Longest time to come back in, where an account is beyond its limit, in seconds.
+const LIMIT_RETRY_MAX: f64 = 30.0;
+/// Longest time to come back in, where no target has room.
+const RETRY_MAX: Duration = Duration::from_secs(4);
 /// Time to come back in, where no target has room.
 const RETRY: Duration = Duration::from_millis(400);
-/// Part of the time that a caller has after which a request that still waits is refused.
-const WAIT_PART: f64 = 0.5;
+/// Part of the aim after which a request that still waits is refused: what is left is about the time
+/// to the first event. Later work earns a third at most and takes as much from what can be on time.
+const WAIT_PART: f64 = 0.75;
+/// Shortest time for which a request waits for room.
+const WAIT_MIN: Duration = Duration::from_millis(250);
+/// Part of the time that is left in which a refused caller is told to come back: late enough for a
+/// burst to pass, early enough to be served then.
+const RETRY_PART: f64 = 0.25;
+/// Shortest silence of a target after which a request that may be repeated is dispatched elsewhere.
+const SILENT: Duration = Duration::from_millis(500);
+/// The same in multiples of the time to the first event that was expected.
+const SILENT_TIMES: u32 = 4;
 /// Time for which a stream that broke off waits for another target.
 const RESUME_WAIT: Duration = Duration::from_millis(1_500);
 /// Time that is assumed where a caller doesn't say how long it waits.
@@ -113,6 +128,8 @@
     pub elsewhere: u32,
     /// Version of the configuration.
     pub plan: u64,
+    /// Units that it took of its account's limit.
+    pub units: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -210,7 +227,7 @@
         let Stage::Running(running) = &pending.stage else {
             return None;
         };
-        let seat = self.room.seat(&running.target);
+        let seat = self.room.seat(&running.taken.target);
         Some(View {
             id: &pending.request.id,
             route: &pending.route,
@@ -218,6 +235,7 @@
             running: seat.map_or(0, |seat| seat.own),
             elsewhere: seat.map_or(0, |seat| seat.others),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
+            units: pending.units,
         })
     }
 
@@ -286,7 +304,7 @@
             rank: (held.map_or(0, |account| account.rank), route.rank),
             arrived: now.steady,
             until: now.steady + patience,
-            give_up: now.steady + patience.mul_f64(WAIT_PART),
+            give_up: now.steady + patience.min(WAIT_MIN.max(route.aim.mul_f64(WAIT_PART))),
             units,
             route: route.name.clone(),
             account,
@@ -335,7 +353,11 @@
         let usage = self.accounts.entry(name.clone()).or_insert_with(|| allowance::open(opened));
         match usage.take(now, limit, share, units) {
             Ok(()) => Ok(units),
-            Err(wait) => Err(refuse(Reason::Limit).after(Duration::from_secs_f64(wait.min(30.0)))),
+            Err(lack) => {
+                let wait = ((lack.units - lack.left) / lack.rate).clamp(0.0, LIMIT_RETRY_MAX);
+                let refusal = refuse(Reason::Limit).after(Duration::from_secs_f64(wait));
+                Err(Refusal { lack: Some(lack), ..refusal })
+            }
         }
     }
 
@@ -343,10 +365,9 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        if let Stage::Running(running) = &pending.stage {
+        if let Stage::Running(running) = &mut pending.stage {
             let first = now.saturating_duration_since(running.since);
-            let target = running.target.clone();
-            self.room.learn(&target, pending.prompt(), first);
+            self.room.learn(&mut running.taken, first);
         }
     }
 
@@ -361,16 +382,17 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Stage::Running(Running { target, .. }) =
+        let Stage::Running(Running { taken, .. }) =
             std::mem::replace(&mut pending.stage, Stage::Waiting)
         else {
             return;
         };
+        let target = taken.target.clone();
         pending.begun |= begun;
         pending.ran |= outcome.may_have_run();
         let body = pending.request.fingerprint;
-        self.room.release(&target);
-        let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. });
+        self.room.release(&taken);
+        let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
         if failed || outcome == Outcome::Done {
             self.room.judge(&target, failed);
         }
@@ -392,6 +414,10 @@
                 self.again(now, ticket, false, effects);
             }
             Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
+            Outcome::Silent => {
+                self.room.mark_down(now.steady, &target);
+                self.repeat(now, ticket, target, outcome, effects);
+            }
             Outcome::Lost { crashed } => {
                 if crashed {
                     let loss = Loss { at: now.steady, target: target.clone(), body };
@@ -399,7 +425,7 @@
                 }
                 self.repeat(now, ticket, target, outcome, effects);
             }
-            Outcome::Expired => self.refuse(ticket, Reason::Expired, true, effects),
+            Outcome::Expired => self.refuse(now.steady, ticket, Reason::Expired, true, effects),
         }
     }
 
@@ -409,7 +435,7 @@
             return;
         };
         if arrived && !self.pay(now.steady, &pending.pool.clone()) {
-            return self.refuse(ticket, Reason::Unserved, false, effects);
+            return self.refuse(now.steady, ticket, Reason::Unserved, false, effects);
         }
         self.enqueue(ticket);
     }
@@ -427,15 +453,10 @@
             return;
         };
         pending.tried.push(target);
-        let allowed = match pending.repeat {
-            Repeat::Safe => !pending.begun,
-            Repeat::Resume => pending.stream,
-            Repeat::Never => false,
-        };
-        let left = pending.dispatches < pending.attempts;
+        let allowed = pending.may_repeat();
         let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
         let harmless = !self.is_quarantined(&body);
-        if allowed && left && harmless && self.pay(now.steady, &pool) {
+        if allowed && harmless && self.pay(now.steady, &pool) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
                 pending.give_up = pending.until.min(now.steady + RESUME_WAIT);
             }
@@ -445,7 +466,7 @@
             self.remove(ticket);
             return effects.push(Effect::Pass { ticket });
         }
-        self.refuse(ticket, Reason::Lost, true, effects);
+        self.refuse(now.steady, ticket, Reason::Lost, true, effects);
     }
 
     fn pay(&mut self, now: Instant, pool: &PoolName) -> bool {
@@ -474,7 +495,14 @@
         own + self.peers.crashes(body) >= CRASHES
     }
 
-    fn refuse(&mut self, ticket: Ticket, reason: Reason, ran: bool, effects: &mut Vec<Effect>) {
+    fn refuse(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reason: Reason,
+        ran: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(pending) = self.remove(ticket) else {
             return;
         };
@@ -483,7 +511,9 @@
             (Reason::Late | Reason::NoRoom | Reason::Unserved, false) => Reason::Lost,
             _ => reason,
         };
-        let refusal = Refusal { reason, not_run, retry_after: not_run.then_some(RETRY) };
+        let left = pending.until.saturating_duration_since(now);
+        let wait = left.mul_f64(RETRY_PART).min(RETRY_MAX);
+        let refusal = Refusal { reason, not_run, retry_after: not_run.then_some(wait), lack: None };
         effects.push(Effect::Refuse { ticket, refusal });
     }
 
@@ -491,7 +521,7 @@
         self.dequeue(ticket);
         let pending = self.requests.remove(&ticket)?;
         if let Stage::Running(running) = &pending.stage {
-            self.room.release(&running.target);
+            self.room.release(&running.taken);
         }
         if !pending.ran && matches!(pending.stage, Stage::Waiting) {
             self.give_back(&pending);
@@ -529,7 +559,7 @@
                 Some(pending) if pending.until <= now => Reason::Late,
                 _ => Reason::NoRoom,
             };
-            self.refuse(ticket, reason, false, effects);
+            self.refuse(now, ticket, reason, false, effects);
         }
     }
 
@@ -543,24 +573,24 @@
                 };
                 let wish = Wish { tokens: pending.prompt(), tried: &pending.tried };
                 let (place, zone) = (self.place, &self.settings.zone);
-                let Some(target) = self.room.take(now.steady, &pending.pool, place, zone, &wish)
+                let Some(taken) = self.room.take(now.steady, &pending.pool, place, zone, &wish)
                 else {
                     break;
                 };
                 queue.remove(&order);
                 self.timers.remove(&(pending.give_up, order.ticket));
                 pending.dispatches += 1;
-                pending.stage =
-                    Stage::Running(Running { target: target.name.clone(), since: now.steady });
                 effects.push(Effect::Start(Start {
                     ticket: order.ticket,
-                    target: target.name.clone(),
-                    address: target.address,
+                    target: taken.target.clone(),
+                    address: taken.address,
+                    silence: pending.may_repeat().then(|| SILENT.max(taken.first * SILENT_TIMES)),
                     account: pending.account.clone(),
                     until: pending.until,
                     stream: pending.stream,
                     attempt: pending.dispatches,
                 }));
+                pending.stage = Stage::Running(Running { taken, since: now.steady });
             }
         }
     }
@@ -650,7 +680,7 @@
 }
 
 fn refuse(reason: Reason) -> Refusal {
-    Refusal { reason, not_run: true, retry_after: None }
+    Refusal { reason, not_run: true, retry_after: None, lack: None }
 }
 
 impl Refusal {
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -12,6 +12,17 @@
 /// A row that is older doesn't count as known: five exchanges.
 pub const KNOWN: Duration = Duration::from_millis(500);
 
+/// What one entry process has at a target.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Busy {
+    /// The target.
+    pub target: TargetName,
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of the prompts whose answers haven't begun.
+    pub unread: u32,
+}
+
 /// What one entry process says of itself.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -27,8 +38,8 @@
     pub leaving: bool,
     /// Units that it let through for each account since its start.
     pub spent: Vec<(AccountName, u64)>,
-    /// Requests that it has at each target.
-    pub running: Vec<(TargetName, u32)>,
+    /// What it has at each target.
+    pub running: Vec<Busy>,
     /// Bodies that ran when a target crashed there, and how often.
     pub crashes: Vec<(Fingerprint, u32)>,
 }
@@ -130,8 +141,8 @@
         })
     }
 
-    /// Requests that others have at their targets, as far as that is known.
-    pub fn running(&self, now: Instant) -> impl Iterator<Item = &(TargetName, u32)> {
+    /// What others have at their targets, as far as that is known.
+    pub fn running(&self, now: Instant) -> impl Iterator<Item = &Busy> {
         let known = self.peers.values().filter(move |peer| peer.is_known(now));
         known.flat_map(|peer| &peer.row.running)
     }
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -7,6 +7,7 @@
 use super::{
     event::{Request, Ticket},
     plan::Repeat,
+    room::Taken,
 };
 
 /// Order in which requests of a pool are dispatched.
@@ -23,8 +24,8 @@
 /// A dispatch that hasn't ended.
 #[derive(Clone, Debug)]
 pub struct Running {
-    /// The target.
-    pub target: TargetName,
+    /// Its slot.
+    pub taken: Taken,
     /// When it was dispatched.
     pub since: Instant,
 }
@@ -83,6 +84,16 @@
         Order { rank: self.rank, arrived: self.arrived, ticket: self.request.ticket }
     }
 
+    /// Whether it may be dispatched again after it may have run.
+    pub fn may_repeat(&self) -> bool {
+        let allowed = match self.repeat {
+            Repeat::Safe => !self.begun,
+            Repeat::Resume => self.stream,
+            Repeat::Never => false,
+        };
+        allowed && self.dispatches < self.attempts
+    }
+
     /// Tokens of its prompt; 0 where it has none.
     pub fn prompt(&self) -> f64 {
         self.request.tokens.map_or(0.0, |tokens| f64::from(tokens.prompt))
--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -5,12 +5,13 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use model::id::{PoolName, TargetName, ZoneName};
 
-use super::event::Target;
+use super::{event::Target, peers::Busy};
 
 /// Weight of the newest observation in a moving average.
 const NEWEST: f64 = 0.2;
@@ -24,6 +25,8 @@
 const FAILURE_COST: f64 = 8.0;
 /// Tokens that cost as much as what every request costs besides its prompt.
 const FIXED_TOKENS: f64 = 600.0;
+/// Time, in ms, for which a target may still have prompts to read when it gets the next.
+const READING: f64 = 150.0;
 /// Time to the first event that is assumed of a request before any was seen, in ms a token.
 const FIRST_GUESS: f64 = 0.05;
 
@@ -36,6 +39,10 @@
     pub own: u32,
     /// Requests of the others, by their last rows.
     pub others: u32,
+    /// Tokens of own prompts whose answers haven't begun.
+    unread: f64,
+    /// The same of the others, by their last rows.
+    others_unread: f64,
     /// Whether the platform still lists it.
     pub listed: bool,
     down_until: Option<Instant>,
@@ -86,13 +93,24 @@
         self.listed && self.target.ready && self.down_until.is_none_or(|until| until <= now)
     }
 
+    /// Tokens that are read before the first event of a request.
+    fn load(&self, tokens: f64) -> f64 {
+        self.unread + self.others_unread + tokens + FIXED_TOKENS
+    }
+
     fn cost(&self, tokens: f64, zone: &str, usual: f64) -> f64 {
-        let first = self.first.unwrap_or(usual) * (tokens + FIXED_TOKENS);
+        let first = self.first.unwrap_or(usual) * self.load(tokens);
         let busy = f64::from(self.own + self.others) / f64::from(self.target.slots.max(1));
         let far = if self.target.zone == zone { 0.0 } else { 1.0 };
         (first + far) * (1.0 + busy) * (1.0 + FAILURE_COST * self.failing)
     }
 
+    /// Whether it still reads prompts for so long that a request is better kept back: what has a
+    /// higher rank may come before it then.
+    fn reads(&self, usual: f64) -> bool {
+        self.first.unwrap_or(usual) * (self.unread + self.others_unread) > READING
+    }
+
     fn leave_alone(&mut self, now: Instant, time: Duration) {
         let until = now + time;
         self.down_until = Some(self.down_until.map_or(until, |at| at.max(until)));
@@ -132,21 +150,28 @@
     }
 
     /// Counts what the other processes run.
-    pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a (TargetName, u32)>) {
+    pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a Busy>) {
         for seat in self.seats.values_mut() {
             seat.others = 0;
+            seat.others_unread = 0.0;
         }
-        for (name, count) in running {
-            if let Some(seat) = self.seats.get_mut(name) {
-                seat.others += count;
+        for busy in running {
+            if let Some(seat) = self.seats.get_mut(&busy.target) {
+                seat.others += busy.requests;
+                seat.others_unread += f64::from(busy.unread);
             }
         }
     }
 
     /// What this process runs, for the others.
-    pub fn running(&self) -> Vec<(TargetName, u32)> {
+    pub fn running(&self) -> Vec<Busy> {
         let busy = self.seats.iter().filter(|(_, seat)| seat.own > 0);
-        busy.map(|(name, seat)| (name.clone(), seat.own)).collect()
+        let busy = busy.map(|(name, seat)| Busy {
+            target: name.clone(),
+            requests: seat.own,
+            unread: seat.unread as u32,
+        });
+        busy.collect()
     }
 
     /// Takes a slot for a request at the target that should answer it first; `None` where none
@@ -158,17 +183,27 @@
         place: Place,
         zone: &ZoneName,
         wish: &Wish<'_>,
-    ) -> Option<&Target> {
+    ) -> Option<Taken> {
         let names = self.pools.get(pool)?;
         let usual = self.usual(names);
         let open = names.iter().filter_map(|name| self.seats.get(name));
-        let open = open.filter(|seat| seat.is_up(now) && seat.has_room(place));
+        let open =
+            open.filter(|seat| seat.is_up(now) && seat.has_room(place) && !seat.reads(usual));
         let open = open.filter(|seat| !wish.tried.contains(&seat.target.name));
         let cost = |seat: &Seat| seat.cost(wish.tokens, zone, usual);
         let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?.target.name.clone();
         let seat = self.seats.get_mut(&best)?;
+        let load = seat.load(wish.tokens);
         seat.own += 1;
-        Some(&seat.target)
+        seat.unread += wish.tokens;
+        let first_ms = seat.first.unwrap_or(usual) * load;
+        Some(Taken {
+            target: best,
+            address: seat.target.address,
+            unread: wish.tokens,
+            load,
+            first: Duration::from_secs_f64(first_ms / 1_000.0),
+        })
     }
 
     /// Whether any target of a pool takes requests, with room or without.
@@ -178,18 +213,21 @@
     }
 
     /// Gives a slot back.
-    pub fn release(&mut self, name: &TargetName) {
-        if let Some(seat) = self.seats.get_mut(name) {
+    pub fn release(&mut self, taken: &Taken) {
+        if let Some(seat) = self.seats.get_mut(&taken.target) {
             seat.own = seat.own.saturating_sub(1);
+            seat.unread = (seat.unread - taken.unread).max(0.0);
         }
     }
 
-    /// Learns from the time to a first event.
-    pub fn learn(&mut self, name: &TargetName, tokens: f64, first: Duration) {
-        let Some(seat) = self.seats.get_mut(name) else {
+    /// Learns from the time to a first event: the prompt was read.
+    pub fn learn(&mut self, taken: &mut Taken, first: Duration) {
+        let Some(seat) = self.seats.get_mut(&taken.target) else {
             return;
         };
-        let seen = first.as_secs_f64() * 1_000.0 / (tokens + FIXED_TOKENS);
+        seat.unread = (seat.unread - taken.unread).max(0.0);
+        taken.unread = 0.0;
+        let seen = first.as_secs_f64() * 1_000.0 / taken.load;
         seat.first = Some(seat.first.map_or(seen, |known| known + NEWEST * (seen - known)));
         seat.down_for = Duration::ZERO;
     }
@@ -234,6 +272,8 @@
             target,
             own: 0,
             others: 0,
+            unread: 0.0,
+            others_unread: 0.0,
             listed: true,
             down_until: None,
             down_for: Duration::ZERO,
@@ -251,6 +291,21 @@
     }
 }
 
+/// A slot that a request took.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taken {
+    /// The target.
+    pub target: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Tokens of its prompt, until the answer begins.
+    pub unread: f64,
+    /// Tokens that were to be read before the first event.
+    load: f64,
+    /// Time to the first event that was expected.
+    pub first: Duration,
+}
+
 /// What a request asks of its target.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
