Keep a part of each account's limit for its highest tier

Cause: an account beyond its limit was refused in order of arrival, so that letters and notes took units from reviews worth four times as much a token. Calls of plain services, small as they are, don't make room. More of the tolerance is given out (0.7 of it), for requests that come in clumps.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -34,7 +34,11 @@
 /// Part of the tolerance that is given out, so that nothing below the limit is refused where
 /// requests come in clumps. The rest is left for what processes let through before they hear of
 /// each other, and for the parts that come on top when one is cut off.
-const GIVEN: f64 = 0.5;
+const GIVEN: f64 = 0.7;
+/// Part of the bucket that is kept for each higher rank, so that lower ones are refused before them.
+const RESERVE: f64 = 0.15;
+/// Ranks that are told apart.
+const RANKS: u32 = 1;
 
 impl Tolerance {
     fn extra(&self, limit: &Limit) -> f64 {
@@ -67,6 +71,7 @@
         now: Instant,
         limit: &Limit,
         share: Share,
+        rank: u32,
         units: f64,
     ) -> Result<(), Lack> {
         self.refill(now, limit, share);
@@ -76,8 +81,9 @@
         } else {
             (self.part, limit.rate / among, limit.burst / among, share.among)
         };
+        let reserve = RESERVE * f64::from(rank.min(RANKS)) * burst;
         // A request larger than the burst is let through by a full bucket.
-        if units.min(burst) > left {
+        if (units + reserve).min(burst) > left {
             return Err(Lack { units, left, rate, among });
         }
         self.whole -= units;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -295,7 +295,9 @@
         }
         let held = account.as_ref().and_then(|name| plan.accounts.get(name));
         let units = match (&account, held.and_then(|account| account.limit)) {
-            (Some(name), Some(limit)) => self.spend(now.steady, name, &limit, &request)?,
+            (Some(name), Some(limit)) => {
+                self.spend(now.steady, name, &limit, route.rank, &request)?
+            }
             _ => 0.0,
         };
         self.budgets.entry(pool.clone()).or_default().asked(now.steady, &self.settings.repeats);
@@ -342,16 +344,19 @@
         now: Instant,
         name: &AccountName,
         limit: &plan::Limit,
+        rank: u32,
         request: &Request,
     ) -> Result<f64, Refusal> {
         let tokens =
             request.tokens.map(|tokens| f64::from(tokens.prompt) + f64::from(tokens.output));
         let units = if limit.tokens { tokens.unwrap_or(limit.plain) } else { 1.0 };
+        // Calls of plain services are too small to make room for others.
+        let rank = if tokens.is_some() { rank } else { 0 };
         let tolerance = self.settings.tolerance;
         let share = Share { among: self.place.among, known: self.known, tolerance };
         let opened = self.opened;
         let usage = self.accounts.entry(name.clone()).or_insert_with(|| allowance::open(opened));
-        match usage.take(now, limit, share, units) {
+        match usage.take(now, limit, share, rank, units) {
             Ok(()) => Ok(units),
             Err(lack) => {
                 let wait = ((lack.units - lack.left) / lack.rate).clamp(0.0, LIMIT_RETRY_MAX);
