--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -283,7 +283,7 @@
     }
 
     fn rows(&mut self, all: bool) -> Vec<Row> {
-        let mut rows = vec![self.state.row()];
+        let mut rows = vec![self.state.row(Instant::now())];
         if all {
             rows.extend(self.state.rows(Instant::now()));
         }
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -84,7 +84,7 @@
         let reserve = RESERVE * f64::from(rank.min(RANKS)) * burst;
         // A request larger than the burst is let through by a full bucket.
         if (units + reserve).min(burst) > left {
-            return Err(Lack { units, left, rate, among });
+            return Err(Lack { units: (units + reserve).min(burst), left, rate, among });
         }
         self.whole -= units;
         self.part -= units;
@@ -99,6 +99,16 @@
         self.spent = self.spent.saturating_sub(units as u64);
     }
 
+    /// Units left, for a process that was started after this one.
+    pub fn left(&self) -> i64 {
+        self.whole as i64
+    }
+
+    /// Takes over what a process that started earlier has left.
+    pub fn adopt(&mut self, left: i64) {
+        self.whole = self.whole.max(left as f64);
+    }
+
     /// Counts what another process let through.
     pub fn charge(&mut self, units: f64) {
         self.whole -= units;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -27,7 +27,7 @@
     Effect, Event, Lack, Note, Now, Outcome, Reason, Refusal, Request, Start, Target, Ticket,
     Tokens,
 };
-use peers::{Peers, Row};
+use peers::{Peers, Row, Told, Use};
 use pending::{Order, Pending, Running, Stage};
 use plan::Plan;
 use room::{Place, Room, Wish};
@@ -250,7 +250,7 @@
     }
 
     /// What this process says of itself.
-    pub fn row(&mut self) -> Row {
+    pub fn row(&mut self, now: Instant) -> Row {
         self.sequence += 1;
         Row {
             address: Some(self.settings.address),
@@ -258,7 +258,8 @@
             sequence: self.sequence,
             age: Duration::ZERO,
             leaving: self.draining && self.requests.is_empty(),
-            spent: self.accounts.iter().map(|(name, use_)| (name.clone(), use_.spent)).collect(),
+            uptime: now.saturating_duration_since(self.opened),
+            accounts: self.accounts.iter().map(used).collect(),
             running: self.room.running(),
             crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
         }
@@ -655,10 +656,14 @@
     fn hear(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
         let (own, opened) = (self.settings.address, self.opened);
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
-            for spent in self.peers.hear(now, row) {
-                let usage =
-                    self.accounts.entry(spent.account).or_insert_with(|| allowance::open(opened));
-                usage.charge(spent.units as f64);
+            for told in self.peers.hear(now, now.saturating_duration_since(opened), row) {
+                let (Told::Spent(account, _) | Told::Left(account, _)) = &told;
+                let usage = self.accounts.entry(account.clone());
+                let usage = usage.or_insert_with(|| allowance::open(opened));
+                match told {
+                    Told::Spent(_, units) => usage.charge(units as f64),
+                    Told::Left(_, left) => usage.adopt(left),
+                }
             }
         }
         self.look_round(now, effects);
@@ -684,6 +689,10 @@
     }
 }
 
+fn used((account, usage): (&AccountName, &Allowance)) -> Use {
+    Use { account: account.clone(), spent: usage.spent, left: usage.left() }
+}
+
 fn refuse(reason: Reason) -> Refusal {
     Refusal { reason, not_run: true, retry_after: None, lack: None }
 }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -23,6 +23,17 @@
     pub unread: u32,
 }
 
+/// What one entry process knows of an account's use.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Use {
+    /// The account.
+    pub account: AccountName,
+    /// Units that the process let through since its start.
+    pub spent: u64,
+    /// Units that it holds to be left for all processes.
+    pub left: i64,
+}
+
 /// What one entry process says of itself.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -36,8 +47,10 @@
     pub age: Duration,
     /// Whether it takes no more requests.
     pub leaving: bool,
-    /// Units that it let through for each account since its start.
-    pub spent: Vec<(AccountName, u64)>,
+    /// Time since its process started.
+    pub uptime: Duration,
+    /// What it knows of each account's use.
+    pub accounts: Vec<Use>,
     /// What it has at each target.
     pub running: Vec<Busy>,
     /// Bodies that ran when a target crashed there, and how often.
@@ -59,13 +72,13 @@
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
-/// What another process let through since its last row.
+/// What a row tells of an account.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Spent {
-    /// The account.
-    pub account: AccountName,
-    /// Units.
-    pub units: u64,
+pub enum Told {
+    /// Units that another process let through since its last row.
+    Spent(AccountName, u64),
+    /// Units that a process has left which started earlier and is heard for the first time.
+    Left(AccountName, i64),
 }
 
 impl Peers {
@@ -78,8 +91,8 @@
         });
     }
 
-    /// Takes a row in; gives what was let through since the last one.
-    pub fn hear(&mut self, now: Instant, row: Row) -> Vec<Spent> {
+    /// Takes a row in; gives what it tells of accounts to a process that runs for `uptime`.
+    pub fn hear(&mut self, now: Instant, uptime: Duration, row: Row) -> Vec<Told> {
         let Some(address) = row.address else {
             return Vec::new();
         };
@@ -97,15 +110,20 @@
         if !same && peer.made.is_some_and(|at| at > made) {
             return Vec::new();
         }
-        let spent = row.spent.iter().map(|(account, total)| {
-            let before = known.spent.iter().find(|(name, _)| same && name == account);
-            let before = before.map_or(0, |&(_, total)| total);
-            Spent { account: account.clone(), units: total.saturating_sub(before) }
+        let earlier = peer.made.is_none() && row.uptime > uptime;
+        let told = row.accounts.iter().map(|use_| {
+            let account = use_.account.clone();
+            if earlier {
+                return Told::Left(account, use_.left);
+            }
+            let before = known.accounts.iter().find(|known| same && known.account == account);
+            let before = before.map_or(0, |before| before.spent);
+            Told::Spent(account, use_.spent.saturating_sub(before))
         });
-        let spent = spent.filter(|spent| spent.units > 0).collect();
+        let told = told.collect();
         peer.row = row;
         peer.made = Some(made);
-        spent
+        told
     }
 
     /// Addresses of all that may be alive.
