Let any entry use a target's last free slot, and exchange rows every 50 ms

Cause: a last free slot was kept for the entry whose part it was, also where that had nothing to send.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -28,9 +28,9 @@
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
 /// Period of the exchange with other entry processes.
-const EXCHANGE: Duration = Duration::from_millis(100);
+const EXCHANGE: Duration = Duration::from_millis(50);
 /// Exchanges between two that tell all that is known, not just the own row.
-const FULL: u64 = 10;
+const FULL: u64 = 20;
 
 /// What a request is told to do next.
 #[derive(Clone, Debug)]
--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -86,7 +86,7 @@
     fn has_room(&self, place: Place) -> bool {
         let used = self.own + self.others;
         let free = self.target.slots.saturating_sub(used);
-        free > 1 || (self.own < self.part(place) && used <= self.target.slots)
+        free > 0 || (self.own < self.part(place) && used <= self.target.slots)
     }
 
     fn is_up(&self, now: Instant) -> bool {
