Let entries that all hear each other share what a silent one leaves of limits

And an entry cut off from its peers, not from the store, took the whole limit once these counted as gone: entries that aren't heard now make themselves known in the store each second, and count as long as they do.

Ruled out: sharing by whoever hears any other; with one entry in the middle that hears both sides the parts would add up to 4/3 of the limit.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -14,7 +14,8 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::direct::{
-    self, Effect, Event, Now, Refusal, Request, Start, State, Ticket, peers::Row, plan::Plan,
+    self, Effect, Event, Introduction, Now, Refusal, Request, Start, State, Ticket, peers::Row,
+    plan::Plan,
 };
 use tokio::{
     runtime,
@@ -64,6 +65,8 @@
 pub struct Status {
     /// Whether the balancer should send requests here.
     pub ready: bool,
+    /// Whether another entry process isn't heard that may take requests.
+    pub lonely: bool,
     /// The configuration in force.
     pub plan: Option<Arc<Plan>>,
 }
@@ -112,7 +115,8 @@
             if let Err(error) = peer::bind(settings.peers, given.clone()).await {
                 error!(%error, address = %settings.peers, "can't listen for entry processes");
             }
-            given.send(Event::Introduced(settings.seeds));
+            let seeds = settings.seeds.iter().map(|&address| Introduction { address, stamp: 0 });
+            given.send(Event::Introduced(seeds.collect()));
             tokio::spawn(feed(given));
             thread.run(inbox).await;
         });
@@ -156,6 +160,11 @@
         answer.await.unwrap_or_default()
     }
 
+    /// What the control thread says of itself, as it changes.
+    pub fn watch(&self) -> watch::Receiver<Status> {
+        self.status.clone()
+    }
+
     /// Lets the health check fail from now on.
     pub fn lame(&self) {
         self.lame.store(true, Ordering::Relaxed);
@@ -271,12 +280,14 @@
 
     fn tell(&mut self) {
         let ready = self.state.is_ready();
+        let lonely = self.state.is_lonely(Instant::now());
         let plan = self.state.plan_in_force();
         self.status.send_if_modified(|status| {
             let version = |plan: Option<&Arc<Plan>>| plan.map(|plan| plan.version);
-            let changed = status.ready != ready || version(status.plan.as_ref()) != version(plan);
+            let changed = (status.ready, status.lonely) != (ready, lonely)
+                || version(status.plan.as_ref()) != version(plan);
             if changed {
-                *status = Status { ready, plan: plan.cloned() };
+                *status = Status { ready, lonely, plan: plan.cloned() };
             }
             changed
         });
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -143,8 +143,10 @@
 /// Time after the request to stop for which new requests are still taken: the balancer needs up to
 /// two seconds to send no more.
 const LAME: Duration = Duration::from_millis(2_500);
+/// Time in which the others hear that this process takes no more: three exchanges.
+const FAREWELL: Duration = Duration::from_millis(150);
 /// Time before the end of the grace in which the process ends by itself.
-const MARGIN: Duration = Duration::from_millis(300);
+const MARGIN: Duration = Duration::from_millis(450);
 
 impl Handle {
     /// Tells the balancer to send no more, finishes what is in progress, and ends.
@@ -157,6 +159,7 @@
         info!(open = self.ingress.open(), "draining: new requests are refused");
         self.control.send(direct::Event::Drain);
         let ended = tokio::time::timeout_at(end, self.ingress.ended()).await;
+        tokio::time::sleep(FAREWELL).await;
         info!(open = self.ingress.open(), whole = ended.is_ok(), "stopped");
     }
 }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -40,7 +40,7 @@
     let Some(lack) = refusal.lack else {
         return info!(request = id, ticket, ?reason, not_run, retry_after_ms, waiting, "refused");
     };
-    let Lack { units, left, rate, among } = lack;
+    let Lack { units, left, rate, among, together } = lack;
     info!(
         request = id,
         ticket,
@@ -51,6 +51,7 @@
         left,
         rate,
         among,
+        together,
         "refused"
     );
 }
@@ -61,8 +62,8 @@
         Note::Targets { ready, listed } => info!(ready, listed, "the targets changed"),
         Note::Fresh(true) => info!("the configuration is current: keys count"),
         Note::Fresh(false) => warn!("the configuration may be out of date: keys don't count"),
-        Note::Peers { heard, expected } => {
-            info!(heard, expected, "entry processes that are heard changed");
+        Note::Peers { heard, expected, together } => {
+            info!(heard, expected, together, "entry processes that are heard changed");
         }
         Note::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -1,8 +1,9 @@
 //! Limits of client accounts that all entry processes keep together.
 //!
-//! Each process knows what the others let through and keeps the whole limit's bucket. While any
-//! process that may take requests is silent, each keeps to an equal part instead, so that the
-//! parts add up to the limit whoever is cut off from whom.
+//! Each process knows what the others let through and keeps the whole limit's bucket. A process that
+//! may take requests but is silent keeps to an equal part; those that all hear each other, and none of
+//! the silent ones, share the parts that are left. Any other keeps to its part, so that the parts add
+//! up to the limit whoever is cut off from whom.
 
 use std::time::{Duration, Instant};
 
@@ -52,8 +53,9 @@
 pub struct Share {
     /// Processes among which the limit is parted; at least 1.
     pub among: u32,
-    /// Whether what all of them let through is known.
-    pub known: bool,
+    /// Those of them, this one included, that share their parts because each hears all of the
+    /// others; 1 where this one keeps to its part.
+    pub together: u32,
     /// How far the limit may be passed.
     pub tolerance: Tolerance,
 }
@@ -76,15 +78,17 @@
     ) -> Result<(), Lack> {
         self.refill(now, limit, share);
         let among = f64::from(share.among);
-        let (left, rate, burst, among) = if share.known {
-            (self.whole, limit.rate, limit.burst, 1)
+        let (left, part) = if share.together > 1 || share.among == 1 {
+            (self.whole, f64::from(share.together) / among)
         } else {
-            (self.part, limit.rate / among, limit.burst / among, share.among)
+            (self.part, 1.0 / among)
         };
+        let (rate, burst) = (limit.rate * part, limit.burst * part);
         let reserve = RESERVE * f64::from(rank.min(RANKS)) * burst;
         // A request larger than the burst is let through by a full bucket.
         if (units + reserve).min(burst) > left {
-            return Err(Lack { units: (units + reserve).min(burst), left, rate, among });
+            let units = (units + reserve).min(burst);
+            return Err(Lack { units, left, rate, among: share.among, together: share.together });
         }
         self.whole -= units;
         self.part -= units;
@@ -121,8 +125,9 @@
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
-        let most = limit.burst + share.tolerance.extra(limit);
-        self.whole = (self.whole + passed * limit.rate).clamp(floor, most);
+        let together = f64::from(share.together) / among;
+        let most = (limit.burst + share.tolerance.extra(limit)) * together;
+        self.whole = (self.whole + passed * limit.rate * together).clamp(floor, most);
         self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
     }
 }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -104,6 +104,15 @@
     pub ready: bool,
 }
 
+/// An entry process that the platform's service names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Introduction {
+    /// Where it listens for the others.
+    pub address: SocketAddr,
+    /// Changes each time it makes itself known there; 0 where it isn't known to have done so.
+    pub stamp: u64,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -140,7 +149,7 @@
     /// All targets that the platform lists.
     Targets(Vec<Target>),
     /// Entry processes that the platform's service names.
-    Introduced(Vec<SocketAddr>),
+    Introduced(Vec<Introduction>),
     /// What another entry process says of itself and of others.
     Heard(Vec<Row>),
     /// The process is asked to leave.
@@ -185,8 +194,10 @@
     pub left: f64,
     /// Units a second that come back.
     pub rate: f64,
-    /// Processes among which the limit was parted; 1 where all of them were heard.
+    /// Processes among which the limit was parted.
     pub among: u32,
+    /// Those of them that shared their parts.
+    pub together: u32,
 }
 
 /// An answer of our own.
@@ -267,6 +278,8 @@
         heard: usize,
         /// Those that may take requests.
         expected: usize,
+        /// Those, with this one, that share what is left of limits.
+        together: u32,
     },
     /// A body is refused from now on.
     Quarantined(Fingerprint),
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -24,8 +24,8 @@
 use allowance::{Allowance, Share};
 use budget::Budget;
 pub use event::{
-    Effect, Event, Lack, Note, Now, Outcome, Reason, Refusal, Request, Start, Target, Ticket,
-    Tokens,
+    Effect, Event, Introduction, Lack, Note, Now, Outcome, Reason, Refusal, Request, Start, Target,
+    Ticket, Tokens,
 };
 use peers::{Peers, Row, Told, Use};
 use pending::{Order, Pending, Running, Stage};
@@ -105,7 +105,8 @@
     budgets: BTreeMap<PoolName, Budget>,
     peers: Peers,
     place: Place,
-    known: bool,
+    /// Entry processes, this one included, that share what is left of limits.
+    together: u32,
     sequence: u64,
     crashes: BTreeMap<Fingerprint, u32>,
     /// Bodies whose connection broke off, by target, until it is known whether that died.
@@ -157,7 +158,7 @@
         budgets: BTreeMap::new(),
         peers: Peers::default(),
         place: Place { index: 0, among: 1 },
-        known: true,
+        together: 1,
         sequence: 0,
         crashes: BTreeMap::new(),
         lost: Vec::new(),
@@ -180,9 +181,10 @@
         Event::Planned(plan) => state.plan(plan, &mut effects),
         Event::Confirmed { boot } => state.confirm(now, boot),
         Event::Targets(targets) => state.list(now.steady, targets, &mut effects),
-        Event::Introduced(addresses) => {
-            for address in addresses.into_iter().filter(|&at| at != state.settings.address) {
-                state.peers.introduce(now.steady, address);
+        Event::Introduced(processes) => {
+            let own = state.settings.address;
+            for process in processes.into_iter().filter(|process| process.address != own) {
+                state.peers.introduce(now.steady, process);
             }
             state.look_round(now.steady, &mut effects);
         }
@@ -239,6 +241,12 @@
         })
     }
 
+    /// Whether another process that may take requests isn't heard.
+    pub fn is_lonely(&self, now: Instant) -> bool {
+        let gone = self.settings.gone;
+        self.peers.heard(now, gone) < self.peers.expected(now, gone)
+    }
+
     /// The configuration in force.
     pub fn plan_in_force(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
@@ -258,6 +266,7 @@
             sequence: self.sequence,
             age: Duration::ZERO,
             leaving: self.draining && self.requests.is_empty(),
+            hears: self.peers.heard_addresses(now),
             uptime: now.saturating_duration_since(self.opened),
             accounts: self.accounts.iter().map(used).collect(),
             running: self.room.running(),
@@ -354,7 +363,7 @@
         // Calls of plain services are too small to make room for others.
         let rank = if tokens.is_some() { rank } else { 0 };
         let tolerance = self.settings.tolerance;
-        let share = Share { among: self.place.among, known: self.known, tolerance };
+        let share = Share { among: self.place.among, together: self.together, tolerance };
         let opened = self.opened;
         let usage = self.accounts.entry(name.clone()).or_insert_with(|| allowance::open(opened));
         match usage.take(now, limit, share, rank, units) {
@@ -679,11 +688,11 @@
         addresses.sort_unstable();
         let index = addresses.iter().position(|&address| address == own).unwrap_or_default();
         self.place = Place { index: index as u32, among: addresses.len() as u32 };
-        let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
-        let known = heard == expected;
-        if known != self.known {
-            self.known = known;
-            effects.push(Effect::Note(Note::Peers { heard, expected }));
+        let together = self.peers.together(now, gone);
+        if together != self.together {
+            self.together = together;
+            let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
+            effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
         self.room.count_others(self.peers.running(now));
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -9,6 +9,8 @@
 use model::id::{AccountName, Fingerprint, TargetName};
 use serde::{Deserialize, Serialize};
 
+use super::event::Introduction;
+
 /// A row that is older doesn't count as known: five exchanges.
 pub const KNOWN: Duration = Duration::from_millis(500);
 
@@ -47,6 +49,8 @@
     pub age: Duration,
     /// Whether it takes no more requests.
     pub leaving: bool,
+    /// Processes that it hears.
+    pub hears: Vec<SocketAddr>,
     /// Time since its process started.
     pub uptime: Duration,
     /// What it knows of each account's use.
@@ -62,7 +66,9 @@
     row: Row,
     /// When the row was made, by the clock of this process; `None` where it was only heard of.
     made: Option<Instant>,
-    /// When this process first heard of it.
+    /// What it last wrote to the platform's service.
+    stamp: u64,
+    /// When this process saw that change.
     introduced: Instant,
 }
 
@@ -82,13 +88,20 @@
 }
 
 impl Peers {
-    /// Hears that there may be a process at an address.
-    pub fn introduce(&mut self, now: Instant, address: SocketAddr) {
-        self.peers.entry(address).or_insert_with(|| Peer {
+    /// Hears that there may be a process at an address. One whose stamp changes is alive, and may
+    /// take requests even if it isn't heard.
+    pub fn introduce(&mut self, now: Instant, introduction: Introduction) {
+        let Introduction { address, stamp } = introduction;
+        let peer = self.peers.entry(address).or_insert_with(|| Peer {
             row: Row { address: Some(address), ..Row::default() },
             made: None,
+            stamp,
             introduced: now,
         });
+        if stamp != 0 && peer.stamp != stamp {
+            peer.stamp = stamp;
+            peer.introduced = now;
+        }
     }
 
     /// Takes a row in; gives what it tells of accounts to a process that runs for `uptime`.
@@ -96,7 +109,7 @@
         let Some(address) = row.address else {
             return Vec::new();
         };
-        self.introduce(now, address);
+        self.introduce(now, Introduction { address, stamp: 0 });
         let Some(peer) = self.peers.get_mut(&address) else {
             return Vec::new();
         };
@@ -146,6 +159,32 @@
         self.active(now, gone).filter(|peer| peer.is_known(now)).count()
     }
 
+    /// Processes, this one included, that share what is left of limits: all that are heard, if each
+    /// of them hears just the same, else this one alone.
+    pub fn together(&self, now: Instant, gone: Duration) -> u32 {
+        let heard: Vec<&Peer> = self.active(now, gone).filter(|peer| peer.is_known(now)).collect();
+        let agrees = |peer: &&Peer| {
+            let others = heard.iter().filter_map(|other| other.row.address);
+            let mut others = others.filter(|&other| peer.row.address != Some(other));
+            others.all(|other| peer.row.hears.contains(&other))
+                && peer.row.hears.iter().all(|heard_there| {
+                    let known = self.peers.get(heard_there);
+                    known.is_none_or(|known| !self.is_silent(known, now, gone))
+                })
+        };
+        if heard.iter().all(agrees) { heard.len() as u32 + 1 } else { 1 }
+    }
+
+    /// Processes that are heard.
+    pub fn heard_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let known = self.peers.values().filter(|peer| peer.is_known(now) && !peer.row.leaving);
+        known.filter_map(|peer| peer.row.address).collect()
+    }
+
+    fn is_silent(&self, peer: &Peer, now: Instant, gone: Duration) -> bool {
+        peer.is_active(now, gone) && !peer.is_known(now)
+    }
+
     /// Addresses of those that may take requests.
     pub fn active_addresses(&self, now: Instant, gone: Duration) -> Vec<SocketAddr> {
         self.active(now, gone).filter_map(|peer| peer.row.address).collect()
@@ -177,15 +216,17 @@
     }
 
     fn active(&self, now: Instant, gone: Duration) -> impl Iterator<Item = &Peer> {
-        self.peers
-            .values()
-            .filter(move |peer| !peer.row.leaving && now.duration_since(peer.last()) < gone)
+        self.peers.values().filter(move |peer| peer.is_active(now, gone))
     }
 }
 
 impl Peer {
     fn last(&self) -> Instant {
-        self.made.unwrap_or(self.introduced)
+        self.made.map_or(self.introduced, |made| made.max(self.introduced))
+    }
+
+    fn is_active(&self, now: Instant, gone: Duration) -> bool {
+        !self.row.leaving && now.saturating_duration_since(self.last()) < gone
     }
 
     fn is_known(&self, now: Instant) -> bool {
