--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -68,6 +68,8 @@
     pub ready: bool,
     /// Whether another entry process isn't heard that may take requests.
     pub lonely: bool,
+    /// Other entry processes that may be alive.
+    pub peers: Vec<SocketAddr>,
     /// The configuration in force.
     pub plan: Option<Arc<Plan>>,
 }
@@ -290,13 +292,15 @@
     fn tell(&mut self) {
         let ready = self.state.is_ready();
         let lonely = self.state.is_lonely(Instant::now());
+        let peers = || self.state.peers();
         let plan = self.state.plan_in_force();
         self.status.send_if_modified(|status| {
             let version = |plan: Option<&Arc<Plan>>| plan.map(|plan| plan.version);
             let changed = (status.ready, status.lonely) != (ready, lonely)
-                || version(status.plan.as_ref()) != version(plan);
+                || version(status.plan.as_ref()) != version(plan)
+                || !peers().eq(status.peers.iter().copied());
             if changed {
-                *status = Status { ready, lonely, plan: plan.cloned() };
+                *status = Status { ready, lonely, peers: peers().collect(), plan: plan.cloned() };
             }
             changed
         });
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -149,6 +149,11 @@
 const MARGIN: Duration = Duration::from_millis(450);
 
 impl Handle {
+    /// Other entry processes that may be alive.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.control.watch().borrow().peers.clone()
+    }
+
     /// Tells the balancer to send no more, finishes what is in progress, and ends.
     pub async fn drain(self) {
         let end = tokio::time::Instant::now() + self.grace - MARGIN;
