Log by a thread of its own, count what operators watch, and read settings again

Cause: a log line was written by whoever decided, who then waited for a slow reader; nothing was counted; a settings file that changed was not looked at. Lines now wait in a bounded queue and those left out are counted; wait, first event and whole answer have histograms by tier and client account at the deploy file's metrics address; SIGHUP, or a look each 5 s, hears of new seeds and logs the change, and a faulty file changes nothing.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -12,10 +12,11 @@
     time::{Duration, Instant},
 };
 
+use metrics::Gateway;
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::direct::{
-    self, Effect, Event, Introduction, Now, Refusal, Request, Start, State, Ticket, peers::Row,
-    plan::Plan,
+    self, Effect, Event, Introduction, Now, Outcome, Refusal, Request, Start, State, Ticket,
+    peers::Row, plan::Plan,
 };
 use tokio::{
     net::TcpStream,
@@ -89,10 +90,11 @@
     status: watch::Sender<Status>,
     own: SocketAddr,
     exchanges: u64,
+    metrics: Arc<Gateway>,
 }
 
 /// Starts the control thread.
-pub fn spawn(settings: &Settings, feed: Feed) -> io::Result<Handle> {
+pub fn spawn(settings: &Settings, feed: Feed, metrics: Arc<Gateway>) -> io::Result<Handle> {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, reader) = watch::channel(Status::default());
     let handle = Handle {
@@ -111,6 +113,7 @@
         status,
         own: settings.peers,
         exchanges: 0,
+        metrics,
     };
     let (settings, given) = (settings.clone(), handle.clone());
     thread::Builder::new().name("control".into()).spawn(move || {
@@ -118,8 +121,7 @@
             if let Err(error) = peer::bind(settings.peers, given.clone()).await {
                 error!(%error, address = %settings.peers, "can't listen for entry processes");
             }
-            let seeds = settings.seeds.iter().map(|&address| Introduction { address, stamp: 0 });
-            given.send(Event::Introduced(seeds.collect()));
+            given.introduce(&settings.seeds);
             tokio::spawn(feed(given));
             thread.run(inbox).await;
         });
@@ -144,6 +146,12 @@
         let _ = self.messages.send(Message::Event(event));
     }
 
+    /// Hears of entry processes that may be alive.
+    pub fn introduce(&self, seeds: &[SocketAddr]) {
+        let seeds = seeds.iter().map(|&address| Introduction { address, stamp: 0 });
+        self.send(Event::Introduced(seeds.collect()));
+    }
+
     /// A number for a new request.
     pub fn ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
@@ -206,6 +214,7 @@
         match message {
             Message::Event(event) => {
                 if let Event::Left { ticket } = event {
+                    self.left(ticket);
                     self.forget(ticket);
                 }
                 self.reduce(event);
@@ -233,17 +242,14 @@
 
     fn reduce(&mut self, event: Event) {
         let now = now();
-        if let Event::Ended { ticket, outcome, begun, events } = &event
-            && let Some(id) = self.ids.get(ticket)
-        {
-            info!(request = id, ?outcome, begun, events, "a dispatch ended");
-        }
+        self.observe(now.steady, &event);
         let ended = match &event {
-            Event::Ended { ticket, outcome: direct::Outcome::Done, .. } => Some(*ticket),
+            Event::Ended { ticket, outcome: Outcome::Done, .. } => Some(*ticket),
             _ => None,
         };
         for effect in direct::reduce(&mut self.state, now, event) {
             record::decided(&self.state, now.steady, &effect);
+            record::count(&self.state, now.steady, &self.metrics, &effect);
             self.carry_out(effect);
         }
         if let Some(ticket) = ended {
@@ -252,6 +258,37 @@
         self.tell();
     }
 
+    /// Logs that a caller left before its answer was whole.
+    fn left(&self, ticket: Ticket) {
+        let Some(id) = self.ids.get(&ticket) else {
+            return;
+        };
+        let view = self.state.view(ticket, Instant::now());
+        let after_ms = view.map(|view| view.waited.as_millis() as u64);
+        info!(request = id, dispatched = view.is_some(), after_ms, "its caller left");
+    }
+
+    /// Logs and counts what happened to a dispatch.
+    fn observe(&self, now: Instant, event: &Event) {
+        match event {
+            Event::Began { ticket } => {
+                if let Some(view) = self.state.view(*ticket, now) {
+                    self.metrics.first(view.tier, view.running_for);
+                }
+            }
+            Event::Ended { ticket, outcome, begun, events } => {
+                if let Some(view) = self.state.view(*ticket, now) {
+                    record::ended(&view, *outcome, *begun, *events);
+                    self.metrics.ended(record::name(*outcome));
+                    if *outcome == Outcome::Done {
+                        self.metrics.whole(view.account, view.waited);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start(start) => {
@@ -291,6 +328,7 @@
 
     fn tell(&mut self) {
         let ready = self.state.is_ready();
+        self.metrics.open.set(self.state.open_requests() as i64);
         let lonely = self.state.is_lonely(Instant::now());
         let peers = || self.state.peers();
         let plan = self.state.plan_in_force();
--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics::Gateway;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
@@ -52,7 +53,11 @@
 }
 
 /// Starts to listen.
-pub async fn bind(settings: &Settings, context: Arc<call::Context>) -> Result<Handle, Error> {
+pub async fn bind(
+    settings: &Settings,
+    context: Arc<call::Context>,
+    metrics: Arc<Gateway>,
+) -> Result<Handle, Error> {
     let (closing, _) = watch::channel(false);
     let shared =
         Arc::new(Shared { context, closing, open: AtomicUsize::new(0), ended: Notify::new() });
@@ -61,6 +66,10 @@
     let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
     tokio::spawn(accept(callers, move |stream| serve(Arc::clone(&calls), stream)));
     tokio::spawn(accept(operators, move |stream| check(Arc::clone(&checks), stream)));
+    if let Some(address) = settings.metrics {
+        let listener = listen(address).await?;
+        tokio::spawn(accept(listener, move |stream| render(Arc::clone(&metrics), stream)));
+    }
     Ok(Handle { shared })
 }
 
@@ -171,3 +180,12 @@
     // A check that breaks off is repeated by whoever asked.
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
+
+async fn render(metrics: Arc<Gateway>, stream: TcpStream) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let response = Response::new(Full::new(Bytes::from(metrics.render())));
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A reader that breaks off comes again.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 use displaydoc::Display;
 use http::{request, response};
 use http_body_util::{Full, combinators::UnsyncBoxBody};
+use metrics::Gateway;
 use scheduler::direct::{self, Refusal, Start, Tokens};
 use thiserror::Error;
 use tracing::info;
@@ -49,8 +50,10 @@
     pub name: String,
     /// For callers.
     pub callers: SocketAddr,
-    /// For the balancer's health check and metrics readers.
+    /// For the balancer's health check.
     pub operators: SocketAddr,
+    /// For readers of metrics, where there is such an address.
+    pub metrics: Option<SocketAddr>,
     /// For other entry processes.
     pub peers: SocketAddr,
     /// Other entry processes that may be alive.
@@ -130,11 +133,16 @@
 }
 
 /// Starts the process on the current `tokio` runtime, which becomes its traffic thread.
-pub async fn spawn(settings: Settings, dialect: Dialect, feed: Feed) -> Result<Handle, Error> {
-    let control = control::spawn(&settings, feed).map_err(Error::Thread)?;
+pub async fn spawn(
+    settings: Settings,
+    dialect: Dialect,
+    feed: Feed,
+    metrics: Arc<Gateway>,
+) -> Result<Handle, Error> {
+    let control = control::spawn(&settings, feed, Arc::clone(&metrics)).map_err(Error::Thread)?;
     let context =
         Arc::new(call::Context { control: control.clone(), dialect, targets: dispatch::open() });
-    let ingress = ingress::bind(&settings, context).await?;
+    let ingress = ingress::bind(&settings, context, metrics).await?;
     let Settings { name, callers, operators, peers, .. } = &settings;
     info!(name, %callers, %operators, %peers, "listening");
     Ok(Handle { control, ingress, grace: settings.grace })
@@ -149,6 +157,11 @@
 const MARGIN: Duration = Duration::from_millis(450);
 
 impl Handle {
+    /// Hears of entry processes that may be alive.
+    pub fn introduce(&self, seeds: &[SocketAddr]) {
+        self.control.introduce(seeds);
+    }
+
     /// Other entry processes that may be alive.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.control.watch().borrow().peers.clone()
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use scheduler::direct::{Effect, Lack, Note, Refusal, State, Ticket};
+use metrics::Gateway;
+use scheduler::direct::{Effect, Lack, Note, Outcome, Reason, Refusal, State, Ticket, View};
 use tracing::{info, warn};
 
 /// Logs what the reducer decided.
@@ -33,27 +34,89 @@
     }
 }
 
+/// Counts what the reducer decided.
+pub fn count(state: &State, now: Instant, metrics: &Gateway, effect: &Effect) {
+    match effect {
+        Effect::Start(start) => {
+            if let Some(view) = state.view(start.ticket, now).filter(|view| view.attempt == 1) {
+                metrics.waited(view.tier, view.waited);
+            }
+        }
+        Effect::Refuse { refusal, .. } => metrics.refused(reason(refusal.reason)),
+        Effect::Note(Note::Planned { version }) => {
+            metrics.version.set(i64::try_from(*version).unwrap_or(i64::MAX));
+        }
+        Effect::Note(Note::Fresh(fresh)) => {
+            metrics.fresh.set((*fresh).into());
+        }
+        Effect::Note(Note::Peers { together, .. }) => {
+            metrics.together.set((*together).into());
+        }
+        Effect::Note(Note::Targets { ready, .. }) => {
+            metrics.targets.set(i64::try_from(*ready).unwrap_or(i64::MAX));
+        }
+        Effect::Note(Note::Quarantined(_)) | Effect::Pass { .. } | Effect::Probe { .. } => {}
+    }
+}
+
+/// Logs the end of a dispatch.
+pub fn ended(view: &View<'_>, outcome: Outcome, begun: bool, events: u32) {
+    info!(
+        request = view.id,
+        outcome = name(outcome),
+        begun,
+        events,
+        attempt = view.attempt,
+        after_ms = view.running_for.as_millis() as u64,
+        since_arrival_ms = view.waited.as_millis() as u64,
+        "a dispatch ended"
+    );
+}
+
+/// Name of an outcome in logs and metrics.
+pub fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Rejected => "rejected",
+        Outcome::Replaced => "replaced",
+        Outcome::Unreached => "unreached",
+        Outcome::Failed => "failed",
+        Outcome::Lost { crashed: true } => "broken_off",
+        Outcome::Lost { crashed: false } => "no_proper_answer",
+        Outcome::Silent => "silent",
+        Outcome::Expired => "expired",
+    }
+}
+
+/// Name of a reason in logs and metrics.
+pub fn reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::NotReady => "not_ready",
+        Reason::NoRoute => "no_route",
+        Reason::BadKey => "unauthorized",
+        Reason::Limit => "account_limit",
+        Reason::NoRoom => "overloaded",
+        Reason::Draining => "draining",
+        Reason::Quarantined => "quarantined",
+        Reason::Late => "deadline",
+        Reason::Expired => "timeout",
+        Reason::Lost => "target_lost",
+        Reason::Unserved => "no_target",
+    }
+}
+
 /// Logs a refusal with the id that the caller gave.
 pub fn refused(id: &str, ticket: Ticket, refusal: &Refusal, waiting: usize) {
     let retry_after_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64);
-    let reason = refusal.reason;
+    let reason = reason(refusal.reason);
     let not_run = refusal.not_run;
     let Some(lack) = refusal.lack else {
-        return info!(request = id, ticket, ?reason, not_run, retry_after_ms, waiting, "refused");
+        return info!(request = id, ticket, reason, not_run, retry_after_ms, waiting, "refused");
     };
     let Lack { units, left, rate, among, together } = lack;
     info!(
         request = id,
-        ticket,
-        ?reason,
-        not_run,
-        retry_after_ms,
-        units,
-        left,
-        rate,
-        among,
-        together,
-        "refused"
+        ticket, reason, not_run, retry_after_ms, units, left, rate, among, together, "refused"
     );
 }
 
--- /dev/null
+++ b/components/metrics/src/gateway.rs
@@ -0,0 +1,139 @@
+//! Metrics of an entry process that dispatches straight to targets.
+
+use std::time::Duration;
+
+use model::id::AccountName;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 16;
+
+/// Label of requests that belong to no client account.
+pub const NOBODY: &str = "none";
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Account {
+    account: AccountName,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Tier {
+    tier: u32,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Why {
+    reason: String,
+}
+
+/// Counters and histograms; every method may be called from any thread.
+#[derive(Debug)]
+pub struct Gateway {
+    registry: Registry,
+    first: Family<Tier, Histogram>,
+    waited: Family<Tier, Histogram>,
+    whole: Family<Account, Histogram>,
+    refused: Family<Why, Counter>,
+    dispatches: Family<Why, Counter>,
+    /// Requests that haven't ended.
+    pub open: Gauge,
+    /// Version of the configuration in force.
+    pub version: Gauge,
+    /// Whether the configuration is known to be current.
+    pub fresh: Gauge,
+    /// Entry processes, this one included, that share what is left of limits.
+    pub together: Gauge,
+    /// Targets that take requests.
+    pub targets: Gauge,
+    /// Log lines that were left out.
+    pub left_out: Gauge,
+}
+
+/// Builds the metrics.
+pub fn open() -> Gateway {
+    let metrics = Gateway {
+        registry: Registry::default(),
+        first: Family::new_with_constructor(histogram),
+        waited: Family::new_with_constructor(histogram),
+        whole: Family::new_with_constructor(histogram),
+        refused: Family::default(),
+        dispatches: Family::default(),
+        open: Gauge::default(),
+        version: Gauge::default(),
+        fresh: Gauge::default(),
+        together: Gauge::default(),
+        targets: Gauge::default(),
+        left_out: Gauge::default(),
+    };
+    let mut registry = Registry::with_prefix("wagtailhill");
+    let first = "Time from dispatch to the first event or the whole answer, by tier";
+    registry.register("first_event_seconds", first, metrics.first.clone());
+    let waited = "Time from arrival to the first dispatch, by tier";
+    registry.register("wait_seconds", waited, metrics.waited.clone());
+    let whole = "Time from arrival to the end of a whole answer, by client account";
+    registry.register("answer_seconds", whole, metrics.whole.clone());
+    registry.register("refusals", "Requests refused, by reason", metrics.refused.clone());
+    let ended = "Dispatches that ended, by outcome";
+    registry.register("dispatches", ended, metrics.dispatches.clone());
+    let gauges = [
+        ("open_requests", "Requests that haven't ended", &metrics.open),
+        ("config_version", "Version of the configuration in force", &metrics.version),
+        ("config_current", "1 where the configuration is known to be current", &metrics.fresh),
+        ("entries_together", "Entry processes that share limits", &metrics.together),
+        ("targets_ready", "Targets that take requests", &metrics.targets),
+        ("log_lines_left_out", "Log lines that found no room", &metrics.left_out),
+    ];
+    for (name, help, gauge) in gauges {
+        registry.register(name, help, gauge.clone());
+    }
+    Gateway { registry, ..metrics }
+}
+
+impl Gateway {
+    /// Counts the first event of a dispatch.
+    pub fn first(&self, tier: u32, after: Duration) {
+        self.first.get_or_create(&Tier { tier }).observe(after.as_secs_f64());
+    }
+
+    /// Counts the wait before a first dispatch.
+    pub fn waited(&self, tier: u32, after: Duration) {
+        self.waited.get_or_create(&Tier { tier }).observe(after.as_secs_f64());
+    }
+
+    /// Counts a whole answer.
+    pub fn whole(&self, account: Option<&str>, after: Duration) {
+        let account = account.unwrap_or(NOBODY).to_owned();
+        self.whole.get_or_create(&Account { account }).observe(after.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &str) {
+        self.refused.get_or_create(&Why { reason: reason.to_owned() }).inc();
+    }
+
+    /// Counts the end of a dispatch.
+    pub fn ended(&self, outcome: &str) {
+        self.dispatches.get_or_create(&Why { reason: outcome.to_owned() }).inc();
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string can't fail");
+        text
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
+}
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod agent;
 mod bridge;
 pub mod entry;
+pub mod gateway;
 pub mod log;
 
 pub use agent::Agent;
 pub use entry::Entry;
+pub use gateway::Gateway;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -135,6 +135,14 @@
     pub plan: u64,
     /// Units that it took of its account's limit.
     pub units: f64,
+    /// Whose it is.
+    pub account: Option<&'a str>,
+    /// Rank of its route.
+    pub tier: u32,
+    /// Time since its dispatch.
+    pub running_for: Duration,
+    /// Which dispatch it is, from 1.
+    pub attempt: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -244,6 +252,7 @@
         let Stage::Running(running) = &pending.stage else {
             return None;
         };
+        let since = running.since;
         let seat = self.room.seat(&running.taken.target);
         Some(View {
             id: &pending.request.id,
@@ -253,6 +262,10 @@
             elsewhere: seat.map_or(0, |seat| seat.others),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
             units: pending.units,
+            account: pending.account.as_deref(),
+            tier: pending.rank.1,
+            running_for: now.saturating_duration_since(since),
+            attempt: pending.dispatches,
         })
     }
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,20 +1,31 @@
 //! `wagtailhill gateway`.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
 
 use clap::ArgMatches;
+use metrics::log::ErrorCounter;
+use platform::settings::Settings;
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
+    time::interval,
 };
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 use crate::exit;
 
+/// Period in which the settings file is looked at: it may change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
+
 /// Runs an entry process on the users' platform until SIGTERM or SIGINT, then drains it.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let path: &PathBuf = matches.get_one("settings").expect("clap requires it");
-    metrics::log::init();
+    let log = metrics::log::spawn();
     let settings = match platform::load(path) {
         Ok(settings) => settings,
         Err(error) => return exit::failed(error),
@@ -24,7 +35,7 @@
         Ok(runtime) => runtime,
         Err(error) => return exit::failed(error),
     };
-    match runtime.block_on(serve(settings)) {
+    match runtime.block_on(serve(path, settings, log.counter())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(%error, "the entry process ends");
@@ -33,19 +44,49 @@
     }
 }
 
-async fn serve(settings: platform::settings::Settings) -> Result<(), gateway::Error> {
+async fn serve(
+    path: &Path,
+    settings: Settings,
+    left_out: ErrorCounter,
+) -> Result<(), gateway::Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(gateway::Error::Thread)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(gateway::Error::Thread)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(gateway::Error::Thread)?;
+    let mut look = interval(LOOK);
+    let metrics = Arc::new(metrics::gateway::open());
     let feed = platform::feed::open(&settings);
-    let gateway = gateway::spawn(settings.gateway, platform::dialect::open(), feed).await?;
+    let (dialect, counted) = (platform::dialect::open(), Arc::clone(&metrics));
+    let gateway = gateway::spawn(settings.gateway.clone(), dialect, feed, counted).await?;
+    let mut known = settings;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => info!("told to reload: the settings are read at the next start"),
+            _ = hangup.recv() => known = reload(path, known, &gateway),
+            _ = look.tick() => {
+                known = reload(path, known, &gateway);
+                metrics.left_out.set(left_out.dropped_lines().try_into().unwrap_or(i64::MAX));
+            }
         }
     }
     gateway.drain().await;
     Ok(())
 }
+
+/// Reads the settings again. New entry processes are heard of at once; all else that changed holds
+/// from the next start, and a file that is faulty changes nothing.
+fn reload(path: &Path, known: Settings, gateway: &gateway::Handle) -> Settings {
+    let mut read = match platform::load(path) {
+        Ok(read) => read,
+        Err(error) => {
+            warn!(%error, "the settings can't be read again; those of before stay");
+            return known;
+        }
+    };
+    read.gateway.direct.incarnation = known.gateway.direct.incarnation;
+    if read != known {
+        info!(seeds = ?read.gateway.seeds, "the settings changed");
+        gateway.introduce(&read.gateway.seeds);
+    }
+    read
+}
