Write evidence of each request to the platform's store, and audit it there

Cause: on the platform nothing was recorded. The audit allows a direct entry to dispatch a repeatable request as often as its record names dispatches; all else is judged as before.

Ruled out: judging the repeatable requests of agents' deployments more mildly; the rule there stays one dispatch.

--- a/components/evidence/src/audit/corpus.rs
+++ b/components/evidence/src/audit/corpus.rs
@@ -34,6 +34,13 @@
     pub request: &'a Request,
 }
 
+impl Ended<'_> {
+    /// Whether its entry dispatched it itself: its runs stand in the same chain.
+    pub fn is_direct(&self) -> bool {
+        self.seen.chain.process.role == Role::Direct
+    }
+}
+
 /// A request's record at an agent.
 #[derive(Clone, Copy, Debug)]
 pub struct Ran<'a> {
--- a/components/evidence/src/batch.rs
+++ b/components/evidence/src/batch.rs
@@ -28,6 +28,8 @@
     Entry,
     /// An agent.
     Agent,
+    /// An entry process that dispatches straight to targets, and writes their runs itself.
+    Direct,
 }
 
 /// One run of a process; it has one chain.
--- a/components/evidence/src/history.rs
+++ b/components/evidence/src/history.rs
@@ -281,6 +281,7 @@
     let role = match process.role {
         Role::Entry => "entry",
         Role::Agent => "agent",
+        Role::Direct => "direct entry",
     };
     format!("{role} `{}` (run {})", process.name, process.run)
 }
--- a/components/evidence/src/read.rs
+++ b/components/evidence/src/read.rs
@@ -62,7 +62,8 @@
     }
 }
 
-fn scope(reads: Vec<Read>, expired: Option<Offset>, range: Range) -> Scope {
+/// Puts together what was read; `expired` is the oldest offset where earlier ones are gone.
+pub fn scope(reads: Vec<Read>, expired: Option<Offset>, range: Range) -> Scope {
     let mut history = history::assemble(reads);
     let mut span = range.span;
     let begin = begin(&history);
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -46,6 +46,8 @@
     last: Option<String>,
     /// Whether any event went to the caller.
     begun: bool,
+    /// Hash over what goes to the caller.
+    digest: blake3::Hasher,
     ended: bool,
     _open: Open,
 }
@@ -76,6 +78,7 @@
         orders,
         failure: None,
         begun: false,
+        digest: blake3::Hasher::new(),
         ended: false,
         _open: open,
     };
@@ -151,6 +154,7 @@
             match self.send(&start).await {
                 Ok(Opened::Whole(response)) => {
                     self.began();
+                    self.digest.update(response.body());
                     self.report(Outcome::Done, 0);
                     return Ok(Head::Whole(response));
                 }
@@ -213,6 +217,10 @@
 
     fn report(&mut self, outcome: Outcome, events: u32) {
         self.ended = outcome == Outcome::Done;
+        if self.ended {
+            let digest = evidence::record::answer_digest(&self.digest.finalize());
+            self.context.control.answered(self.ticket, digest);
+        }
         let (ticket, begun) = (self.ticket, self.begun);
         self.context.control.send(Event::Ended { ticket, outcome, begun, events });
     }
@@ -240,6 +248,7 @@
                 Ok(Some(piece)) => {
                     if is_new(session.last.as_deref(), piece.id.as_deref()) {
                         session.begun = true;
+                        session.digest.update(&piece.bytes);
                         count += 1;
                         if piece.id.is_some() {
                             session.last = piece.id;
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -12,6 +12,7 @@
     time::{Duration, Instant},
 };
 
+use evidence::record::AnswerDigest;
 use metrics::Gateway;
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::direct::{
@@ -26,7 +27,11 @@
 };
 use tracing::{error, info};
 
-use crate::{Feed, Settings, dispatch, peer, record};
+use crate::{
+    Feed, Records, Settings, dispatch, peer,
+    proof::{self, Recorder},
+    record,
+};
 
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
@@ -49,6 +54,8 @@
 enum Message {
     Event(Event),
     Arrived(Request, mpsc::UnboundedSender<Order>),
+    Answered(Ticket, AnswerDigest),
+    Close(oneshot::Sender<()>),
     Exchange { rows: Vec<Row>, all: bool, reply: oneshot::Sender<Vec<Row>> },
     Exchanged { address: SocketAddr, answer: Option<(peer::PeerClient, Vec<Row>)> },
 }
@@ -91,10 +98,12 @@
     own: SocketAddr,
     exchanges: u64,
     metrics: Arc<Gateway>,
+    recorder: Recorder,
 }
 
 /// Starts the control thread.
-pub fn spawn(settings: &Settings, feed: Feed, metrics: Arc<Gateway>) -> io::Result<Handle> {
+pub fn spawn(settings: &Settings, feed: Feed, records: Records) -> io::Result<Handle> {
+    let Records { metrics, evidence } = records;
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, reader) = watch::channel(Status::default());
     let handle = Handle {
@@ -114,6 +123,7 @@
         own: settings.peers,
         exchanges: 0,
         metrics,
+        recorder: proof::open(evidence),
     };
     let (settings, given) = (settings.clone(), handle.clone());
     thread::Builder::new().name("control".into()).spawn(move || {
@@ -176,6 +186,19 @@
         self.status.clone()
     }
 
+    /// What goes to a request's caller has this digest.
+    pub fn answered(&self, ticket: Ticket, digest: AnswerDigest) {
+        let _ = self.messages.send(Message::Answered(ticket, digest));
+    }
+
+    /// Writes the last record of evidence.
+    pub async fn close(&self) {
+        let (done, closed) = oneshot::channel();
+        let _ = self.messages.send(Message::Close(done));
+        // The thread ends only with the process.
+        let _ = closed.await;
+    }
+
     /// Lets the health check fail from now on.
     pub fn lame(&self) {
         self.lame.store(true, Ordering::Relaxed);
@@ -213,8 +236,12 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(event) => {
+                if matches!(event, Event::Drain) {
+                    self.recorder.draining();
+                }
                 if let Event::Left { ticket } = event {
                     self.left(ticket);
+                    self.recorder.left(ticket);
                     self.forget(ticket);
                 }
                 self.reduce(event);
@@ -222,8 +249,14 @@
             Message::Arrived(request, orders) => {
                 self.orders.insert(request.ticket, orders);
                 self.ids.insert(request.ticket, request.id.clone());
+                self.recorder.arrived(request.ticket, &request.id);
                 self.reduce(Event::Arrived(request));
             }
+            Message::Answered(ticket, digest) => self.recorder.answered(ticket, digest),
+            Message::Close(done) => {
+                self.recorder.closed();
+                let _ = done.send(());
+            }
             Message::Exchange { rows, all, reply } => {
                 self.reduce(Event::Heard(rows));
                 let _ = reply.send(self.rows(all));
@@ -243,6 +276,9 @@
     fn reduce(&mut self, event: Event) {
         let now = now();
         self.observe(now.steady, &event);
+        if let Event::Ended { ticket, outcome, .. } = event {
+            self.recorder.ran(ticket, outcome);
+        }
         let ended = match &event {
             Event::Ended { ticket, outcome: Outcome::Done, .. } => Some(*ticket),
             _ => None,
@@ -292,6 +328,7 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start(start) => {
+                self.recorder.started(&start);
                 if let Some(orders) = self.orders.get(&start.ticket) {
                     let _ = orders.send(Order::Start(start));
                 }
@@ -299,9 +336,13 @@
             Effect::Refuse { ticket, refusal } => {
                 let id = self.ids.get(&ticket).map(String::as_str).unwrap_or_default();
                 record::refused(id, ticket, &refusal, self.state.open_requests());
+                self.recorder.refused(ticket, &refusal);
                 self.end(ticket, Order::Refuse(refusal));
             }
-            Effect::Pass { ticket } => self.end(ticket, Order::Pass),
+            Effect::Pass { ticket } => {
+                self.recorder.passed(ticket);
+                self.end(ticket, Order::Pass);
+            }
             Effect::Probe { target, address } => {
                 let messages = self.messages.clone();
                 tokio::spawn(async move {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,12 +11,14 @@
 mod events;
 mod ingress;
 mod peer;
+pub mod proof;
 pub mod record;
 
 use std::{future::Future, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
+use evidence::Buffer;
 use http::{request, response};
 use http_body_util::{Full, combinators::UnsyncBoxBody};
 use metrics::Gateway;
@@ -125,6 +127,15 @@
     pub refuse: fn(&Refusal, Option<&str>) -> http::Response<Bytes>,
 }
 
+/// Where a process writes what it did.
+#[derive(Clone, Debug)]
+pub struct Records {
+    /// Counters and histograms.
+    pub metrics: Arc<Gateway>,
+    /// Evidence of each request.
+    pub evidence: Buffer,
+}
+
 /// A running process.
 pub struct Handle {
     control: control::Handle,
@@ -137,9 +148,10 @@
     settings: Settings,
     dialect: Dialect,
     feed: Feed,
-    metrics: Arc<Gateway>,
+    records: Records,
 ) -> Result<Handle, Error> {
-    let control = control::spawn(&settings, feed, Arc::clone(&metrics)).map_err(Error::Thread)?;
+    let metrics = Arc::clone(&records.metrics);
+    let control = control::spawn(&settings, feed, records).map_err(Error::Thread)?;
     let context =
         Arc::new(call::Context { control: control.clone(), dialect, targets: dispatch::open() });
     let ingress = ingress::bind(&settings, context, metrics).await?;
@@ -154,7 +166,7 @@
 /// Time in which the others hear that this process takes no more: three exchanges.
 const FAREWELL: Duration = Duration::from_millis(150);
 /// Time before the end of the grace in which the process ends by itself.
-const MARGIN: Duration = Duration::from_millis(450);
+const MARGIN: Duration = Duration::from_millis(700);
 
 impl Handle {
     /// Hears of entry processes that may be alive.
@@ -178,6 +190,7 @@
         self.control.send(direct::Event::Drain);
         let ended = tokio::time::timeout_at(end, self.ingress.ended()).await;
         tokio::time::sleep(FAREWELL).await;
+        self.control.close().await;
         info!(open = self.ingress.open(), whole = ended.is_ok(), "stopped");
     }
 }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -231,6 +231,10 @@
     pub address: SocketAddr,
     /// Whose the request is.
     pub account: Option<AccountName>,
+    /// Rank of its route.
+    pub tier: u32,
+    /// Whether it may be dispatched again after it may have run.
+    pub repeatable: bool,
     /// When its time is over.
     pub until: Instant,
     /// Whether the answer is a stream of events.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -29,7 +29,7 @@
 };
 use peers::{Peers, Row, Told, Use};
 use pending::{Order, Pending, Running, Stage};
-use plan::Plan;
+use plan::{Plan, Repeat};
 use room::{Place, Room, Wish};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
@@ -641,6 +641,8 @@
                     address: taken.address,
                     silence: pending.may_repeat().then(|| SILENT.max(taken.first * SILENT_TIMES)),
                     account: pending.account.clone(),
+                    tier: pending.rank.1,
+                    repeatable: pending.repeat != Repeat::Never,
                     until: pending.until,
                     stream: pending.stream,
                     attempt: pending.dispatches,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! Arguments of the command line.
 
-use std::{path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
@@ -204,7 +204,14 @@
             Arg::new("log")
                 .long("log")
                 .help("Base URL of the platform's log, http://host:port")
-                .required(true),
+                .required_unless_present("store"),
+        )
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .help("Address of the users' platform's store, host:port, instead of a log")
+                .value_parser(value_parser!(SocketAddr))
+                .conflicts_with("log"),
         )
         .arg(time("from", "Judge what ended from this time on (2026-12-02T08:00:00Z)"))
         .arg(time("to", "Judge what ended up to this time"))
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -8,6 +8,7 @@
 };
 
 use clap::ArgMatches;
+use gateway::Records;
 use metrics::log::ErrorCounter;
 use platform::settings::Settings;
 use tokio::{
@@ -55,8 +56,11 @@
     let mut look = interval(LOOK);
     let metrics = Arc::new(metrics::gateway::open());
     let feed = platform::feed::open(&settings);
-    let (dialect, counted) = (platform::dialect::open(), Arc::clone(&metrics));
-    let gateway = gateway::spawn(settings.gateway.clone(), dialect, feed, counted).await?;
+    let outbox = platform::proof::open(&settings);
+    let records = Records { metrics: Arc::clone(&metrics), evidence: outbox.buffer() };
+    let evidence = platform::proof::spawn(&settings, outbox);
+    let dialect = platform::dialect::open();
+    let gateway = gateway::spawn(settings.gateway.clone(), dialect, feed, records).await?;
     let mut known = settings;
     loop {
         tokio::select! {
@@ -70,6 +74,7 @@
         }
     }
     gateway.drain().await;
+    evidence.flush().await;
     Ok(())
 }
 
