Don't let one request that may not go everywhere hold up the others

Cause, found by a test: the head of a queue that no free target may take (it ran there before, or is of the lowest tier, which leaves a slot) stopped all behind it. Also, a dispatch that never arrived took one of a request's attempts, and a stream that broke off waited behind requests that hadn't begun.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -30,7 +30,7 @@
 use peers::{Peers, Row, Told, Use};
 use pending::{Order, Pending, Running, Stage};
 use plan::{Plan, Repeat};
-use room::{Place, Room, Wish};
+use room::{Place, Room, Taken, Wish};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
@@ -507,7 +507,7 @@
             return;
         };
         pending.tried.push(target);
-        let allowed = pending.may_repeat();
+        let allowed = pending.may_repeat(pending.tried.len());
         let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
         let harmless = !self.is_quarantined(&body);
         if allowed && harmless && self.pay(now.steady, &pool) {
@@ -644,34 +644,35 @@
     /// Dispatches what waits, as far as there is room.
     fn place(&mut self, now: Now, effects: &mut Vec<Effect>) {
         for queue in self.waiting.values_mut() {
-            while let Some(order) = queue.first().copied() {
+            let mut placed = Vec::new();
+            let mut lowest_fits = true;
+            for order in queue.iter() {
                 let Some(pending) = self.requests.get_mut(&order.ticket) else {
-                    queue.remove(&order);
+                    placed.push(*order);
                     continue;
                 };
                 let lowest = self.lowest.get(&pending.pool) == Some(&pending.tier);
+                if lowest && !lowest_fits {
+                    continue;
+                }
                 let wish = Wish { tokens: pending.prompt(), tried: &pending.tried, lowest };
                 let (place, zone) = (self.place, &self.settings.zone);
-                let Some(taken) = self.room.take(now.steady, &pending.pool, place, zone, &wish)
-                else {
+                let taken = self.room.take(now.steady, &pending.pool, place, zone, &wish);
+                if let Some(taken) = taken {
+                    placed.push(*order);
+                    self.timers.remove(&(pending.wake(), order.ticket));
+                    effects.push(Effect::Start(start(now.steady, pending, taken)));
+                    continue;
+                }
+                // One that may not go everywhere doesn't hold up those that may.
+                if lowest {
+                    lowest_fits = false;
+                } else if pending.tried.is_empty() {
                     break;
-                };
+                }
+            }
+            for order in placed {
                 queue.remove(&order);
-                self.timers.remove(&(pending.wake(), order.ticket));
-                pending.dispatches += 1;
-                effects.push(Effect::Start(Start {
-                    ticket: order.ticket,
-                    target: taken.target.clone(),
-                    address: taken.address,
-                    silence: pending.may_repeat().then(|| SILENT.max(taken.first * SILENT_TIMES)),
-                    account: pending.account.clone(),
-                    tier: pending.tier,
-                    repeatable: pending.repeat != Repeat::Never,
-                    until: pending.until,
-                    stream: pending.stream,
-                    attempt: pending.dispatches,
-                }));
-                pending.stage = Stage::Running(Running { taken, since: now.steady });
             }
         }
     }
@@ -771,6 +772,25 @@
     }
 }
 
+fn start(now: Instant, pending: &mut Pending, taken: Taken) -> Start {
+    pending.dispatches += 1;
+    let silence = SILENT.max(taken.first * SILENT_TIMES);
+    let start = Start {
+        ticket: pending.request.ticket,
+        target: taken.target.clone(),
+        address: taken.address,
+        silence: pending.may_repeat(pending.tried.len() + 1).then_some(silence),
+        account: pending.account.clone(),
+        tier: pending.tier,
+        repeatable: pending.repeat != Repeat::Never,
+        until: pending.until,
+        stream: pending.stream,
+        attempt: pending.dispatches,
+    };
+    pending.stage = Stage::Running(Running { taken, since: now });
+    start
+}
+
 fn used((account, usage): (&AccountName, &Allowance)) -> Use {
     Use { account: account.clone(), spent: usage.spent, left: usage.left() }
 }
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -72,7 +72,7 @@
     pub repeat: Repeat,
     /// Whether its answer is a stream.
     pub stream: bool,
-    /// Most targets that it may be dispatched to.
+    /// Most targets that may run it.
     pub attempts: u32,
     /// Dispatches so far.
     pub dispatches: u32,
@@ -94,6 +94,10 @@
     /// its account's rank counts in the last quarter of its wait. On days on which an account of high
     /// rank sends much, the highest tier of all accounts gained up to 0.1 of its worth by that.
     pub fn order(&self) -> Order {
+        // An answer that has begun goes on before anything else begins: half of it is lost otherwise.
+        if self.begun {
+            return Order { rank: [0; 3], arrived: self.arrived, ticket: self.request.ticket };
+        }
         let account = if self.pressed { self.account_rank } else { self.lowest_account };
         let rank = [account, self.tier, self.account_rank];
         Order { rank, arrived: self.arrived, ticket: self.request.ticket }
@@ -104,14 +108,14 @@
         if self.pressed { self.give_up } else { self.press }
     }
 
-    /// Whether it may be dispatched again after it may have run.
-    pub fn may_repeat(&self) -> bool {
+    /// Whether it may be dispatched again after it may have run at so many targets.
+    pub fn may_repeat(&self, ran: usize) -> bool {
         let allowed = match self.repeat {
             Repeat::Safe => !self.begun,
             Repeat::Resume => self.stream,
             Repeat::Never => false,
         };
-        allowed && self.dispatches < self.attempts
+        allowed && ran < self.attempts as usize
     }
 
     /// Tokens of its prompt; 0 where it has none.
--- a/components/scheduler/src/direct/plan.rs
+++ b/components/scheduler/src/direct/plan.rs
@@ -48,7 +48,7 @@
     pub pause: Option<Duration>,
     /// Order of its tier: 0 is the highest.
     pub rank: u32,
-    /// Most targets that one request may be dispatched to; at least 1.
+    /// Most targets that may run one request; at least 1.
     pub attempts: u32,
     /// Whether it is served without a key.
     pub public: bool,
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -271,6 +271,36 @@
     assert!(matches!(effects[..], [Effect::Pass { ticket: 1 }]), "{effects:?}");
 }
 
+#[test]
+fn a_dispatch_that_never_arrived_takes_no_attempt() {
+    let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(5));
+    process.arrive(request(1, "/a/"));
+    process.end(1, Outcome::Unreached);
+    process.end(1, Outcome::Rejected);
+
+    let effects = process.end(1, Outcome::Failed);
+
+    assert_eq!(start(&effects).attempt, 4);
+}
+
+#[test]
+fn an_answer_that_has_begun_goes_on_before_others_begin() {
+    let mut low = route("/low/", Repeat::Resume);
+    low.rank = 1;
+    let plan = plan(1, vec![route("/high/", Repeat::Safe), low], None);
+    let mut process = process(plan, vec![target(1), target(2)]);
+    process.arrive(request(1, "/low/"));
+    for ticket in 2..6 {
+        process.arrive(request(ticket, "/high/"));
+    }
+    let outcome = Outcome::Lost { crashed: true };
+    process.send(Event::Ended { ticket: 1, outcome, begun: true, events: 3 });
+
+    let effects = process.end(2, Outcome::Done);
+
+    assert_eq!(start(&effects).ticket, 1);
+}
+
 #[test]
 fn repeats_stay_within_the_budget() {
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(5));
