--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -20,7 +20,7 @@
     peers::Row, plan::Plan,
 };
 use tokio::{
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     runtime,
     sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, sleep_until, timeout},
@@ -67,6 +67,8 @@
     tickets: Arc<AtomicU64>,
     lame: Arc<AtomicBool>,
     status: watch::Receiver<Status>,
+    /// Where this process listens for the others.
+    pub address: SocketAddr,
 }
 
 /// What the control thread says of itself.
@@ -102,7 +104,12 @@
 }
 
 /// Starts the control thread.
-pub fn spawn(settings: &Settings, feed: Feed, records: Records) -> io::Result<Handle> {
+pub fn spawn(
+    settings: &Settings,
+    peers: TcpListener,
+    feed: Feed,
+    records: Records,
+) -> io::Result<Handle> {
     let Records { metrics, evidence } = records;
     let (messages, inbox) = mpsc::unbounded_channel();
     let (status, reader) = watch::channel(Status::default());
@@ -111,6 +118,7 @@
         tickets: Arc::default(),
         lame: Arc::default(),
         status: reader,
+        address: settings.direct.address,
     };
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = Thread {
@@ -120,16 +128,19 @@
         links: HashMap::new(),
         messages,
         status,
-        own: settings.peers,
+        own: settings.direct.address,
         exchanges: 0,
         metrics,
         recorder: proof::open(evidence),
     };
+    // A listener belongs to the runtime that polls it.
+    let peers = peers.into_std()?;
     let (settings, given) = (settings.clone(), handle.clone());
     thread::Builder::new().name("control".into()).spawn(move || {
         runtime.block_on(async move {
-            if let Err(error) = peer::bind(settings.peers, given.clone()).await {
-                error!(%error, address = %settings.peers, "can't listen for entry processes");
+            match TcpListener::from_std(peers) {
+                Ok(peers) => peer::spawn(peers, given.clone()),
+                Err(error) => error!(%error, "can't serve other entry processes"),
             }
             given.introduce(&settings.seeds);
             tokio::spawn(feed(given));
--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -3,7 +3,6 @@
 use std::{
     convert::Infallible,
     future::Future,
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -24,7 +23,7 @@
 };
 use tracing::warn;
 
-use crate::{Body, Error, Settings, call};
+use crate::{Body, call};
 
 /// Time beyond the operators' limit for which an unused connection stays open, so that no caller
 /// uses it just as it closes.
@@ -52,25 +51,28 @@
     shared: Arc<Shared>,
 }
 
-/// Starts to listen.
-pub async fn bind(
-    settings: &Settings,
-    context: Arc<call::Context>,
-    metrics: Arc<Gateway>,
-) -> Result<Handle, Error> {
+/// What the servers listen at.
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For the balancer's health check.
+    pub operators: TcpListener,
+    /// For readers of metrics.
+    pub metrics: Option<TcpListener>,
+}
+
+/// Starts to serve.
+pub fn spawn(listeners: Listeners, context: Arc<call::Context>, metrics: Arc<Gateway>) -> Handle {
     let (closing, _) = watch::channel(false);
     let shared =
         Arc::new(Shared { context, closing, open: AtomicUsize::new(0), ended: Notify::new() });
-    let callers = listen(settings.callers).await?;
-    let operators = listen(settings.operators).await?;
     let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
-    tokio::spawn(accept(callers, move |stream| serve(Arc::clone(&calls), stream)));
-    tokio::spawn(accept(operators, move |stream| check(Arc::clone(&checks), stream)));
-    if let Some(address) = settings.metrics {
-        let listener = listen(address).await?;
+    tokio::spawn(accept(listeners.callers, move |stream| serve(Arc::clone(&calls), stream)));
+    tokio::spawn(accept(listeners.operators, move |stream| check(Arc::clone(&checks), stream)));
+    if let Some(listener) = listeners.metrics {
         tokio::spawn(accept(listener, move |stream| render(Arc::clone(&metrics), stream)));
     }
-    Ok(Handle { shared })
+    Handle { shared }
 }
 
 impl Handle {
@@ -111,10 +113,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
-}
-
 async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
 where
     F: Future<Output = ()> + Send + 'static,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 use metrics::Gateway;
 use scheduler::direct::{self, Refusal, Start, Tokens};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tracing::info;
 
 /// A body that goes to a caller; an error breaks the connection off.
@@ -136,8 +137,21 @@
     pub evidence: Buffer,
 }
 
+/// Where a process listens; differs from its settings where these take any free port.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's health check.
+    pub operators: SocketAddr,
+    /// For other entry processes.
+    pub peers: SocketAddr,
+}
+
 /// A running process.
 pub struct Handle {
+    /// Where it listens.
+    pub addresses: Addresses,
     control: control::Handle,
     ingress: ingress::Handle,
     grace: Duration,
@@ -145,19 +159,42 @@
 
 /// Starts the process on the current `tokio` runtime, which becomes its traffic thread.
 pub async fn spawn(
-    settings: Settings,
+    mut settings: Settings,
     dialect: Dialect,
     feed: Feed,
     records: Records,
 ) -> Result<Handle, Error> {
+    let listeners = ingress::Listeners {
+        callers: listen(settings.callers).await?,
+        operators: listen(settings.operators).await?,
+        metrics: match settings.metrics {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        },
+    };
+    let peers = listen(settings.peers).await?;
+    let addresses = Addresses {
+        callers: local(&listeners.callers)?,
+        operators: local(&listeners.operators)?,
+        peers: local(&peers)?,
+    };
+    settings.direct.address = addresses.peers;
     let metrics = Arc::clone(&records.metrics);
-    let control = control::spawn(&settings, feed, records).map_err(Error::Thread)?;
+    let control = control::spawn(&settings, peers, feed, records).map_err(Error::Thread)?;
     let context =
         Arc::new(call::Context { control: control.clone(), dialect, targets: dispatch::open() });
-    let ingress = ingress::bind(&settings, context, metrics).await?;
-    let Settings { name, callers, operators, peers, .. } = &settings;
-    info!(name, %callers, %operators, %peers, "listening");
-    Ok(Handle { control, ingress, grace: settings.grace })
+    let ingress = ingress::spawn(listeners, context, metrics);
+    let Addresses { callers, operators, peers } = &addresses;
+    info!(name = settings.name, %callers, %operators, %peers, "listening");
+    Ok(Handle { addresses, control, ingress, grace: settings.grace })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, Error> {
+    listener.local_addr().map_err(Error::Thread)
 }
 
 /// Time after the request to stop for which new requests are still taken: the balancer needs up to
--- a/components/gateway/src/peer.rs
+++ b/components/gateway/src/peer.rs
@@ -1,7 +1,6 @@
 //! What entry processes tell each other, by `tarpc`.
 
 use std::{
-    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -11,10 +10,16 @@
 use tarpc::{
     client::{self, NewClient},
     context::{self, Context},
+    serde_transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::time::timeout;
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use tracing::warn;
 
 use crate::control::Handle;
 
@@ -40,25 +45,29 @@
 }
 
 /// Serves other entry processes until the runtime ends.
-pub async fn bind(address: SocketAddr, control: Handle) -> io::Result<()> {
-    let incoming = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+pub fn spawn(listener: TcpListener, control: Handle) {
     let server = Server { control };
     tokio::spawn(async move {
-        let connections = incoming.filter_map(|connection| future::ready(connection.ok()));
-        connections
-            .for_each(|connection| {
-                // A connection that is gone already shows itself at its first use.
-                let _ = connection.get_ref().set_nodelay(true);
-                let calls = BaseChannel::with_defaults(connection).execute(server.clone().serve());
-                tokio::spawn(calls.for_each(|call| {
-                    tokio::spawn(call);
-                    future::ready(())
-                }));
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    warn!(%error, "an entry process's connection can't be taken");
+                    sleep(WAIT).await;
+                    continue;
+                }
+            };
+            // A connection that is gone already shows itself at its first use.
+            let _ = stream.set_nodelay(true);
+            let framed = LengthDelimitedCodec::builder().new_framed(stream);
+            let transport = serde_transport::new(framed, Bincode::default());
+            let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+            tokio::spawn(calls.for_each(|call| {
+                tokio::spawn(call);
                 future::ready(())
-            })
-            .await;
+            }));
+        }
     });
-    Ok(())
 }
 
 /// Exchanges rows with one process, by a new connection where none is open.
@@ -79,7 +88,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Option<PeerClient> {
-    let connecting = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+    let connecting = serde_transport::tcp::connect(address, Bincode::default);
     let transport = timeout(WAIT, connecting).await.ok()?.ok()?;
     transport.get_ref().set_nodelay(true).ok()?;
     let NewClient { client, dispatch } = PeerClient::new(client::Config::default(), transport);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -190,6 +190,13 @@
                 .help("The file holds settings of an agent, not of an entry process")
                 .num_args(0),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .help("The file is the one that the users' platform writes for `gateway`")
+                .conflicts_with("agent")
+                .num_args(0),
+        )
 }
 
 fn audit() -> Command {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -9,9 +9,12 @@
 /// Checks a settings file.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let path: &PathBuf = matches.get_one("settings").expect("clap requires it");
-    let checked = match matches.get_flag("agent") {
-        true => settings::load_agent(path).map(drop),
-        false => settings::load_entry(path).map(drop),
+    let checked = if matches.get_flag("platform") {
+        platform::load(path).map(drop)
+    } else if matches.get_flag("agent") {
+        settings::load_agent(path).map(drop)
+    } else {
+        settings::load_entry(path).map(drop)
     };
     match checked {
         Ok(()) => {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -29,7 +29,7 @@
     let log = metrics::log::spawn();
     let settings = match platform::load(path) {
         Ok(settings) => settings,
-        Err(error) => return exit::failed(error),
+        Err(findings) => return exit::faulty(path, &findings),
     };
     // The hosts have a part of one core: a single thread carries all traffic.
     let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
@@ -83,8 +83,10 @@
 fn reload(path: &Path, known: Settings, gateway: &gateway::Handle) -> Settings {
     let mut read = match platform::load(path) {
         Ok(read) => read,
-        Err(error) => {
-            warn!(%error, "the settings can't be read again; those of before stay");
+        Err(findings) => {
+            for finding in findings {
+                warn!(%finding, "the settings are faulty; those of before stay");
+            }
             return known;
         }
     };
