--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -17,13 +17,14 @@
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::direct::{
     self, Effect, Event, Introduction, Now, Outcome, Refusal, Request, Start, State, Ticket,
-    peers::Row, plan::Plan,
+    peers::{self, Row},
+    plan::Plan,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
     runtime,
     sync::{mpsc, oneshot, watch},
-    time::{MissedTickBehavior, interval, sleep_until, timeout},
+    time::{sleep_until, timeout},
 };
 use tracing::{error, info};
 
@@ -35,8 +36,6 @@
 
 /// Longest sleep of the control thread, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
-/// Period of the exchange with other entry processes.
-const EXCHANGE: Duration = Duration::from_millis(50);
 /// Exchanges between two that tell all that is known, not just the own row.
 const FULL: u64 = 20;
 
@@ -228,8 +227,7 @@
 
 impl Thread {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
-        let mut exchange = interval(EXCHANGE);
-        exchange.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut exchange = Instant::now();
         loop {
             let wake = direct::next_wake(&self.state, Instant::now());
             let wake = wake.unwrap_or_else(|| Instant::now() + IDLE);
@@ -238,7 +236,10 @@
                     Some(message) => self.take(message),
                     None => return,
                 },
-                _ = exchange.tick() => self.exchange(),
+                () = sleep_until(exchange.into()) => {
+                    exchange = Instant::now() + peers::period(self.links.len());
+                    self.exchange();
+                }
                 () = sleep_until(wake.into()) => self.reduce(Event::Tick),
             }
         }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -11,8 +11,18 @@
 
 use super::event::Introduction;
 
-/// A row that is older doesn't count as known: five exchanges.
-pub const KNOWN: Duration = Duration::from_millis(500);
+/// Shortest period of the exchange of rows.
+const PERIOD: Duration = Duration::from_millis(50);
+/// Time of the period for each other process: a process takes part in 100 exchanges a second at most,
+/// which cost it under a hundredth of a core.
+const PERIOD_EACH: Duration = Duration::from_millis(10);
+/// Periods after which a row doesn't count as known any more.
+const KNOWN: u32 = 10;
+
+/// Period of the exchange of rows with so many other processes.
+pub fn period(others: usize) -> Duration {
+    PERIOD.max(PERIOD_EACH * u32::try_from(others).unwrap_or(u32::MAX))
+}
 
 /// What one entry process has at a target.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -146,7 +156,7 @@
 
     /// Whether a process's row is current.
     pub fn hears(&self, now: Instant, address: SocketAddr) -> bool {
-        self.peers.get(&address).is_some_and(|peer| peer.is_known(now))
+        self.peers.get(&address).is_some_and(|peer| self.is_known(peer, now))
     }
 
     /// Processes that may take requests: those not heard for longer than `gone` can't.
@@ -156,13 +166,14 @@
 
     /// Those of them whose rows are current.
     pub fn heard(&self, now: Instant, gone: Duration) -> usize {
-        self.active(now, gone).filter(|peer| peer.is_known(now)).count()
+        self.active(now, gone).filter(|peer| self.is_known(peer, now)).count()
     }
 
     /// Processes, this one included, that share what is left of limits: all that are heard, if each
     /// of them hears just the same, else this one alone.
     pub fn together(&self, now: Instant, gone: Duration) -> u32 {
-        let heard: Vec<&Peer> = self.active(now, gone).filter(|peer| peer.is_known(now)).collect();
+        let heard: Vec<&Peer> =
+            self.active(now, gone).filter(|peer| self.is_known(peer, now)).collect();
         let agrees = |peer: &&Peer| {
             let others = heard.iter().filter_map(|other| other.row.address);
             let mut others = others.filter(|&other| peer.row.address != Some(other));
@@ -177,12 +188,18 @@
 
     /// Processes that are heard.
     pub fn heard_addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        let known = self.peers.values().filter(|peer| peer.is_known(now) && !peer.row.leaving);
+        let known =
+            self.peers.values().filter(|peer| self.is_known(peer, now) && !peer.row.leaving);
         known.filter_map(|peer| peer.row.address).collect()
     }
 
+    fn is_known(&self, peer: &Peer, now: Instant) -> bool {
+        let known = period(self.peers.len()) * KNOWN;
+        peer.made.is_some_and(|made| now.saturating_duration_since(made) < known)
+    }
+
     fn is_silent(&self, peer: &Peer, now: Instant, gone: Duration) -> bool {
-        peer.is_active(now, gone) && !peer.is_known(now)
+        peer.is_active(now, gone) && !self.is_known(peer, now)
     }
 
     /// Addresses of those that may take requests.
@@ -200,7 +217,7 @@
 
     /// What others have at their targets, as far as that is known.
     pub fn running(&self, now: Instant) -> impl Iterator<Item = &Busy> {
-        let known = self.peers.values().filter(move |peer| peer.is_known(now));
+        let known = self.peers.values().filter(move |peer| self.is_known(peer, now));
         known.flat_map(|peer| &peer.row.running)
     }
 
@@ -228,8 +245,4 @@
     fn is_active(&self, now: Instant, gone: Duration) -> bool {
         !self.row.leaving && now.saturating_duration_since(self.last()) < gone
     }
-
-    fn is_known(&self, now: Instant) -> bool {
-        self.made.is_some_and(|made| now.saturating_duration_since(made) < KNOWN)
-    }
 }
