--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -248,7 +248,7 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(event) => {
-                if matches!(event, Event::Drain) {
+                if matches!(event, Event::Drain { .. }) {
                     self.recorder.draining();
                 }
                 if let Event::Left { ticket } = event {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -223,8 +223,8 @@
         self.control.lame();
         self.ingress.close_idle();
         tokio::time::sleep(LAME).await;
-        info!(open = self.ingress.open(), "draining: new requests are refused");
-        self.control.send(direct::Event::Drain);
+        info!(open = self.ingress.open(), "draining: what may not end in time is refused");
+        self.control.send(direct::Event::Drain { end: end.into_std() });
         let ended = tokio::time::timeout_at(end, self.ingress.ended()).await;
         tokio::time::sleep(FAREWELL).await;
         self.control.close().await;
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -159,8 +159,11 @@
         /// Whether it does.
         reached: bool,
     },
-    /// The process is asked to leave.
-    Drain,
+    /// The process leaves: it takes only what surely ends before.
+    Drain {
+        /// When it ends.
+        end: Instant,
+    },
     /// Time has passed.
     Tick,
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -119,7 +119,8 @@
     lost: Vec<Loss>,
     /// Targets that are asked whether they take connections.
     probing: BTreeSet<TargetName>,
-    draining: bool,
+    /// When the process ends, once it leaves.
+    draining: Option<Instant>,
 }
 
 /// What a dispatch was decided from.
@@ -181,7 +182,7 @@
         crashes: BTreeMap::new(),
         lost: Vec::new(),
         probing: BTreeSet::new(),
-        draining: false,
+        draining: None,
     }
 }
 
@@ -217,7 +218,7 @@
                 state.blame(now.steady, &target, &mut effects);
             }
         }
-        Event::Drain => state.draining = true,
+        Event::Drain { end } => state.draining = Some(end),
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
     state.freshen(now, &mut effects);
@@ -238,7 +239,7 @@
 impl State {
     /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        self.plan.is_some() && self.fresh && !self.draining
+        self.plan.is_some() && self.fresh && self.draining.is_none()
     }
 
     /// Requests that haven't ended.
@@ -298,7 +299,7 @@
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
             age: Duration::ZERO,
-            leaving: self.draining && self.requests.is_empty(),
+            leaving: self.draining.is_some() && self.requests.is_empty(),
             hears: self.peers.heard_addresses(now),
             uptime: now.saturating_duration_since(self.opened),
             accounts: self.accounts.iter().map(used).collect(),
@@ -324,14 +325,15 @@
     }
 
     fn admit(&mut self, now: Now, request: Request) -> Result<Pending, Refusal> {
-        if self.draining {
-            return Err(refuse(Reason::Draining).after(Duration::ZERO));
-        }
         let plan = self.plan.clone().ok_or(refuse(Reason::NotReady).after(RETRY))?;
         // A configuration that may be out of date may lack the route or the key.
         let no_route = if self.fresh { Reason::NoRoute } else { Reason::NotReady };
         let route = plan.route(&request.host, &request.path).ok_or(refuse(no_route))?;
         let account = self.authenticate(&plan, route.public, request.key.as_deref())?;
+        let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
+        if self.draining.is_some_and(|end| now.steady + patience > end) {
+            return Err(refuse(Reason::Draining).after(Duration::ZERO));
+        }
         let pool = route.pool(request.draw).ok_or(refuse(Reason::NoRoute))?.clone();
         if self.is_quarantined(&request.fingerprint) {
             return Err(refuse(Reason::Quarantined));
@@ -344,7 +346,6 @@
             _ => 0.0,
         };
         self.budgets.entry(pool.clone()).or_default().asked(now.steady, &self.settings.repeats);
-        let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
         let wait = patience.min(WAIT_MIN.max(route.aim.mul_f64(WAIT_PART)));
         Ok(Pending {
             account_rank: held.map_or(0, |account| account.rank),
