Split the reducer of direct dispatch by what it decides; bound what is remembered

Lost connections were forgotten only when a target died, and crashes never; both are bounded. Histograms share their buckets.

--- a/components/metrics/src/entry.rs
+++ b/components/metrics/src/entry.rs
@@ -12,20 +12,14 @@
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
+use crate::buckets::histogram;
+
 /// Label of the client accounts beyond the tracked ones.
 pub const OTHER: &str = "other";
-const FIRST_BUCKET_SECONDS: f64 = 0.001;
-const BUCKET_FACTOR: f64 = 2.0;
-const BUCKETS: u16 = 18;
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Tier {
@@ -145,7 +139,3 @@
     let name = serde_json::to_value(reason).expect("a reason is a JSON string");
     name.as_str().unwrap_or_default().to_owned()
 }
-
-fn histogram() -> Histogram {
-    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
-}
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -5,18 +5,11 @@
 use model::id::AccountName;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
-const FIRST_BUCKET_SECONDS: f64 = 0.001;
-const BUCKET_FACTOR: f64 = 2.0;
-const BUCKETS: u16 = 16;
+use crate::buckets::histogram;
 
 /// Label of requests that belong to no client account.
 pub const NOBODY: &str = "none";
@@ -133,7 +126,3 @@
         text
     }
 }
-
-fn histogram() -> Histogram {
-    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
-}
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 mod bridge;
+mod buckets;
 pub mod entry;
 pub mod gateway;
 pub mod log;
--- /dev/null
+++ b/components/scheduler/src/direct/settle.rs
@@ -0,0 +1,209 @@
+//! What follows from the end of a dispatch, and how a request ends.
+
+use std::time::Instant;
+
+use model::id::{Fingerprint, PoolName, TargetName};
+
+use super::{
+    BLAME, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
+    event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
+    pending::{Pending, Running, Stage},
+};
+
+impl State {
+    pub(super) fn began(&mut self, now: Instant, ticket: Ticket) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        if let Stage::Running(running) = &mut pending.stage {
+            let first = now.saturating_duration_since(running.since);
+            self.room.learn(&mut running.taken, first);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        outcome: Outcome,
+        begun: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Stage::Running(Running { taken, .. }) =
+            std::mem::replace(&mut pending.stage, Stage::Waiting)
+        else {
+            return;
+        };
+        let target = taken.target.clone();
+        pending.begun |= begun;
+        pending.ran |= outcome.may_have_run();
+        let body = pending.request.fingerprint;
+        self.room.release(&taken);
+        let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
+        if failed || outcome == Outcome::Done {
+            self.room.judge(&target, failed);
+        }
+        match outcome {
+            Outcome::Done => {
+                self.remove(ticket);
+            }
+            Outcome::Rejected => {
+                self.room.mark_full(now.steady, &target);
+                self.again(now, ticket, true, effects);
+            }
+            Outcome::Replaced => {
+                self.room.mark_gone(&target);
+                self.again(now, ticket, true, effects);
+            }
+            Outcome::Unreached => {
+                self.room.mark_down(now.steady, &target);
+                self.blame(now.steady, &target, effects);
+                self.again(now, ticket, false, effects);
+            }
+            Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
+            Outcome::Silent => {
+                self.room.mark_down(now.steady, &target);
+                self.repeat(now, ticket, target, outcome, effects);
+            }
+            Outcome::Lost { crashed } => {
+                if crashed {
+                    let loss = Loss { at: now.steady, target: target.clone(), body };
+                    self.lost.retain(|known| now.steady.duration_since(known.at) < BLAME);
+                    self.lost.push(loss);
+                    self.probe(&target, effects);
+                }
+                self.repeat(now, ticket, target, outcome, effects);
+            }
+            Outcome::Expired => self.refuse(now.steady, ticket, Reason::Expired, true, effects),
+        }
+    }
+
+    /// Puts a request back that this target did not run.
+    pub(super) fn again(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        arrived: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get(&ticket) else {
+            return;
+        };
+        if arrived && !self.pay(now.steady, &pending.pool.clone()) {
+            return self.refuse(now.steady, ticket, Reason::Unserved, false, effects);
+        }
+        self.enqueue(ticket);
+    }
+
+    /// Dispatches a request again that may have run, where that is allowed.
+    pub(super) fn repeat(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        target: String,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        pending.tried.push(target);
+        let allowed = pending.may_repeat(pending.tried.len());
+        let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
+        let harmless = !self.is_quarantined(&body);
+        if allowed && harmless && self.pay(now.steady, &pool) {
+            if let Some(pending) = self.requests.get_mut(&ticket) {
+                pending.give_up = pending.until.min(now.steady + RESUME_WAIT);
+            }
+            return self.enqueue(ticket);
+        }
+        if outcome == Outcome::Failed {
+            self.remove(ticket);
+            return effects.push(Effect::Pass { ticket });
+        }
+        self.refuse(now.steady, ticket, Reason::Lost, true, effects);
+    }
+
+    pub(super) fn pay(&mut self, now: Instant, pool: &PoolName) -> bool {
+        let budget = self.budgets.entry(pool.clone()).or_default();
+        budget.repeat(now, &self.settings.repeats, self.place.among)
+    }
+
+    /// Asks whether a target still takes connections, one question at a time.
+    pub(super) fn probe(&mut self, target: &TargetName, effects: &mut Vec<Effect>) {
+        if let Some(seat) = self.room.seat(target)
+            && self.probing.insert(target.clone())
+        {
+            let address = seat.target.address;
+            effects.push(Effect::Probe { target: target.clone(), address });
+        }
+    }
+
+    /// A target takes no connection: what broke off there just before ran when it died.
+    pub(super) fn blame(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
+        self.lost.retain(|loss| now.duration_since(loss.at) < BLAME);
+        let (died, rest) =
+            std::mem::take(&mut self.lost).into_iter().partition(|loss| loss.target == target);
+        self.lost = rest;
+        let died: Vec<Loss> = died;
+        for loss in died {
+            if self.crashes.len() >= CRASHES_KEPT {
+                self.crashes.pop_first();
+            }
+            let times = self.crashes.entry(loss.body).or_default();
+            *times += 1;
+            if *times == CRASHES {
+                effects.push(Effect::Note(Note::Quarantined(loss.body)));
+            }
+        }
+    }
+
+    pub(super) fn is_quarantined(&self, body: &Fingerprint) -> bool {
+        let own = self.crashes.get(body).copied().unwrap_or_default();
+        own + self.peers.crashes(body) >= CRASHES
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reason: Reason,
+        ran: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.remove(ticket) else {
+            return;
+        };
+        let not_run = !ran && !pending.ran;
+        let reason = match (reason, not_run) {
+            (Reason::Late | Reason::NoRoom | Reason::Unserved, false) => Reason::Lost,
+            _ => reason,
+        };
+        let left = pending.until.saturating_duration_since(now);
+        let wait = left.mul_f64(RETRY_PART).min(RETRY_MAX);
+        let refusal = Refusal { reason, not_run, retry_after: not_run.then_some(wait), lack: None };
+        effects.push(Effect::Refuse { ticket, refusal });
+    }
+
+    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Pending> {
+        self.dequeue(ticket);
+        let pending = self.requests.remove(&ticket)?;
+        if let Stage::Running(running) = &pending.stage {
+            self.room.release(&running.taken);
+        }
+        if !pending.ran && matches!(pending.stage, Stage::Waiting) {
+            self.give_back(&pending);
+        }
+        Some(pending)
+    }
+
+    pub(super) fn give_back(&mut self, pending: &Pending) {
+        let usage = pending.account.as_ref().and_then(|name| self.accounts.get_mut(name));
+        if let Some(usage) = usage {
+            usage.give_back(pending.units);
+        }
+    }
+}
--- /dev/null
+++ b/components/scheduler/src/direct/world.rs
@@ -0,0 +1,113 @@
+//! What is learnt of the platform and of other entry processes.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::id::PoolName;
+
+use super::{
+    RETURN, SILENCE, State, allowance,
+    event::{Effect, Note, Now, Target},
+    peers::{Row, Told},
+    plan::Plan,
+    room::Place,
+};
+
+impl State {
+    pub(super) fn plan(&mut self, plan: Arc<Plan>, effects: &mut Vec<Effect>) {
+        // A configuration never steps back within the life of a process.
+        if self.plan.as_ref().is_some_and(|known| known.version >= plan.version) {
+            return;
+        }
+        effects.push(Effect::Note(Note::Planned { version: plan.version }));
+        let routes = plan.routes.values().flatten();
+        let pools: BTreeSet<&PoolName> =
+            routes.flat_map(|route| &route.parts).map(|part| &part.pool).collect();
+        let lowest = |pool: &PoolName| Some((pool.clone(), plan.lowest(pool)?));
+        let ranks = plan.accounts.values().map(|account| account.rank);
+        self.lowest_account = ranks.max().unwrap_or_default();
+        self.lowest = pools.into_iter().filter_map(lowest).collect();
+        self.plan = Some(plan);
+    }
+
+    pub(super) fn confirm(&mut self, now: Now, boot: Duration) {
+        let silent = self.confirmed.is_none_or(|last| now.boot.saturating_sub(last) > SILENCE);
+        if silent {
+            self.outage = Some(now.steady);
+        }
+        self.confirmed = self.confirmed.max(Some(boot));
+    }
+
+    pub(super) fn freshen(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let age = self.confirmed.map(|at| now.boot.saturating_sub(at));
+        let fresh = age.is_some_and(|age| age < self.settings.freshness);
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            effects.push(Effect::Note(Note::Fresh(fresh)));
+        }
+    }
+
+    pub(super) fn list(&mut self, now: Instant, targets: Vec<Target>, effects: &mut Vec<Effect>) {
+        let returning = self.outage.is_some_and(|at| now.duration_since(at) < RETURN);
+        let mut used = targets.clone();
+        if returning {
+            let names: BTreeSet<&str> = targets.iter().map(|target| target.name.as_str()).collect();
+            let vanished =
+                self.room.listed().filter(|target| !names.contains(target.name.as_str()));
+            used.extend(vanished.cloned());
+            self.listed = Some(targets);
+        } else {
+            self.listed = None;
+        }
+        let ready = used.iter().filter(|target| target.ready).count();
+        effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
+        self.room.list(used);
+        self.look_round(now, effects);
+    }
+
+    /// Gives vanished targets up once the time in which living ones come back is over.
+    pub(super) fn relist(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.listed.is_some() && self.outage.is_none_or(|at| now.duration_since(at) >= RETURN) {
+            let targets = self.listed.take().unwrap_or_default();
+            self.list(now, targets, effects);
+        }
+    }
+
+    pub(super) fn hear(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
+        let (own, opened) = (self.settings.address, self.opened);
+        for row in rows.into_iter().filter(|row| row.address != Some(own)) {
+            for told in self.peers.hear(now, now.saturating_duration_since(opened), row) {
+                let (Told::Spent(account, _) | Told::Left(account, _)) = &told;
+                let usage = self.accounts.entry(account.clone());
+                let usage = usage.or_insert_with(|| allowance::open(opened));
+                match told {
+                    Told::Spent(_, units) => usage.charge(units as f64),
+                    Told::Left(_, left) => usage.adopt(left),
+                }
+            }
+        }
+        self.look_round(now, effects);
+    }
+
+    /// Takes stock of the other processes.
+    pub(super) fn look_round(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let gone = self.settings.gone;
+        self.peers.forget(now, gone);
+        let mut addresses = self.peers.active_addresses(now, gone);
+        let own = self.settings.address;
+        addresses.push(own);
+        addresses.sort_unstable();
+        let index = addresses.iter().position(|&address| address == own).unwrap_or_default();
+        self.place = Place { index: index as u32, among: addresses.len() as u32 };
+        let together = self.peers.together(now, gone);
+        if together != self.together {
+            self.together = together;
+            let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
+            effects.push(Effect::Note(Note::Peers { heard, expected, together }));
+        }
+        self.room.count_others(self.peers.running(now));
+    }
+}
