--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -136,7 +136,6 @@
         key: call.ask.key.clone(),
         patience: call.ask.patience,
         tokens: call.ask.tokens,
-        resumes: call.ask.last_event.is_some(),
         fingerprint,
         draw: u64::from_le_bytes(bytes),
     }
--- a/components/metrics/src/log.rs
+++ b/components/metrics/src/log.rs
@@ -20,11 +20,6 @@
 }
 
 impl Handle {
-    /// Lines that found no room since the start.
-    pub fn left_out(&self) -> usize {
-        self.left_out.dropped_lines()
-    }
-
     /// Counts lines that find no room.
     pub fn counter(&self) -> ErrorCounter {
         self.left_out.clone()
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -48,8 +48,6 @@
     pub patience: Option<Duration>,
     /// Its tokens, where it says them.
     pub tokens: Option<Tokens>,
-    /// Whether it goes on after an event of an earlier answer.
-    pub resumes: bool,
     /// Fingerprint of its path, caller and body.
     pub fingerprint: Fingerprint,
     /// Spread evenly over requests.
--- a/components/scheduler/src/direct/plan.rs
+++ b/components/scheduler/src/direct/plan.rs
@@ -44,8 +44,6 @@
     pub timeout: Duration,
     /// Time to the answer, or to a stream's first event, that earns the full credit.
     pub aim: Duration,
-    /// Longest pause between events of a stream that is on time.
-    pub pause: Option<Duration>,
     /// Order of its tier: 0 is the highest.
     pub rank: u32,
     /// Most targets that may run one request; at least 1.
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -94,7 +94,6 @@
         stream: repeat == Repeat::Resume,
         timeout: Duration::from_secs(5),
         aim: Duration::from_millis(800),
-        pause: None,
         rank: 0,
         attempts: 2,
         public: false,
@@ -139,7 +138,6 @@
         key: Some("key".into()),
         patience: Some(Duration::from_secs(5)),
         tokens: Some(Tokens { prompt: 100, output: 10 }),
-        resumes: false,
         fingerprint: [ticket as u8; 16],
         draw: ticket,
     }
