Log how far a stream was when its caller left

Cause: of eighteen failed requests told from the log by their ids, four were streams whose callers left, and the log didn't say how many events had come. The count stands in the request's session now and goes with both of its ends.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -46,6 +46,8 @@
     last: Option<String>,
     /// Whether any event went to the caller.
     begun: bool,
+    /// Events of the dispatch that hasn't ended.
+    events: u32,
     /// Hash over what goes to the caller.
     digest: blake3::Hasher,
     ended: bool,
@@ -78,6 +80,7 @@
         orders,
         failure: None,
         begun: false,
+        events: 0,
         digest: blake3::Hasher::new(),
         ended: false,
         _open: open,
@@ -154,12 +157,12 @@
                 Ok(Opened::Whole(response)) => {
                     self.began();
                     self.digest.update(response.body());
-                    self.report(Outcome::Done, 0);
+                    self.report(Outcome::Done);
                     return Ok(Head::Whole(response));
                 }
                 Ok(Opened::Failure(response)) => {
                     self.failure = Some(response);
-                    self.report(Outcome::Failed, 0);
+                    self.report(Outcome::Failed);
                 }
                 Ok(Opened::Stream(parts, mut events)) => match events.next().await {
                     Ok(Some(piece)) => {
@@ -167,12 +170,12 @@
                         return Ok(Head::Stream(parts, piece, events));
                     }
                     Ok(None) => {
-                        self.report(Outcome::Done, 0);
+                        self.report(Outcome::Done);
                         return Ok(Head::Whole(Response::from_parts(*parts, Bytes::new())));
                     }
-                    Err(outcome) => self.report(outcome, 0),
+                    Err(outcome) => self.report(outcome),
                 },
-                Err(outcome) => self.report(outcome, 0),
+                Err(outcome) => self.report(outcome),
             }
         }
     }
@@ -183,8 +186,8 @@
             let start = self.order().await.map_err(|_| Broken)?;
             match self.send(&start).await {
                 Ok(Opened::Stream(_, events)) => return Ok(events),
-                Ok(_) => self.report(Outcome::Lost { crashed: false }, 0),
-                Err(outcome) => self.report(outcome, 0),
+                Ok(_) => self.report(Outcome::Lost { crashed: false }),
+                Err(outcome) => self.report(outcome),
             }
         }
     }
@@ -214,13 +217,14 @@
         self.context.control.send(Event::Began { ticket: self.ticket });
     }
 
-    fn report(&mut self, outcome: Outcome, events: u32) {
+    fn report(&mut self, outcome: Outcome) {
         self.ended = outcome == Outcome::Done;
         if self.ended {
             let digest = evidence::record::answer_digest(&self.digest.finalize());
             self.context.control.answered(self.ticket, digest);
         }
         let (ticket, begun) = (self.ticket, self.begun);
+        let events = std::mem::take(&mut self.events);
         self.context.control.send(Event::Ended { ticket, outcome, begun, events });
     }
 }
@@ -228,7 +232,7 @@
 impl Drop for Session {
     fn drop(&mut self) {
         if !self.ended {
-            self.context.control.send(Event::Left { ticket: self.ticket });
+            self.context.control.send(Event::Left { ticket: self.ticket, events: self.events });
         }
     }
 }
@@ -241,14 +245,13 @@
 ) -> impl futures::Stream<Item = Result<Frame<Bytes>, Broken>> {
     try_stream! {
         let mut next = Ok(Some(first));
-        let mut count = 0;
         loop {
             match next {
                 Ok(Some(piece)) => {
                     if is_new(session.last.as_deref(), piece.id.as_deref()) {
                         session.begun = true;
                         session.digest.update(&piece.bytes);
-                        count += 1;
+                        session.events += 1;
                         if piece.id.is_some() {
                             session.last = piece.id;
                         }
@@ -256,14 +259,13 @@
                     }
                 }
                 Ok(None) => {
-                    session.report(Outcome::Done, count);
+                    session.report(Outcome::Done);
                     break;
                 }
                 Err(outcome) => {
-                    session.report(outcome, count);
+                    session.report(outcome);
                     drop(events);
                     events = *session.resume().await?;
-                    count = 0;
                 }
             }
             next = events.next().await;
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -251,8 +251,8 @@
                 if matches!(event, Event::Drain { .. }) {
                     self.recorder.draining();
                 }
-                if let Event::Left { ticket } = event {
-                    self.left(ticket);
+                if let Event::Left { ticket, events } = event {
+                    self.left(ticket, events);
                     self.recorder.left(ticket);
                     self.forget(ticket);
                 }
@@ -307,13 +307,13 @@
     }
 
     /// Logs that a caller left before its answer was whole.
-    fn left(&self, ticket: Ticket) {
+    fn left(&self, ticket: Ticket, events: u32) {
         let Some(id) = self.ids.get(&ticket) else {
             return;
         };
         let view = self.state.view(ticket, Instant::now());
         let after_ms = view.map(|view| view.waited.as_millis() as u64);
-        info!(request = id, dispatched = view.is_some(), after_ms, "its caller left");
+        info!(request = id, dispatched = view.is_some(), events, after_ms, "its caller left");
     }
 
     /// Logs and counts what happened to a dispatch.
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -136,6 +136,8 @@
     Left {
         /// The request.
         ticket: Ticket,
+        /// Events of a stream that came in its last dispatch.
+        events: u32,
     },
     /// A configuration was read.
     Planned(Arc<Plan>),
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -203,7 +203,7 @@
         Event::Ended { ticket, outcome, begun, events } => {
             state.ended(now, ticket, outcome, begun || events > 0, &mut effects);
         }
-        Event::Left { ticket } => {
+        Event::Left { ticket, .. } => {
             state.remove(ticket);
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -324,7 +324,7 @@
         poison.fingerprint = [9; 16];
         let target = start(&process.arrive(poison)).target;
         let effects = process.end(ticket, Outcome::Lost { crashed: true });
-        process.send(Event::Left { ticket });
+        process.send(Event::Left { ticket, events: 0 });
         let asked = effects.iter().any(|effect| matches!(effect, Effect::Probe { .. }));
         process.send(Event::Probed { target, reached: false });
         asked
@@ -346,7 +346,7 @@
         body.fingerprint = [9; 16];
         let target = start(&process.arrive(body)).target;
         process.end(ticket, Outcome::Lost { crashed: true });
-        process.send(Event::Left { ticket });
+        process.send(Event::Left { ticket, events: 0 });
         process.send(Event::Probed { target, reached: true });
     }
 
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -167,7 +167,7 @@
                 let asked = oracle.asked.get_mut(&ticket).expect("it runs");
                 asked.running = None;
                 asked.ended = true;
-                process.send(Event::Left { ticket })
+                process.send(Event::Left { ticket, events: 0 })
             }
             Step::Wait(ms) => process.pass(Duration::from_millis(ms.into())),
             Step::Confirm => process.confirm(),
