Take nothing once a process has found itself empty, and answer new connections till then

Cause: since what surely ends is taken while a process leaves, one that found itself empty went on taking requests during its farewell and its last append of evidence, and ended with them. It refuses all from then on, and finishes what came just before.

--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -28,6 +28,8 @@
 /// Time beyond the operators' limit for which an unused connection stays open, so that no caller
 /// uses it just as it closes.
 const IDLE_EXTRA: Duration = Duration::from_secs(2);
+/// Time for the first request of a connection that comes while the process leaves.
+const FIRST: Duration = Duration::from_millis(500);
 /// Limit that is assumed before the configuration is known.
 const IDLE: Duration = Duration::from_secs(60);
 /// Wait after a failed accept, which is mostly for want of descriptors.
@@ -153,7 +155,16 @@
         tokio::select! {
             // However it ends, its request is dropped, and so given up.
             _ = connection.as_mut() => return,
-            _ = closing.wait_for(|&closing| closing) => break,
+            () = closed(&mut closing) => {
+                // A connection that has just come brings a request, which is answered.
+                if uses.load(Ordering::Relaxed) == 0 && seen == 0 {
+                    tokio::select! {
+                        _ = connection.as_mut() => return,
+                        () = sleep(FIRST) => {}
+                    }
+                }
+                break;
+            }
             () = sleep(idle()) => {
                 if seen == uses.swap(seen, Ordering::Relaxed) {
                     break;
@@ -167,6 +178,11 @@
     let _ = connection.await;
 }
 
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the servers.
+    let _ = closing.wait_for(|&closing| closing).await;
+}
+
 async fn check(shared: Arc<Shared>, stream: TcpStream) {
     let service = service_fn(move |_: Request<Incoming>| {
         let ready = shared.context.control.is_ready();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -226,7 +226,10 @@
         info!(open = self.ingress.open(), "draining: what may not end in time is refused");
         self.control.send(direct::Event::Drain { end: end.into_std() });
         let ended = tokio::time::timeout_at(end, self.ingress.ended()).await;
+        // Nothing is taken from here on; what came just before is finished too.
+        self.control.send(direct::Event::Drain { end: std::time::Instant::now() });
         tokio::time::sleep(FAREWELL).await;
+        let ended = ended.and(tokio::time::timeout_at(end, self.ingress.ended()).await);
         self.control.close().await;
         info!(open = self.ingress.open(), whole = ended.is_ok(), "stopped");
     }
