Drop a question about pools that nobody asks

Room::is_served was written for refusals by pool and is called by nothing; found on the last reading.

--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -214,12 +214,6 @@
         })
     }
 
-    /// Whether any target of a pool takes requests, with room or without.
-    pub fn is_served(&self, now: Instant, pool: &str) -> bool {
-        let names = self.pools.get(pool).into_iter().flatten();
-        names.filter_map(|name| self.seats.get(name)).any(|seat| seat.is_up(now))
-    }
-
     /// Gives a slot back.
     pub fn release(&mut self, taken: &Taken) {
         if let Some(seat) = self.seats.get_mut(&taken.target) {
