Refuse all sizes alike where an account is beyond its limit

Ruled out: room (nothing waited), rank (the reserve holds for all sizes of a tier).

Each request now waits for what the largest of late needs.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -18,6 +18,8 @@
     whole: f64,
     /// Units left of an equal part of the limit.
     part: f64,
+    /// Units of the largest request of late; small ones wait for as much as it does.
+    largest: f64,
     refilled: Instant,
 }
 
@@ -40,6 +42,9 @@
 const RESERVE: f64 = 0.15;
 /// Ranks that are told apart.
 const RANKS: u32 = 1;
+/// Part of the largest request's units that is remembered after the next one: a bucket that is
+/// nearly empty refuses all sizes alike.
+const REMEMBERED: f64 = 0.98;
 
 impl Tolerance {
     fn extra(&self, limit: &Limit) -> f64 {
@@ -63,7 +68,7 @@
 /// An account that hasn't been used. Its buckets are empty when the process starts: one that was
 /// started again doesn't know what it let through before.
 pub fn open(started: Instant) -> Allowance {
-    Allowance { spent: 0, whole: 0.0, part: 0.0, refilled: started }
+    Allowance { spent: 0, whole: 0.0, part: 0.0, largest: 0.0, refilled: started }
 }
 
 impl Allowance {
@@ -85,10 +90,12 @@
         };
         let (rate, burst) = (limit.rate * part, limit.burst * part);
         let reserve = RESERVE * f64::from(rank.min(RANKS)) * burst;
+        self.largest = units.max(REMEMBERED * self.largest);
         // A request larger than the burst is let through by a full bucket.
-        if (units + reserve).min(burst) > left {
-            let units = (units + reserve).min(burst);
-            return Err(Lack { units, left, rate, among: share.among, together: share.together });
+        let needed = (self.largest + reserve).min(burst);
+        if needed > left {
+            let (among, together) = (share.among, share.together);
+            return Err(Lack { units: needed, left, rate, among, together });
         }
         self.whole -= units;
         self.part -= units;
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -299,3 +299,30 @@
 
     assert!(fleet.worst <= allowed(), "{} of {}", fleet.worst, allowed());
 }
+
+#[test]
+fn beyond_the_limit_large_requests_are_served_as_often_as_small_ones() {
+    let mut fleet = fleet();
+    fleet.introduce();
+
+    let mut served = [0, 0];
+    for step in 1..=2_400_u64 {
+        for process in &mut fleet.processes {
+            process.pass(STEP);
+        }
+        fleet.exchange();
+        if step.is_multiple_of(40) {
+            fleet.introduce();
+        }
+        // Both sizes together are 1.8 times of the limit, and neither always comes first.
+        let first = usize::from(step % 5 < 2);
+        for size in [first, 1 - first] {
+            let before = fleet.dispatched.back().copied();
+            fleet.ask(1, [50, 400][size]);
+            served[size] += u32::from(before != fleet.dispatched.back().copied());
+        }
+    }
+
+    let [small, large] = served;
+    assert!(large * 4 >= small * 3, "{large} large, {small} small");
+}
