Let entry processes relay the configuration and the targets

Cause: a host without a way to the store knew neither what had changed nor, where it started in an outage, anything at all, and refused public routes too. Each exchange of rows now carries both where they are newer at the process that is asked; one that has no configuration, or whose store is silent, asks all others.

Whether the configuration is current is still proved by own reads only. Tried: proofs of freshness that others relay (with the age by the boot clock, taken from when it was asked for). Tried besides: one process reads the runners' records for all. Both are reverted.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -29,7 +29,8 @@
 use tracing::{error, info};
 
 use crate::{
-    Feed, Records, Settings, dispatch, peer,
+    Feed, Records, Settings, dispatch,
+    peer::{self, Answer, PeerClient, Told},
     proof::{self, Recorder},
     record,
 };
@@ -55,8 +56,8 @@
     Arrived(Request, mpsc::UnboundedSender<Order>),
     Answered(Ticket, AnswerDigest),
     Close(oneshot::Sender<()>),
-    Exchange { rows: Vec<Row>, all: bool, reply: oneshot::Sender<Vec<Row>> },
-    Exchanged { address: SocketAddr, answer: Option<(peer::PeerClient, Vec<Row>)> },
+    Exchange { told: Told, reply: oneshot::Sender<Answer> },
+    Exchanged { address: SocketAddr, answer: Option<(PeerClient, Answer)> },
 }
 
 /// Speaks to the control thread; clones speak to the same one.
@@ -85,7 +86,7 @@
 
 #[derive(Default)]
 struct Link {
-    client: Option<peer::PeerClient>,
+    client: Option<PeerClient>,
     busy: bool,
 }
 
@@ -184,10 +185,10 @@
         receiver
     }
 
-    /// Takes rows of another process in.
-    pub async fn exchange(&self, rows: Vec<Row>, all: bool) -> Vec<Row> {
+    /// Takes in what another process tells and gives what it asks for.
+    pub async fn exchange(&self, told: Told) -> Answer {
         let (reply, answer) = oneshot::channel();
-        let _ = self.messages.send(Message::Exchange { rows, all, reply });
+        let _ = self.messages.send(Message::Exchange { told, reply });
         answer.await.unwrap_or_default()
     }
 
@@ -269,17 +270,19 @@
                 self.recorder.closed();
                 let _ = done.send(());
             }
-            Message::Exchange { rows, all, reply } => {
+            Message::Exchange { told: Told { rows, all, known }, reply } => {
                 self.reduce(Event::Heard(rows));
-                let _ = reply.send(self.rows(all));
+                let news = self.state.news(known);
+                let _ = reply.send(Answer { rows: self.rows(all), news });
             }
             Message::Exchanged { address, answer } => {
                 let link = self.links.entry(address).or_default();
                 link.busy = false;
                 link.client = None;
-                if let Some((client, rows)) = answer {
+                if let Some((client, Answer { rows, news })) = answer {
                     link.client = Some(client);
                     self.reduce(Event::Heard(rows));
+                    self.reduce(Event::Relayed(news));
                 }
             }
         }
@@ -405,25 +408,27 @@
         rows
     }
 
-    /// Exchanges rows with those whose address is higher, and with all that aren't heard.
+    /// Exchanges rows with those whose address is higher, with all that aren't heard, and with all
+    /// while what this process has may be out of date.
     fn exchange(&mut self) {
         self.exchanges += 1;
         let all = self.exchanges.is_multiple_of(FULL);
-        let now = Instant::now();
+        let now = now();
+        let behind = self.state.is_behind(now);
         let peers: Vec<SocketAddr> = self.state.peers().collect();
         self.links.retain(|address, _| peers.contains(address));
         for address in peers {
-            if address < self.own && self.state.hears(now, address) {
+            if !behind && address < self.own && self.state.hears(now.steady, address) {
                 continue;
             }
-            let rows = self.rows(all);
+            let told = Told { rows: self.rows(all), all, known: self.state.known() };
             let link = self.links.entry(address).or_default();
             if std::mem::replace(&mut link.busy, true) {
                 continue;
             }
             let (client, messages) = (link.client.clone(), self.messages.clone());
             tokio::spawn(async move {
-                let answer = peer::exchange(client, address, rows, all).await;
+                let answer = peer::exchange(client, address, told).await;
                 let _ = messages.send(Message::Exchanged { address, answer });
             });
         }
--- a/components/gateway/src/peer.rs
+++ b/components/gateway/src/peer.rs
@@ -6,7 +6,11 @@
 };
 
 use futures::{StreamExt, future};
-use scheduler::direct::peers::Row;
+use scheduler::direct::{
+    peers::Row,
+    relay::{Known, News},
+};
+use serde::{Deserialize, Serialize};
 use tarpc::{
     client::{self, NewClient},
     context::{self, Context},
@@ -26,11 +30,32 @@
 /// Longest wait for a connection or an answer; a peer that takes longer isn't current.
 const WAIT: Duration = Duration::from_millis(400);
 
+/// What the asking process tells.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Told {
+    /// Its own row, or all that it knows.
+    pub rows: Vec<Row>,
+    /// Whether it wants all rows.
+    pub all: bool,
+    /// What it has of the configuration and the targets.
+    pub known: Known,
+}
+
+/// What it is answered.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Answer {
+    /// The own row, or all that are known.
+    pub rows: Vec<Row>,
+    /// What is newer.
+    pub news: News,
+}
+
 /// Calls that an entry process serves to others.
 #[tarpc::service]
 pub trait Peer {
-    /// Takes rows in and gives the own one, or all that are known.
-    async fn exchange(rows: Vec<Row>, all: bool) -> Vec<Row>;
+    /// Takes rows in and gives the own one, or all that are known, and what is newer here of the
+    /// configuration and the targets.
+    async fn exchange(told: Told) -> Answer;
 }
 
 #[derive(Clone)]
@@ -39,8 +64,8 @@
 }
 
 impl Peer for Server {
-    async fn exchange(self, _: Context, rows: Vec<Row>, all: bool) -> Vec<Row> {
-        self.control.exchange(rows, all).await
+    async fn exchange(self, _: Context, told: Told) -> Answer {
+        self.control.exchange(told).await
     }
 }
 
@@ -74,17 +99,16 @@
 pub async fn exchange(
     client: Option<PeerClient>,
     address: SocketAddr,
-    rows: Vec<Row>,
-    all: bool,
-) -> Option<(PeerClient, Vec<Row>)> {
+    told: Told,
+) -> Option<(PeerClient, Answer)> {
     let client = match client {
         Some(client) => client,
         None => connect(address).await?,
     };
     let mut context = context::current();
     context.deadline = Instant::now() + WAIT;
-    let rows = client.exchange(context, rows, all).await.ok()?;
-    Some((client, rows))
+    let answer = client.exchange(context, told).await.ok()?;
+    Some((client, answer))
 }
 
 async fn connect(address: SocketAddr) -> Option<PeerClient> {
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -8,7 +8,13 @@
 
 use model::id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName};
 
-use super::{peers::Row, plan::Plan};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    peers::Row,
+    plan::Plan,
+    relay::{Listing, News},
+};
 
 /// Number of a request in this process.
 pub type Ticket = u64;
@@ -86,7 +92,7 @@
 }
 
 /// A target, as the platform lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// Its name, new with each start.
     pub name: TargetName,
@@ -146,8 +152,10 @@
         /// When.
         boot: Duration,
     },
-    /// All targets that the platform lists.
-    Targets(Vec<Target>),
+    /// The targets that the platform lists were read.
+    Listed(Listing),
+    /// Another process relayed what it knows of the configuration and the targets.
+    Relayed(News),
     /// Entry processes that the platform's service names.
     Introduced(Vec<Introduction>),
     /// What another entry process says of itself and of others.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod pending;
 pub mod plan;
 mod queue;
+pub mod relay;
 pub mod room;
 mod settle;
 mod world;
@@ -34,6 +35,7 @@
 use peers::{Peers, Row, Use};
 use pending::{Order, Pending, Stage};
 use plan::Plan;
+use relay::Listing;
 use room::{Place, Room};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
@@ -107,8 +109,10 @@
     fresh: bool,
     /// When the platform was silent for the last time.
     outage: Option<Instant>,
+    /// The last list that was read or relayed.
+    listing: Listing,
     /// The last list, while vanished targets are still used.
-    listed: Option<Vec<Target>>,
+    unlisted: Option<Vec<Target>>,
     room: Room,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
@@ -174,7 +178,8 @@
         confirmed: None,
         fresh: false,
         outage: None,
-        listed: None,
+        listing: Listing::default(),
+        unlisted: None,
         room: Room::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
@@ -208,7 +213,8 @@
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
         Event::Confirmed { boot } => state.confirm(now, boot),
-        Event::Targets(targets) => state.list(now.steady, targets, &mut effects),
+        Event::Listed(listing) => state.take_over(now, listing, &mut effects),
+        Event::Relayed(news) => state.relay(now, news, &mut effects),
         Event::Introduced(processes) => {
             let own = state.settings.address;
             for process in processes.into_iter().filter(|process| process.address != own) {
@@ -228,7 +234,7 @@
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
     state.freshen(now, &mut effects);
-    state.relist(now.steady, &mut effects);
+    state.relist(now, &mut effects);
     state.expire(now.steady, &mut effects);
     state.place(now, &mut effects);
     effects
--- a/components/scheduler/src/direct/plan.rs
+++ b/components/scheduler/src/direct/plan.rs
@@ -6,9 +6,10 @@
 };
 
 use model::id::{AccountName, PoolName};
+use serde::{Deserialize, Serialize};
 
 /// Whether a request may be dispatched again after it may have run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Repeat {
     /// It is idempotent.
     Safe,
@@ -19,7 +20,7 @@
 }
 
 /// A pool of a route, with its part of the requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Part {
     /// The pool.
     pub pool: PoolName,
@@ -28,7 +29,7 @@
 }
 
 /// How the requests of one host name and path prefix are served.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -55,7 +56,7 @@
 }
 
 /// How much of an account's work may run, over all entry processes.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Limit {
     /// Units a second; above 0.
     pub rate: f64,
@@ -68,7 +69,7 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Account {
     /// Order among accounts, which goes before the route's; 0 is the highest.
     pub rank: u32,
@@ -77,7 +78,7 @@
 }
 
 /// One version of the configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Plan {
     /// Grows with each change.
     pub version: u64,
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -9,7 +9,7 @@
 use model::id::PoolName;
 
 use super::{
-    RETURN, SILENCE, State, allowance,
+    RETURN, State, allowance,
     event::{Effect, Note, Now, Target},
     peers::{Row, Told},
     plan::Plan,
@@ -34,8 +34,7 @@
     }
 
     pub(super) fn confirm(&mut self, now: Now, boot: Duration) {
-        let silent = self.confirmed.is_none_or(|last| now.boot.saturating_sub(last) > SILENCE);
-        if silent {
+        if self.is_silent(now) {
             self.outage = Some(now.steady);
         }
         self.confirmed = self.confirmed.max(Some(boot));
@@ -50,28 +49,34 @@
         }
     }
 
-    pub(super) fn list(&mut self, now: Instant, targets: Vec<Target>, effects: &mut Vec<Effect>) {
-        let returning = self.outage.is_some_and(|at| now.duration_since(at) < RETURN);
+    /// Whether living targets may be missing in a list.
+    fn is_returning(&self, now: Now) -> bool {
+        let ended = self.outage.is_some_and(|at| now.steady.duration_since(at) < RETURN);
+        ended || self.is_silent(now)
+    }
+
+    pub(super) fn list(&mut self, now: Now, targets: Vec<Target>, effects: &mut Vec<Effect>) {
+        let returning = self.is_returning(now);
         let mut used = targets.clone();
         if returning {
             let names: BTreeSet<&str> = targets.iter().map(|target| target.name.as_str()).collect();
             let vanished =
                 self.room.listed().filter(|target| !names.contains(target.name.as_str()));
             used.extend(vanished.cloned());
-            self.listed = Some(targets);
+            self.unlisted = Some(targets);
         } else {
-            self.listed = None;
+            self.unlisted = None;
         }
         let ready = used.iter().filter(|target| target.ready).count();
         effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
         self.room.list(used);
-        self.look_round(now, effects);
+        self.look_round(now.steady, effects);
     }
 
     /// Gives vanished targets up once the time in which living ones come back is over.
-    pub(super) fn relist(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.listed.is_some() && self.outage.is_none_or(|at| now.duration_since(at) >= RETURN) {
-            let targets = self.listed.take().unwrap_or_default();
+    pub(super) fn relist(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        if self.unlisted.is_some() && !self.is_returning(now) {
+            let targets = self.unlisted.take().unwrap_or_default();
             self.list(now, targets, effects);
         }
     }
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -198,7 +198,7 @@
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(2));
     let mut leaving = targets(2);
     leaving[0].ready = false;
-    process.send(Event::Targets(leaving));
+    process.list(leaving);
 
     let to: Vec<String> = (0..2)
         .flat_map(|ticket| starts(&process.arrive(request(ticket, "/a/"))))
@@ -213,7 +213,7 @@
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(1));
     process.pass(Duration::from_millis(3_500));
     process.confirm();
-    process.send(Event::Targets(Vec::new()));
+    process.list(Vec::new());
     let during = process.arrive(request(1, "/a/"));
     process.end(1, Outcome::Done);
     process.pass(Duration::from_millis(2_300));
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -123,7 +123,7 @@
     fn list(&mut self, process: &mut Process, count: u16) -> Vec<Effect> {
         let listed = targets(count);
         self.listed = listed.iter().map(|target| target.name.clone()).collect();
-        process.send(Event::Targets(listed))
+        process.list(listed)
     }
 }
 
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -33,6 +33,8 @@
     Cut(u16, u16),
     /// One hears no other, and does not reach the platform either.
     Dark(u16),
+    /// It doesn't reach the platform.
+    Storeless(u16),
     /// It is killed and started again at once.
     Restart(u16),
     /// All are killed and started again at once.
@@ -54,6 +56,7 @@
     processes: Vec<Process>,
     cut: Vec<(u16, u16)>,
     dark: Vec<u16>,
+    storeless: Vec<u16>,
     incarnation: u64,
     stamp: u64,
     ticket: u64,
@@ -76,6 +79,7 @@
     let fault = prop_oneof![
         3 => (process.clone(), process.clone()).prop_map(|(a, b)| Fault::Cut(a, b)),
         2 => process.clone().prop_map(Fault::Dark),
+        2 => process.clone().prop_map(Fault::Storeless),
         2 => process.clone().prop_map(Fault::Restart),
         1 => Just(Fault::RestartAll),
         2 => Just(Fault::Heal),
@@ -94,7 +98,7 @@
     let mut process = Process { state: direct::open(now.steady, settings), now };
     let plan = plan(1, vec![route("/a/", Repeat::Safe)], Some(limit(RATE)));
     process.send(Event::Planned(Arc::new(plan)));
-    process.send(Event::Targets(targets(60)));
+    process.list(targets(60));
     process
 }
 
@@ -105,6 +109,7 @@
         processes,
         cut: Vec::new(),
         dark: Vec::new(),
+        storeless: Vec::new(),
         incarnation: 1_000,
         stamp: 0,
         ticket: 0,
@@ -118,11 +123,13 @@
         match fault {
             Fault::Cut(a, b) => self.cut.push((a, b)),
             Fault::Dark(process) => self.dark.push(process),
+            Fault::Storeless(process) => self.storeless.push(process),
             Fault::Restart(process) => self.restart(process),
             Fault::RestartAll => (0..PROCESSES).for_each(|process| self.restart(process)),
             Fault::Heal => {
                 self.cut.clear();
                 self.dark.clear();
+                self.storeless.clear();
             }
         }
     }
@@ -139,16 +146,19 @@
         !dark && !self.cut.contains(&(a, b)) && !self.cut.contains(&(b, a))
     }
 
+    fn reaches(&self, number: u16) -> bool {
+        !self.dark.contains(&number) && !self.storeless.contains(&number)
+    }
+
     /// Every process that reaches the platform makes itself known there and reads who else does.
     fn introduce(&mut self) {
         self.stamp += 1;
         let stamp = self.stamp;
-        let known: Vec<Introduction> = (0..PROCESSES)
-            .filter(|number| !self.dark.contains(number))
-            .map(|number| Introduction { address: address(number + 1), stamp })
-            .collect();
+        let introduce = |number| Introduction { address: address(number + 1), stamp };
+        let reaching = (0..PROCESSES).filter(|&number| self.reaches(number));
+        let known: Vec<Introduction> = reaching.map(introduce).collect();
         for number in 0..PROCESSES {
-            if !self.dark.contains(&number) {
+            if self.reaches(number) {
                 let process = &mut self.processes[usize::from(number)];
                 process.confirm();
                 process.send(Event::Introduced(known.clone()));
@@ -167,10 +177,22 @@
                 let from_b = self.processes[usize::from(b)].state.row(now);
                 self.processes[usize::from(b)].send(Event::Heard(vec![from_a]));
                 self.processes[usize::from(a)].send(Event::Heard(vec![from_b]));
+                self.relay(a, b);
+                let process = &self.processes[usize::from(b)];
+                if process.state.is_behind(process.now) {
+                    self.relay(b, a);
+                }
             }
         }
     }
 
+    /// One process asks another for news.
+    fn relay(&mut self, asking: u16, asked: u16) {
+        let asked = &self.processes[usize::from(asked)];
+        let asked = Process { state: asked.state.clone(), now: asked.now };
+        self.processes[usize::from(asking)].ask(&asked);
+    }
+
     /// A request that ends at once.
     fn ask(&mut self, number: u16, prompt: u32) {
         self.ticket += 1;
--- /dev/null
+++ b/components/scheduler/tests/direct_relay.rs
@@ -0,0 +1,112 @@
+//! What entry processes relay to each other of the configuration and the targets.
+
+mod direct_support;
+
+use std::{sync::Arc, time::Duration};
+
+use direct_support::{Process, blank, plan, process, refusal, request, route, starts, targets};
+use scheduler::direct::{
+    Event, Reason,
+    plan::{Plan, Repeat},
+    relay::News,
+};
+
+/// Silence of the platform after which it is an outage.
+const SILENT: Duration = Duration::from_millis(2_900);
+/// Time after an outage in which living targets are listed again.
+const RETURN: Duration = Duration::from_millis(2_300);
+
+/// A route for all, and one for those with a key.
+fn routes(version: u64) -> Plan {
+    let mut open = route("/open/", Repeat::Safe);
+    open.public = true;
+    plan(version, vec![route("/a/", Repeat::Safe), open], None)
+}
+
+/// One that reads the platform's service, and one that has no way to it.
+fn pair() -> (Process, Process) {
+    let reader = process(routes(7), targets(2));
+    let mut other = blank(2);
+    other.now = reader.now;
+    (reader, other)
+}
+
+#[test]
+fn a_process_without_the_platform_learns_the_configuration_of_another() {
+    let (reader, mut other) = pair();
+
+    other.ask(&reader);
+
+    assert_eq!(other.state.known().plan, 7);
+    assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
+}
+
+#[test]
+fn keys_count_only_by_what_a_process_read_itself() {
+    let (reader, mut other) = pair();
+
+    other.ask(&reader);
+
+    assert!(!other.state.is_ready());
+    assert_eq!(refusal(&other.arrive(request(1, "/a/"))).reason, Reason::NotReady);
+    other.confirm();
+    assert_eq!(starts(&other.arrive(request(2, "/a/"))).len(), 1);
+}
+
+#[test]
+fn in_an_outage_living_targets_may_be_missing_in_a_relayed_list() {
+    let (mut reader, mut other) = pair();
+    other.ask(&reader);
+    other.confirm();
+    reader.list(Vec::new());
+    other.pass(SILENT);
+
+    other.ask(&reader);
+
+    assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
+    other.confirm();
+    other.pass(RETURN);
+    assert!(starts(&other.arrive(request(2, "/open/"))).is_empty());
+}
+
+#[test]
+fn one_that_is_not_in_an_outage_drops_targets_that_a_relayed_list_lacks() {
+    let (mut reader, mut other) = pair();
+    other.ask(&reader);
+    other.confirm();
+    other.pass(RETURN);
+    other.confirm();
+    reader.list(Vec::new());
+
+    other.ask(&reader);
+
+    assert!(starts(&other.arrive(request(1, "/open/"))).is_empty());
+}
+
+#[test]
+fn nothing_older_than_what_is_known_is_taken_over() {
+    let (reader, mut other) = pair();
+    other.send(Event::Planned(Arc::new(routes(8))));
+    other.confirm();
+    other.list(Vec::new());
+    other.list(targets(1));
+    let known = other.state.known();
+
+    other.ask(&reader);
+
+    assert_eq!(other.state.known(), known);
+    let started = starts(&other.arrive(request(1, "/a/")));
+    assert_eq!(started[0].target, "target-0");
+}
+
+#[test]
+fn only_what_is_newer_is_relayed() {
+    let (reader, mut other) = pair();
+    let first = reader.state.news(other.state.known());
+    other.ask(&reader);
+
+    let second = reader.state.news(other.state.known());
+
+    assert!(first.plan.is_some() && first.listing.is_some());
+    assert_eq!(second, News::default());
+}
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -13,6 +13,7 @@
     allowance::Tolerance,
     budget::Rule,
     plan::{Account, Limit, Part, Plan, Repeat, Route},
+    relay::Listing,
 };
 
 pub const FRESHNESS: Duration = Duration::from_secs(4);
@@ -52,7 +53,7 @@
     let mut process = blank(1);
     process.send(Event::Planned(Arc::new(plan)));
     process.confirm();
-    process.send(Event::Targets(targets));
+    process.list(targets);
     // The first read ends an outage, after which vanished targets are still used for a while.
     process.pass(Duration::from_millis(2_500));
     process.confirm();
@@ -69,6 +70,18 @@
         self.send(Event::Confirmed { boot })
     }
 
+    /// The platform lists other targets.
+    pub fn list(&mut self, targets: Vec<Target>) -> Vec<Effect> {
+        let position = self.state.known().targets + 1;
+        self.send(Event::Listed(Listing { targets, position }))
+    }
+
+    /// Takes in what another process relays.
+    pub fn ask(&mut self, other: &Process) -> Vec<Effect> {
+        let news = other.state.news(self.state.known());
+        self.send(Event::Relayed(news))
+    }
+
     /// Lets time pass by both clocks.
     pub fn pass(&mut self, time: Duration) -> Vec<Effect> {
         self.now.steady += time;
