Take an outage of one process alone for none of the platform

One cut off kept targets that a relayed list no longer held, since it took lists in an outage for ones that living targets may be missing in. One that woke from a suspension took that for an outage of the platform, and dated its end by the first proof that the configuration was current, a second after the first answer: vanished targets stayed in use until 3.2 s after it woke, 0.2 s into the time in which the rule counts.

Ruled out: the relay as the only cause (the second needs none); the pause between reads (the list was read within 0.1 s of each change).

Now an outage ends with the first answer, and one that others didn't have is none: what they relay says whether the platform answers them and had no outage of late, and only such a process relays its list.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -272,7 +272,7 @@
             }
             Message::Exchange { told: Told { rows, all, known }, reply } => {
                 self.reduce(Event::Heard(rows));
-                let news = self.state.news(known);
+                let news = self.state.news(now(), known);
                 let _ = reply.send(Answer { rows: self.rows(all), news });
             }
             Message::Exchanged { address, answer } => {
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -107,7 +107,9 @@
     /// When the plan was last known to be current, by the boot clock.
     confirmed: Option<Duration>,
     fresh: bool,
-    /// When the platform was silent for the last time.
+    /// When the platform last answered this process or one that it relies on, by the boot clock.
+    answered: Option<Duration>,
+    /// When the platform's last outage ended.
     outage: Option<Instant>,
     /// The last list that was read or relayed.
     listing: Listing,
@@ -177,6 +179,7 @@
         lowest_account: 0,
         confirmed: None,
         fresh: false,
+        answered: None,
         outage: None,
         listing: Listing::default(),
         unlisted: None,
@@ -213,7 +216,7 @@
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
         Event::Confirmed { boot } => state.confirm(now, boot),
-        Event::Listed(listing) => state.take_over(now, listing, &mut effects),
+        Event::Listed(listing) => state.take_over(now.steady, listing, &mut effects),
         Event::Relayed(news) => state.relay(now, news, &mut effects),
         Event::Introduced(processes) => {
             let own = state.settings.address;
@@ -234,7 +237,7 @@
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
     state.freshen(now, &mut effects);
-    state.relist(now, &mut effects);
+    state.relist(now.steady, &mut effects);
     state.expire(now.steady, &mut effects);
     state.place(now, &mut effects);
     effects
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -9,14 +9,15 @@
 //! take room from those that are. With proofs that others relay, days on which the service served
 //! some hosts only lost 0.02 to 0.04 of their worth.
 
-use std::time::Duration;
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    SILENCE, State,
+    State,
     event::{Effect, Now, Target},
     plan::Plan,
+    world::is_silent,
 };
 
 /// Place in the platform's stream of records of targets; grows with each record.
@@ -38,6 +39,9 @@
     pub plan: Option<Plan>,
     /// The list of targets, where it is newer.
     pub listing: Option<Listing>,
+    /// Whether the platform answers the process and had no outage of late: one of the asking process
+    /// alone is none of the platform.
+    pub sound: bool,
 }
 
 /// A list of targets.
@@ -57,39 +61,40 @@
     }
 
     /// What this process relays to one that has so much.
-    pub fn news(&self, known: Known) -> News {
+    pub fn news(&self, now: Now, known: Known) -> News {
         let plan = self.plan.as_deref().filter(|plan| plan.version > known.plan);
-        let newer = self.listing.position > known.targets;
-        News { plan: plan.cloned(), listing: newer.then(|| self.listing.clone()) }
+        let sound = !is_silent(self.confirmed, now) && !self.is_returning(now.steady);
+        // Just after an outage a list may lack targets that are alive.
+        let newer = self.listing.position > known.targets && sound;
+        News { plan: plan.cloned(), listing: newer.then(|| self.listing.clone()), sound }
     }
 
     /// Whether it may lack what others know, so that it asks all of them.
     pub fn is_behind(&self, now: Now) -> bool {
-        self.plan.is_none() || self.is_silent(now)
-    }
-
-    /// Whether the platform's service has been silent for so long that this is an outage.
-    pub(super) fn is_silent(&self, now: Now) -> bool {
-        let age = self.confirmed.map(|at| now.boot.saturating_sub(at));
-        age.is_none_or(|age: Duration| age > SILENCE)
+        self.plan.is_none() || is_silent(self.confirmed, now)
     }
 
     pub(super) fn relay(&mut self, now: Now, news: News, effects: &mut Vec<Effect>) {
         if let Some(plan) = news.plan {
             self.plan(plan.into(), effects);
         }
-        if let Some(listing) = news.listing {
-            self.take_over(now, listing, effects);
+        if news.sound {
+            self.answered = Some(now.boot);
+            self.outage = None;
+        }
+        let newer = |listing: &Listing| listing.position > self.listing.position;
+        if let Some(listing) = news.listing.filter(newer) {
+            self.listing = listing;
+            self.unlisted = None;
+            self.use_targets(now.steady, self.listing.targets.clone(), effects);
         }
     }
 
-    /// Takes a list over unless a newer one is known.
-    pub(super) fn take_over(&mut self, now: Now, listing: Listing, effects: &mut Vec<Effect>) {
-        if listing.position < self.listing.position {
-            return;
+    /// Takes a list over that was read here, unless a newer one is known.
+    pub(super) fn take_over(&mut self, now: Instant, listing: Listing, effects: &mut Vec<Effect>) {
+        if listing.position >= self.listing.position {
+            self.listing = listing;
+            self.list(now, self.listing.targets.clone(), effects);
         }
-        self.listing = listing;
-        let targets = self.listing.targets.clone();
-        self.list(now, targets, effects);
     }
 }
