Tell a bounded number of client accounts apart in the deployed entry's metrics

Cause: each client account got a histogram of its own there, 43,000 of them at the size that decides.

The fingerprint of a body stood twice, in two ways; it is one function of the model now.

--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -140,8 +140,10 @@
 async fn run(context: &Arc<Context>, request: Request, outgoing: Outgoing) -> Response<Body> {
     let arrived = Instant::now();
     let id = request.id;
-    let request =
-        Request { fingerprint: read::fingerprint(&outgoing.path, &outgoing.body), ..request };
+    let request = Request {
+        fingerprint: model::id::fingerprint(&[outgoing.path.as_bytes(), &outgoing.body]),
+        ..request
+    };
     let mut ticket = context.control.arrive(request);
     loop {
         match ticket.verdict().await {
--- a/components/entry/src/read.rs
+++ b/components/entry/src/read.rs
@@ -7,7 +7,7 @@
 use model::{
     Finding, credential,
     finding::place,
-    id::{Fingerprint, ModelName, PoolName, RequestId},
+    id::{ModelName, PoolName, RequestId},
     reservation::BlockHash,
 };
 use scheduler::entry::{Call, Request};
@@ -122,17 +122,6 @@
     }
 }
 
-/// What names a body wherever it is sent again.
-pub fn fingerprint(path: &str, body: &Bytes) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(path.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(body);
-    let mut fingerprint = Fingerprint::default();
-    hasher.finalize_xof().fill(&mut fingerprint);
-    fingerprint
-}
-
 fn prefix(model: &str, prompt: &[u8]) -> Vec<BlockHash> {
     let mut hasher = blake3::Hasher::new();
     hasher.update(model.as_bytes());
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
-use model::id::Fingerprint;
+use model::id::{self, Fingerprint};
 use scheduler::direct::{self, Event, Outcome, Reason, Refusal, Start, Ticket};
 use tokio::{sync::mpsc, time::timeout};
 
@@ -112,21 +112,11 @@
         Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
         Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
     };
-    let fingerprint = fingerprint(&head, &ask.key, &body);
+    let key = ask.key.as_deref().unwrap_or_default();
+    let fingerprint = id::fingerprint(&[head.uri.path().as_bytes(), key.as_bytes(), &body]);
     Ok((Call { head, body, ask }, fingerprint))
 }
 
-fn fingerprint(head: &http::request::Parts, key: &Option<String>, body: &[u8]) -> Fingerprint {
-    let mut hash = blake3::Hasher::new();
-    hash.update(head.uri.path().as_bytes());
-    hash.update(key.as_deref().unwrap_or_default().as_bytes());
-    hash.update(body);
-    let mut short = Fingerprint::default();
-    let length = short.len();
-    short.copy_from_slice(&hash.finalize().as_bytes()[..length]);
-    short
-}
-
 fn ask(call: &Call, ticket: Ticket, fingerprint: Fingerprint) -> direct::Request {
     let draw = blake3::hash(call.ask.id.as_bytes());
     let mut bytes = [0; 8];
--- a/components/metrics/src/entry.rs
+++ b/components/metrics/src/entry.rs
@@ -1,36 +1,24 @@
 //! Metrics of an entry process.
 
-use std::{
-    collections::BTreeSet,
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::time::Duration;
 
-use model::{
-    id::{AccountName, TierName},
-    refusal::Reason,
-};
+use model::{id::TierName, refusal::Reason};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
-use crate::buckets::histogram;
-
-/// Label of the client accounts beyond the tracked ones.
-pub const OTHER: &str = "other";
+use crate::{
+    accounts::{self, Accounts},
+    buckets::histogram,
+};
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Tier {
     tier: TierName,
 }
 
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct Account {
-    account: AccountName,
-}
-
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Refused {
     reason: String,
@@ -38,7 +26,6 @@
 }
 
 type Latency = Family<Tier, Histogram>;
-type AccountLatency = Family<Account, Histogram>;
 
 /// Counters and histograms; every method may be called from any thread.
 #[derive(Debug)]
@@ -46,39 +33,35 @@
     registry: Registry,
     whole_by_tier: Latency,
     first_by_tier: Latency,
-    whole_by_account: AccountLatency,
+    whole_by_account: Accounts,
     refused: Family<Refused, Counter>,
     torn: Family<Tier, Counter>,
     /// Requests between arrival and the end of the answer.
     pub open: Gauge,
     /// Configuration offset that is applied.
     pub offset: Gauge,
-    tracked_limit: usize,
-    /// Accounts with a label of their own; never more than `tracked_limit`.
-    tracked: Mutex<BTreeSet<AccountName>>,
 }
 
 /// Builds the metrics; at most `tracked_limit` client accounts get labels of their own.
 pub fn open(tracked_limit: usize) -> Entry {
     let mut registry = Registry::with_prefix("wagtailhill");
+    let account = "Time from arrival to the end of a whole answer, by client account";
+    let whole_by_account =
+        accounts::register(&mut registry, "account_answer_seconds", account, tracked_limit);
     let metrics = Entry {
         whole_by_tier: Latency::new_with_constructor(histogram),
         first_by_tier: Latency::new_with_constructor(histogram),
-        whole_by_account: AccountLatency::new_with_constructor(histogram),
+        whole_by_account,
         refused: Family::default(),
         torn: Family::default(),
         open: Gauge::default(),
         offset: Gauge::default(),
         registry: Registry::default(),
-        tracked_limit,
-        tracked: Mutex::default(),
     };
     let whole = "Time from arrival to the end of a whole answer, by tier";
     registry.register("answer_seconds", whole, metrics.whole_by_tier.clone());
     let first = "Time from arrival to the first byte of the answer, by tier";
     registry.register("first_byte_seconds", first, metrics.first_by_tier.clone());
-    let account = "Time from arrival to the end of a whole answer, by client account";
-    registry.register("account_answer_seconds", account, metrics.whole_by_account.clone());
     registry.register("refusals", "Requests refused, by reason and tier", metrics.refused.clone());
     registry.register("torn_answers", "Answers that ended torn, by tier", metrics.torn.clone());
     registry.register("open_requests", "Requests in progress or waiting", metrics.open.clone());
@@ -96,8 +79,7 @@
     /// Counts a whole answer.
     pub fn whole(&self, tier: &str, account: &str, after: Duration) {
         self.whole_by_tier.get_or_create(&label(tier)).observe(after.as_secs_f64());
-        let account = Account { account: self.track(account) };
-        self.whole_by_account.get_or_create(&account).observe(after.as_secs_f64());
+        self.whole_by_account.observe(account, after);
     }
 
     /// Counts a refusal; the tier is empty where it isn't known.
@@ -117,18 +99,6 @@
         encode(&mut text, &self.registry).expect("writing to a string can't fail");
         text
     }
-
-    fn track(&self, account: &str) -> AccountName {
-        let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
-        if tracked.contains(account) {
-            return account.to_owned();
-        }
-        if tracked.len() >= self.tracked_limit {
-            return OTHER.to_owned();
-        }
-        tracked.insert(account.to_owned());
-        account.to_owned()
-    }
 }
 
 fn label(tier: &str) -> Tier {
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -2,22 +2,23 @@
 
 use std::time::Duration;
 
-use model::id::AccountName;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
-use crate::buckets::histogram;
+use crate::{
+    accounts::{self, Accounts},
+    buckets::histogram,
+};
 
 /// Label of requests that belong to no client account.
 pub const NOBODY: &str = "none";
 
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct Account {
-    account: AccountName,
-}
+/// Client accounts that get labels of their own: at 20 buckets of 100 bytes each, with their names,
+/// these take 150 KB, where all 43,000 would take more memory than a process has for control.
+const TRACKED: usize = 64;
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Tier {
@@ -35,7 +36,7 @@
     registry: Registry,
     first: Family<Tier, Histogram>,
     waited: Family<Tier, Histogram>,
-    whole: Family<Account, Histogram>,
+    whole: Accounts,
     refused: Family<Why, Counter>,
     dispatches: Family<Why, Counter>,
     /// Requests that haven't ended.
@@ -54,11 +55,14 @@
 
 /// Builds the metrics.
 pub fn open() -> Gateway {
+    let mut registry = Registry::with_prefix("wagtailhill");
+    let whole = "Time from arrival to the end of a whole answer, by client account";
+    let whole = accounts::register(&mut registry, "answer_seconds", whole, TRACKED);
     let metrics = Gateway {
         registry: Registry::default(),
         first: Family::new_with_constructor(histogram),
         waited: Family::new_with_constructor(histogram),
-        whole: Family::new_with_constructor(histogram),
+        whole,
         refused: Family::default(),
         dispatches: Family::default(),
         open: Gauge::default(),
@@ -68,13 +72,10 @@
         targets: Gauge::default(),
         left_out: Gauge::default(),
     };
-    let mut registry = Registry::with_prefix("wagtailhill");
     let first = "Time from dispatch to the first event or the whole answer, by tier";
     registry.register("first_event_seconds", first, metrics.first.clone());
     let waited = "Time from arrival to the first dispatch, by tier";
     registry.register("wait_seconds", waited, metrics.waited.clone());
-    let whole = "Time from arrival to the end of a whole answer, by client account";
-    registry.register("answer_seconds", whole, metrics.whole.clone());
     registry.register("refusals", "Requests refused, by reason", metrics.refused.clone());
     let ended = "Dispatches that ended, by outcome";
     registry.register("dispatches", ended, metrics.dispatches.clone());
@@ -105,8 +106,7 @@
 
     /// Counts a whole answer.
     pub fn whole(&self, account: Option<&str>, after: Duration) {
-        let account = account.unwrap_or(NOBODY).to_owned();
-        self.whole.get_or_create(&Account { account }).observe(after.as_secs_f64());
+        self.whole.observe(account.unwrap_or(NOBODY), after);
     }
 
     /// Counts a refusal.
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -1,5 +1,6 @@
 //! What operators see of a process: metrics and the log.
 
+pub mod accounts;
 pub mod agent;
 mod bridge;
 mod buckets;
--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -12,6 +12,21 @@
 pub type ClaimKey = u128;
 /// BLAKE3 hash of a request's path and body, cut to 16 bytes.
 pub type Fingerprint = [u8; 16];
+
+/// What names a body wherever it is sent again: a hash of its path, of what else tells it apart, and
+/// of the body. None of the parts but the last holds a zero byte.
+pub fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for (number, part) in parts.iter().enumerate() {
+        if number > 0 {
+            hasher.update(&[0]);
+        }
+        hasher.update(part);
+    }
+    let mut fingerprint = Fingerprint::default();
+    hasher.finalize_xof().fill(&mut fingerprint);
+    fingerprint
+}
 /// Name of a host as the platform's list gives it.
 pub type HostName = String;
 /// Id of one run of an agent, minted when its process starts.
