Judge an outage by how old the others' last answer is

Cause, found in reading: "sound" was said by a process for 2.8 s after its own last answer, and each that heard it counted that as an answer of now. An outage that all had was seen only after twice the time, so targets taken off the list in one of 3 to 5 s were given up although they lived. The test (direct_relay.rs, an_outage_that_all_have_is_one_of_the_platform) fails on the code before. Now the age of the answer is told, and counts from there.

--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -9,12 +9,12 @@
 //! take room from those that are. With proofs that others relay, days on which the service served
 //! some hosts only lost 0.02 to 0.04 of their worth.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    State,
+    SILENCE, State,
     event::{Effect, Now, Target},
     plan::Plan,
     world::is_silent,
@@ -39,9 +39,9 @@
     pub plan: Option<Plan>,
     /// The list of targets, where it is newer.
     pub listing: Option<Listing>,
-    /// Whether the platform answers the process and had no outage of late: one of the asking process
-    /// alone is none of the platform.
-    pub sound: bool,
+    /// Time since the platform answered the process, suspensions included; `None` where that just had
+    /// an outage. An outage of the asking process alone is none of the platform.
+    pub answered: Option<Duration>,
 }
 
 /// A list of targets.
@@ -63,10 +63,15 @@
     /// What this process relays to one that has so much.
     pub fn news(&self, now: Now, known: Known) -> News {
         let plan = self.plan.as_deref().filter(|plan| plan.version > known.plan);
-        let sound = !is_silent(self.confirmed, now) && !self.is_returning(now.steady);
+        let returning = self.is_returning(now.steady);
+        let age = self.confirmed.map(|at| now.boot.saturating_sub(at));
         // Just after an outage a list may lack targets that are alive.
-        let newer = self.listing.position > known.targets && sound;
-        News { plan: plan.cloned(), listing: newer.then(|| self.listing.clone()), sound }
+        let newer = self.listing.position > known.targets && !returning;
+        News {
+            plan: plan.cloned(),
+            listing: newer.then(|| self.listing.clone()),
+            answered: age.filter(|_| !returning),
+        }
     }
 
     /// Whether it may lack what others know, so that it asks all of them.
@@ -78,9 +83,11 @@
         if let Some(plan) = news.plan {
             self.plan(plan.into(), effects);
         }
-        if news.sound {
-            self.answered = Some(now.boot);
-            self.outage = None;
+        if let Some(age) = news.answered {
+            self.answered = self.answered.max(now.boot.checked_sub(age));
+            if age < SILENCE {
+                self.outage = None;
+            }
         }
         let newer = |listing: &Listing| listing.position > self.listing.position;
         if let Some(listing) = news.listing.filter(newer) {
