Derive what is kept of a list from the list itself

`State` held the last list of targets twice: as `listing`, and again as `unlisted` while vanished targets are still used. The second is now a flag, and one function (`use_listed`) serves reads, relays and the end of an outage, where two copied the list on the way.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -113,8 +113,8 @@
     outage: Option<Instant>,
     /// The last list that was read or relayed.
     listing: Listing,
-    /// The last list, while vanished targets are still used.
-    unlisted: Option<Vec<Target>>,
+    /// Whether targets that vanished from it may still be used.
+    keeps_vanished: bool,
     room: Room,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
@@ -182,7 +182,7 @@
         answered: None,
         outage: None,
         listing: Listing::default(),
-        unlisted: None,
+        keeps_vanished: false,
         room: Room::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -92,8 +92,7 @@
         let newer = |listing: &Listing| listing.position > self.listing.position;
         if let Some(listing) = news.listing.filter(newer) {
             self.listing = listing;
-            self.unlisted = None;
-            self.use_targets(now.steady, self.listing.targets.clone(), effects);
+            self.use_listed(now.steady, false, effects);
         }
     }
 
@@ -101,7 +100,7 @@
     pub(super) fn take_over(&mut self, now: Instant, listing: Listing, effects: &mut Vec<Effect>) {
         if listing.position >= self.listing.position {
             self.listing = listing;
-            self.list(now, self.listing.targets.clone(), effects);
+            self.use_listed(now, self.is_returning(now), effects);
         }
     }
 }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -10,7 +10,7 @@
 
 use super::{
     RETURN, SILENCE, State, allowance,
-    event::{Effect, Note, Now, Target},
+    event::{Effect, Note, Now},
     peers::{Row, Told},
     plan::Plan,
     room::Place,
@@ -60,27 +60,22 @@
         self.outage.is_some_and(|at| now.duration_since(at) < RETURN)
     }
 
-    pub(super) fn list(&mut self, now: Instant, targets: Vec<Target>, effects: &mut Vec<Effect>) {
-        let returning = self.is_returning(now);
-        let mut used = targets.clone();
-        if returning {
-            let names: BTreeSet<&str> = targets.iter().map(|target| target.name.as_str()).collect();
-            let vanished =
-                self.room.listed().filter(|target| !names.contains(target.name.as_str()));
-            used.extend(vanished.cloned());
-            self.unlisted = Some(targets);
-        } else {
-            self.unlisted = None;
-        }
-        self.use_targets(now, used, effects);
-    }
-
-    pub(super) fn use_targets(
+    /// Uses the targets of the last list, and those that vanished from it if that is asked for.
+    pub(super) fn use_listed(
         &mut self,
         now: Instant,
-        used: Vec<Target>,
+        keep_vanished: bool,
         effects: &mut Vec<Effect>,
     ) {
+        self.keeps_vanished = keep_vanished;
+        let listed = &self.listing.targets;
+        let mut used = listed.clone();
+        if keep_vanished {
+            let names: BTreeSet<&str> = listed.iter().map(|target| target.name.as_str()).collect();
+            let vanished =
+                self.room.listed().filter(|target| !names.contains(target.name.as_str()));
+            used.extend(vanished.cloned());
+        }
         let ready = used.iter().filter(|target| target.ready).count();
         effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
         self.room.list(used);
@@ -89,9 +84,8 @@
 
     /// Gives vanished targets up once the time in which living ones come back is over.
     pub(super) fn relist(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.unlisted.is_some() && !self.is_returning(now) {
-            let targets = self.unlisted.take().unwrap_or_default();
-            self.list(now, targets, effects);
+        if self.keeps_vanished && !self.is_returning(now) {
+            self.use_listed(now, false, effects);
         }
     }
 
