--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -213,6 +213,17 @@
         self.worst = self.worst.max(sum);
     }
 
+    /// Lets the time of one step pass, in which all that can hear each other do.
+    fn pass(&mut self, number: u64) {
+        for process in &mut self.processes {
+            process.pass(STEP);
+        }
+        self.exchange();
+        if number.is_multiple_of(40) {
+            self.introduce();
+        }
+    }
+
     fn step(&mut self, number: u64, favoured: u16) {
         for process in &mut self.processes {
             process.pass(STEP);
@@ -266,13 +277,7 @@
     let before = fleet.dispatched.len();
 
     for step in 1..=400_u64 {
-        for process in &mut fleet.processes {
-            process.pass(STEP);
-        }
-        fleet.exchange();
-        if step.is_multiple_of(40) {
-            fleet.introduce();
-        }
+        fleet.pass(step);
         // 190 units each 25 ms are 0.76 of the limit; all of them come to one process.
         fleet.ask(2, 190);
     }
@@ -307,13 +312,7 @@
     fleet.strike(Fault::Cut(0, 1));
 
     for step in 0..800_u64 {
-        for process in &mut fleet.processes {
-            process.pass(STEP);
-        }
-        fleet.exchange();
-        if step.is_multiple_of(40) {
-            fleet.introduce();
-        }
+        fleet.pass(step);
         for process in [0, 1, 0, 1] {
             fleet.ask(process, 190);
         }
@@ -329,13 +328,7 @@
 
     let mut served = [0, 0];
     for step in 1..=2_400_u64 {
-        for process in &mut fleet.processes {
-            process.pass(STEP);
-        }
-        fleet.exchange();
-        if step.is_multiple_of(40) {
-            fleet.introduce();
-        }
+        fleet.pass(step);
         // Both sizes together are 1.8 times of the limit, and neither always comes first.
         let first = usize::from(step % 5 < 2);
         for size in [first, 1 - first] {
