Forget what is known of a target when it starts again under its name

Cause: a target's name was taken for one start of it. One that starts again under the name that it had kept its running set, unread prompts, pace, failures and being left alone in every entry process, and ends of what ran before freed slots of what runs now.

A target now bears its incarnation, which only compares with its own: a later one opens its state anew, an earlier one changes nothing, whether it comes late, by a relay or in another process's row. What broke off at an earlier start counts as what ran when it died. Ruled out: comparing it with a clock of ours (it isn't ours), and dropping the running requests themselves (their connections tell that).

--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -55,7 +55,9 @@
         Effect::Note(Note::Targets { ready, .. }) => {
             metrics.targets.set(i64::try_from(*ready).unwrap_or(i64::MAX));
         }
-        Effect::Note(Note::Quarantined(_)) | Effect::Pass { .. } | Effect::Probe { .. } => {}
+        Effect::Note(Note::Quarantined(_) | Note::Restarted(_))
+        | Effect::Pass { .. }
+        | Effect::Probe { .. } => {}
     }
 }
 
@@ -129,6 +131,7 @@
         Note::Peers { heard, expected, together } => {
             info!(heard, expected, together, "entry processes that are heard changed");
         }
+        Note::Restarted(target) => info!(to = target, "a target started again under its name"),
         Note::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
             warn!(body, "a body is refused: targets died while they ran it");
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -91,11 +91,18 @@
     }
 }
 
+/// Start of a target in milliseconds, by its own clock, so that it compares with other starts of the
+/// same target only; 0 where it isn't known.
+pub type Incarnation = u64;
+
 /// A target, as the platform lists it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
-    /// Its name, new with each start.
+    /// Its name, which it may keep when it starts again.
     pub name: TargetName,
+    /// Its last start: nothing that was known of it before holds after that.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// Its pool.
     pub pool: PoolName,
     /// Where it listens.
@@ -310,6 +317,8 @@
         /// Those, with this one, that share what is left of limits.
         together: u32,
     },
+    /// A target started again under its name: what was known of it is forgotten.
+    Restarted(TargetName),
     /// A body is refused from now on.
     Quarantined(Fingerprint),
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -29,8 +29,8 @@
 use allowance::Allowance;
 use budget::Budget;
 pub use event::{
-    Effect, Event, Introduction, Lack, Note, Now, Outcome, Reason, Refusal, Request, Start, Target,
-    Ticket, Tokens,
+    Effect, Event, Incarnation, Introduction, Lack, Note, Now, Outcome, Reason, Refusal, Request,
+    Start, Target, Ticket, Tokens,
 };
 use peers::{Peers, Row, Use};
 use pending::{Order, Pending, Stage};
@@ -129,8 +129,8 @@
     crashes: BTreeMap<Fingerprint, u32>,
     /// Bodies whose connection broke off, by target, until it is known whether that died.
     lost: Vec<Loss>,
-    /// Targets that are asked whether they take connections.
-    probing: BTreeSet<TargetName>,
+    /// Targets that are asked whether they take connections, and their starts.
+    probing: BTreeMap<TargetName, Incarnation>,
     /// When the process ends, once it leaves.
     draining: Option<Instant>,
 }
@@ -195,7 +195,7 @@
         sequence: 0,
         crashes: BTreeMap::new(),
         lost: Vec::new(),
-        probing: BTreeSet::new(),
+        probing: BTreeMap::new(),
         draining: None,
     }
 }
@@ -227,9 +227,9 @@
         }
         Event::Heard(rows) => state.hear(now.steady, rows, &mut effects),
         Event::Probed { target, reached } => {
-            state.probing.remove(&target);
-            if !reached {
-                state.room.mark_down(now.steady, &target);
+            let asked = state.probing.remove(&target).filter(|_| !reached);
+            if let Some(incarnation) = asked {
+                state.room.mark_down(now.steady, &target, incarnation);
                 state.blame(now.steady, &target, &mut effects);
             }
         }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -9,7 +9,7 @@
 use model::id::{AccountName, Fingerprint, TargetName};
 use serde::{Deserialize, Serialize};
 
-use super::event::Introduction;
+use super::event::{Incarnation, Introduction};
 
 /// Shortest period of the exchange of rows.
 const PERIOD: Duration = Duration::from_millis(50);
@@ -29,6 +29,9 @@
 pub struct Busy {
     /// The target.
     pub target: TargetName,
+    /// Its start, as the process knows it.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// Requests.
     pub requests: u32,
     /// Tokens of the prompts whose answers haven't begun.
--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -11,7 +11,10 @@
 
 use model::id::{PoolName, TargetName, ZoneName};
 
-use super::{event::Target, peers::Busy};
+use super::{
+    event::{Incarnation, Target},
+    peers::Busy,
+};
 
 /// Weight of the newest observation in a moving average.
 const NEWEST: f64 = 0.2;
@@ -75,6 +78,21 @@
 }
 
 impl Seat {
+    fn open(target: Target) -> Seat {
+        Seat {
+            target,
+            own: 0,
+            others: 0,
+            unread: 0.0,
+            others_unread: 0.0,
+            listed: true,
+            down_until: None,
+            down_for: Duration::ZERO,
+            first: None,
+            failing: 0.0,
+        }
+    }
+
     /// Slots that this process may use whatever the others do. They differ by one where they
     /// don't come out even; who gets more differs by target.
     fn part(&self, place: Place) -> u32 {
@@ -126,25 +144,37 @@
 }
 
 impl Room {
-    /// Takes the platform's list in; targets that aren't in it take no more requests.
-    pub fn list(&mut self, targets: Vec<Target>) {
-        for seat in self.seats.values_mut() {
-            seat.listed = false;
-        }
+    /// Takes the platform's list in; targets that aren't in it take no more requests. Gives those
+    /// that started again, of which nothing is known any more: what ran there has ended, and their
+    /// pace and failures were those of another process.
+    pub fn list(&mut self, targets: Vec<Target>) -> Vec<TargetName> {
+        let mut restarted = Vec::new();
+        let mut before = std::mem::take(&mut self.seats);
         for target in targets {
-            match self.seats.get_mut(&target.name) {
-                Some(seat) => {
-                    seat.target = target;
-                    seat.listed = true;
+            let name = target.name.clone();
+            let seat = match before.remove(&name) {
+                // What an earlier start wrote may arrive after what the last one wrote.
+                Some(seat) if seat.target.incarnation > target.incarnation => seat,
+                Some(seat) if seat.target.incarnation == target.incarnation => {
+                    Seat { target, listed: true, ..seat }
                 }
-                None => self.insert(target),
-            }
+                Some(_) => {
+                    restarted.push(name.clone());
+                    Seat::open(target)
+                }
+                None => Seat::open(target),
+            };
+            self.seats.insert(name, seat);
         }
+        let vanished =
+            before.into_iter().map(|(name, seat)| (name, Seat { listed: false, ..seat }));
+        self.seats.extend(vanished);
         self.seats.retain(|_, seat| seat.listed || seat.own > 0);
         self.pools.clear();
         for (name, seat) in &self.seats {
             self.pools.entry(seat.target.pool.clone()).or_default().push(name.clone());
         }
+        restarted
     }
 
     /// A target.
@@ -164,7 +194,7 @@
             seat.others_unread = 0.0;
         }
         for busy in running {
-            if let Some(seat) = self.seats.get_mut(&busy.target) {
+            if let Some(seat) = self.current(&busy.target, busy.incarnation) {
                 seat.others += busy.requests;
                 seat.others_unread += f64::from(busy.unread);
             }
@@ -176,6 +206,7 @@
         let busy = self.seats.iter().filter(|(_, seat)| seat.own > 0);
         let busy = busy.map(|(name, seat)| Busy {
             target: name.clone(),
+            incarnation: seat.target.incarnation,
             requests: seat.own,
             unread: seat.unread as u32,
         });
@@ -207,6 +238,7 @@
         let first_ms = seat.first.unwrap_or(usual) * load;
         Some(Taken {
             target: best,
+            incarnation: seat.target.incarnation,
             address: seat.target.address,
             unread: wish.tokens,
             load,
@@ -216,7 +248,7 @@
 
     /// Gives a slot back.
     pub fn release(&mut self, taken: &Taken) {
-        if let Some(seat) = self.seats.get_mut(&taken.target) {
+        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
             seat.own = seat.own.saturating_sub(1);
             seat.unread = (seat.unread - taken.unread).max(0.0);
         }
@@ -224,7 +256,7 @@
 
     /// Learns from the time to a first event: the prompt was read.
     pub fn learn(&mut self, taken: &mut Taken, first: Duration) {
-        let Some(seat) = self.seats.get_mut(&taken.target) else {
+        let Some(seat) = self.current(&taken.target, taken.incarnation) else {
             return;
         };
         seat.unread = (seat.unread - taken.unread).max(0.0);
@@ -235,31 +267,31 @@
     }
 
     /// Learns whether a target failed a request.
-    pub fn judge(&mut self, name: &TargetName, failed: bool) {
-        if let Some(seat) = self.seats.get_mut(name) {
+    pub fn judge(&mut self, taken: &Taken, failed: bool) {
+        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
             let seen = if failed { 1.0 } else { 0.0 };
             seat.failing += NEWEST * (seen - seat.failing);
         }
     }
 
     /// Leaves a target that takes no connection alone.
-    pub fn mark_down(&mut self, now: Instant, name: &TargetName) {
-        if let Some(seat) = self.seats.get_mut(name) {
+    pub fn mark_down(&mut self, now: Instant, name: &TargetName, incarnation: Incarnation) {
+        if let Some(seat) = self.current(name, incarnation) {
             seat.down_for = (seat.down_for * 2).clamp(DOWN_MIN, DOWN_MAX);
             seat.leave_alone(now, seat.down_for);
         }
     }
 
     /// Leaves a target that has no room alone.
-    pub fn mark_full(&mut self, now: Instant, name: &TargetName) {
-        if let Some(seat) = self.seats.get_mut(name) {
+    pub fn mark_full(&mut self, now: Instant, taken: &Taken) {
+        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
             seat.leave_alone(now, FULL);
         }
     }
 
     /// Takes a target out whose address has another now.
-    pub fn mark_gone(&mut self, name: &TargetName) {
-        if let Some(seat) = self.seats.get_mut(name) {
+    pub fn mark_gone(&mut self, taken: &Taken) {
+        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
             seat.target.ready = false;
         }
     }
@@ -269,20 +301,9 @@
         self.seats.values().filter_map(|seat| seat.down_until).filter(|&at| at > now).min()
     }
 
-    fn insert(&mut self, target: Target) {
-        let seat = Seat {
-            target,
-            own: 0,
-            others: 0,
-            unread: 0.0,
-            others_unread: 0.0,
-            listed: true,
-            down_until: None,
-            down_for: Duration::ZERO,
-            first: None,
-            failing: 0.0,
-        };
-        self.seats.insert(seat.target.name.clone(), seat);
+    /// A target, unless it started again since.
+    fn current(&mut self, name: &TargetName, incarnation: Incarnation) -> Option<&mut Seat> {
+        self.seats.get_mut(name).filter(|seat| seat.target.incarnation == incarnation)
     }
 
     /// The mean of what is known of a pool's targets, in ms a token.
@@ -298,6 +319,8 @@
 pub struct Taken {
     /// The target.
     pub target: TargetName,
+    /// Its start: the slot is gone with it.
+    pub incarnation: Incarnation,
     /// Where it listens.
     pub address: SocketAddr,
     /// Tokens of its prompt, until the answer begins.
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -44,28 +44,28 @@
         self.room.release(&taken);
         let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
         if failed || outcome == Outcome::Done {
-            self.room.judge(&target, failed);
+            self.room.judge(&taken, failed);
         }
         match outcome {
             Outcome::Done => {
                 self.remove(ticket);
             }
             Outcome::Rejected => {
-                self.room.mark_full(now.steady, &target);
+                self.room.mark_full(now.steady, &taken);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Replaced => {
-                self.room.mark_gone(&target);
+                self.room.mark_gone(&taken);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Unreached => {
-                self.room.mark_down(now.steady, &target);
+                self.room.mark_down(now.steady, &target, taken.incarnation);
                 self.blame(now.steady, &target, effects);
                 self.again(now, ticket, false, effects);
             }
             Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
             Outcome::Silent => {
-                self.room.mark_down(now.steady, &target);
+                self.room.mark_down(now.steady, &target, taken.incarnation);
                 self.repeat(now, ticket, target, outcome, effects);
             }
             Outcome::Lost { crashed } => {
@@ -135,14 +135,15 @@
     /// Asks whether a target still takes connections, one question at a time.
     pub(super) fn probe(&mut self, target: &TargetName, effects: &mut Vec<Effect>) {
         if let Some(seat) = self.room.seat(target)
-            && self.probing.insert(target.clone())
+            && !self.probing.contains_key(target)
         {
             let address = seat.target.address;
+            self.probing.insert(target.clone(), seat.target.incarnation);
             effects.push(Effect::Probe { target: target.clone(), address });
         }
     }
 
-    /// A target takes no connection: what broke off there just before ran when it died.
+    /// A target takes no connection, or started again: what broke off there just before ran when it died.
     pub(super) fn blame(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
         self.lost.retain(|loss| now.duration_since(loss.at) < BLAME);
         let (died, rest) =
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -78,7 +78,11 @@
         }
         let ready = used.iter().filter(|target| target.ready).count();
         effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
-        self.room.list(used);
+        for target in self.room.list(used) {
+            // What broke off there just before ran when it died.
+            self.blame(now, &target, effects);
+            effects.push(Effect::Note(Note::Restarted(target)));
+        }
         self.look_round(now, effects);
     }
 
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -130,6 +130,7 @@
 pub fn target(number: u16) -> Target {
     Target {
         name: format!("target-{number}"),
+        incarnation: 1,
         pool: "pool".into(),
         address: address(1_000 + number),
         zone: "north".into(),
