Keep requests whose account's units come in time; no slot kept from a short lowest tier

After a kill of all, buckets of limits are empty: 60 to 81 of 81 slots were free while most of the next half second was refused with 429, told to come back in 0.1 to 0.3 s, and then late. A request now waits for its account's units as it waits for room, in the order of tiers, if they come within its wait; else it's refused at once, with when they will be there. Calls that don't say their size no longer wait for as many units as the largest request of late.

Tests: direct_limits.rs (its count now holds everything that is dispatched, also later; restarts in turn, kills in a row, what is kept after a kill of all), direct_holds.rs (replaces the test of a slot that is always kept).

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -348,9 +348,9 @@
                     let _ = orders.send(Order::Start(start));
                 }
             }
-            Effect::Refuse { ticket, refusal } => {
+            Effect::Refuse { ticket, refusal, grounds } => {
                 let id = self.ids.get(&ticket).map(String::as_str).unwrap_or_default();
-                record::refused(id, ticket, &refusal, self.state.open_requests());
+                record::refused(id, &refusal, &grounds, self.state.open_requests());
                 self.recorder.refused(ticket, &refusal);
                 self.end(ticket, Order::Refuse(refusal));
             }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -1,9 +1,9 @@
 //! The log of decisions: one line for each.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use metrics::Gateway;
-use scheduler::direct::{Effect, Lack, Note, Outcome, Reason, Refusal, State, Ticket, View};
+use scheduler::direct::{Effect, Grounds, Note, Outcome, Reason, Refusal, State, View};
 use tracing::{info, warn};
 
 /// Logs what the reducer decided.
@@ -24,6 +24,7 @@
                 elsewhere = view.elsewhere,
                 plan = view.plan,
                 units = view.units,
+                patience_ms = millis(view.patience),
                 left_ms = start.until.saturating_duration_since(now).as_millis() as u64,
                 "dispatched"
             );
@@ -69,7 +70,8 @@
         begun,
         events,
         attempt = view.attempt,
-        after_ms = view.running_for.as_millis() as u64,
+        first_ms = view.first.map(millis),
+        after_ms = millis(view.running_for),
         since_arrival_ms = view.waited.as_millis() as u64,
         "a dispatch ended"
     );
@@ -108,20 +110,35 @@
 }
 
 /// Logs a refusal with the id that the caller gave.
-pub fn refused(id: &str, ticket: Ticket, refusal: &Refusal, waiting: usize) {
-    let retry_after_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64);
-    let reason = reason(refusal.reason);
-    let not_run = refusal.not_run;
-    let Some(lack) = refusal.lack else {
-        return info!(request = id, ticket, reason, not_run, retry_after_ms, waiting, "refused");
-    };
-    let Lack { units, left, rate, among, together } = lack;
+pub fn refused(id: &str, refusal: &Refusal, grounds: &Grounds, open: usize) {
+    let lack = refusal.lack;
     info!(
         request = id,
-        ticket, reason, not_run, retry_after_ms, units, left, rate, among, together, "refused"
+        reason = reason(refusal.reason),
+        not_run = refusal.not_run,
+        retry_after_ms = refusal.retry_after.map(millis),
+        route = grounds.route,
+        account = grounds.account,
+        tier = grounds.tier,
+        waited_ms = millis(grounds.waited),
+        open,
+        ahead = grounds.ahead,
+        free = grounds.free,
+        slots = grounds.slots,
+        rows_age_ms = grounds.rows.map(millis),
+        units = lack.map(|lack| lack.units),
+        left = lack.map(|lack| lack.left),
+        rate = lack.map(|lack| lack.rate),
+        among = lack.map(|lack| lack.among),
+        together = lack.map(|lack| lack.together),
+        "refused"
     );
 }
 
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 fn noted(note: &Note) {
     match note {
         Note::Planned { version } => info!(version, "a configuration is in force"),
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -1,15 +1,13 @@
 //! Which requests are taken, and what they take of their accounts' limits.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use model::id::AccountName;
 
 use super::{
-    LIMIT_RETRY_MAX, PATIENCE, PRESS_PART, RETRY, State, WAIT_MIN, WAIT_PART, allowance,
-    allowance::Share,
-    event::{Effect, Now, Reason, Refusal, Request},
+    PATIENCE, PRESS_PART, RETRY, State, WAIT_MIN, WAIT_PART, allowance,
+    event::{Effect, Grounds, Now, Reason, Refusal, Request},
     pending::{Pending, Stage},
-    plan,
     plan::Plan,
     refuse,
 };
@@ -17,21 +15,31 @@
 impl State {
     pub(super) fn arrive(&mut self, now: Now, request: Request, effects: &mut Vec<Effect>) {
         let ticket = request.ticket;
-        match self.admit(now, request) {
+        let mut grounds = Box::<Grounds>::default();
+        match self.admit(now, request, &mut grounds) {
             Ok(pending) => {
                 self.requests.insert(ticket, pending);
                 self.enqueue(ticket);
+                self.refuse_hopeless(now.steady, ticket, effects);
             }
-            Err(refusal) => effects.push(Effect::Refuse { ticket, refusal }),
+            Err(refusal) => effects.push(Effect::Refuse { ticket, refusal, grounds }),
         }
     }
 
-    pub(super) fn admit(&mut self, now: Now, request: Request) -> Result<Pending, Refusal> {
+    fn admit(
+        &mut self,
+        now: Now,
+        request: Request,
+        grounds: &mut Grounds,
+    ) -> Result<Pending, Refusal> {
         let plan = self.plan.clone().ok_or(refuse(Reason::NotReady).after(RETRY))?;
         // A configuration that may be out of date may lack the route or the key.
         let no_route = if self.fresh { Reason::NoRoute } else { Reason::NotReady };
         let route = plan.route(&request.host, &request.path).ok_or(refuse(no_route))?;
+        grounds.route.clone_from(&route.name);
+        grounds.tier = Some(route.rank);
         let account = self.authenticate(&plan, route.public, request.key.as_deref())?;
+        grounds.account.clone_from(&account);
         let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
         if self.draining.is_some_and(|end| now.steady + patience > end) {
             return Err(refuse(Reason::Draining).after(Duration::ZERO));
@@ -41,12 +49,14 @@
             return Err(refuse(Reason::Quarantined));
         }
         let held = account.as_ref().and_then(|name| plan.accounts.get(name));
-        let units = match (&account, held.and_then(|account| account.limit)) {
-            (Some(name), Some(limit)) => {
-                self.spend(now.steady, name, &limit, route.rank, &request)?
-            }
-            _ => 0.0,
-        };
+        let (mut units, mut stage) = (0.0, Stage::Waiting);
+        if let (Some(name), Some(limit)) = (&account, held.and_then(|account| account.limit)) {
+            let claim = State::claim(&limit, route.rank, &request);
+            (units, stage) = (claim.units, Stage::Limited(claim));
+            let opened = self.opened;
+            let usage = self.accounts.entry(name.clone());
+            usage.or_insert_with(|| allowance::open(opened)).ask(claim);
+        }
         self.budgets.entry(pool.clone()).or_default().asked(now.steady, &self.settings.repeats);
         let wait = patience.min(WAIT_MIN.max(route.aim.mul_f64(WAIT_PART)));
         Ok(Pending {
@@ -69,12 +79,12 @@
             ran: false,
             begun: false,
             tried: Vec::new(),
-            stage: Stage::Waiting,
+            stage,
             request,
         })
     }
 
-    pub(super) fn authenticate(
+    fn authenticate(
         &self,
         plan: &Plan,
         public: bool,
@@ -89,31 +99,4 @@
         let account = key.and_then(|key| plan.keys.get(key));
         account.cloned().map(Some).ok_or(refuse(Reason::BadKey))
     }
-
-    pub(super) fn spend(
-        &mut self,
-        now: Instant,
-        name: &AccountName,
-        limit: &plan::Limit,
-        rank: u32,
-        request: &Request,
-    ) -> Result<f64, Refusal> {
-        let tokens =
-            request.tokens.map(|tokens| f64::from(tokens.prompt) + f64::from(tokens.output));
-        let units = if limit.tokens { tokens.unwrap_or(limit.plain) } else { 1.0 };
-        // Calls of plain services are too small to make room for others.
-        let rank = if tokens.is_some() { rank } else { 0 };
-        let tolerance = self.settings.tolerance;
-        let share = Share { among: self.place.among, together: self.together, tolerance };
-        let opened = self.opened;
-        let usage = self.accounts.entry(name.clone()).or_insert_with(|| allowance::open(opened));
-        match usage.take(now, limit, share, rank, units) {
-            Ok(()) => Ok(units),
-            Err(lack) => {
-                let wait = ((lack.units - lack.left) / lack.rate).clamp(0.0, LIMIT_RETRY_MAX);
-                let refusal = refuse(Reason::Limit).after(Duration::from_secs_f64(wait));
-                Err(Refusal { lack: Some(lack), ..refusal })
-            }
-        }
-    }
 }
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -21,6 +21,10 @@
     /// Units of the largest request of late; small ones wait for as much as it does.
     largest: f64,
     refilled: Instant,
+    /// Whether it has got what a process starts with.
+    stocked: bool,
+    /// Whether it has taken over what another process has left.
+    adopted: bool,
 }
 
 /// How far a deployment lets an account's use lie above its limit.
@@ -38,6 +42,12 @@
 /// requests come in clumps. The rest is left for what processes let through before they hear of
 /// each other, and for the parts that come on top when one is cut off.
 const GIVEN: f64 = 0.7;
+/// Part of the tolerance that a process starts with. What was let through before a start isn't known,
+/// and may have been all that the limit allows; this much may come on top all the same. Empty buckets
+/// refused most of what was asked in the first half second after all processes were killed at once,
+/// with two thirds of the slots free: started with a tenth of the tolerance, days that end with such a
+/// kill gain 0.01 to 0.03 of their worth, as much as with full buckets.
+const STOCK: f64 = 0.1;
 /// Part of the bucket that is kept for each higher rank, so that lower ones are refused before them.
 const RESERVE: f64 = 0.15;
 /// Ranks that are told apart.
@@ -47,12 +57,24 @@
 const REMEMBERED: f64 = 0.98;
 
 impl Tolerance {
-    fn extra(&self, limit: &Limit) -> f64 {
+    fn part(&self, part: f64, limit: &Limit) -> f64 {
         let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
-        GIVEN * (self.ratio * allowed + self.slack)
+        part * (self.ratio * allowed + self.slack)
     }
 }
 
+/// What a request asks of its account's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// Units that it takes.
+    pub units: f64,
+    /// Its rank: what is kept for higher ones it leaves.
+    pub rank: u32,
+    /// Whether it says its size, and so waits for as much as the largest of late does. Others are too
+    /// small to take from those.
+    pub sized: bool,
+}
+
 /// What a process may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
@@ -68,39 +90,59 @@
 /// An account that hasn't been used. Its buckets are empty when the process starts: one that was
 /// started again doesn't know what it let through before.
 pub fn open(started: Instant) -> Allowance {
-    Allowance { spent: 0, whole: 0.0, part: 0.0, largest: 0.0, refilled: started }
+    Allowance {
+        spent: 0,
+        whole: 0.0,
+        part: 0.0,
+        largest: 0.0,
+        refilled: started,
+        stocked: false,
+        adopted: false,
+    }
 }
 
 impl Allowance {
+    /// Hears that units are asked for.
+    pub fn ask(&mut self, claim: Claim) {
+        if claim.sized {
+            self.largest = claim.units.max(REMEMBERED * self.largest);
+        }
+    }
+
     /// Takes units, or says what is lacking.
     pub fn take(
         &mut self,
         now: Instant,
         limit: &Limit,
         share: Share,
-        rank: u32,
-        units: f64,
+        claim: Claim,
     ) -> Result<(), Lack> {
         self.refill(now, limit, share);
-        let among = f64::from(share.among);
-        let (left, part) = if share.together > 1 || share.among == 1 {
-            (self.whole, f64::from(share.together) / among)
+        let lack = self.lack(now, limit, share, claim);
+        if lack.units > lack.left {
+            return Err(lack);
+        }
+        self.whole -= claim.units;
+        self.part -= claim.units;
+        self.spent += claim.units as u64;
+        Ok(())
+    }
+
+    /// What has to be there for units to be taken, and what is.
+    pub fn lack(&self, now: Instant, limit: &Limit, share: Share, claim: Claim) -> Lack {
+        let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
+        let (among, together) = (share.among, share.together);
+        let (left, part) = if together > 1 || among == 1 {
+            (self.whole, f64::from(together) / f64::from(among))
         } else {
-            (self.part, 1.0 / among)
+            (self.part, 1.0 / f64::from(among))
         };
         let (rate, burst) = (limit.rate * part, limit.burst * part);
-        let reserve = RESERVE * f64::from(rank.min(RANKS)) * burst;
-        self.largest = units.max(REMEMBERED * self.largest);
+        let reserve = RESERVE * f64::from(claim.rank.min(RANKS)) * burst;
+        let units = if claim.sized { claim.units.max(self.largest) } else { claim.units };
         // A request larger than the burst is let through by a full bucket.
-        let needed = (self.largest + reserve).min(burst);
-        if needed > left {
-            let (among, together) = (share.among, share.together);
-            return Err(Lack { units: needed, left, rate, among, together });
-        }
-        self.whole -= units;
-        self.part -= units;
-        self.spent += units as u64;
-        Ok(())
+        let needed = (units + reserve).min(burst);
+        Lack { units: needed, left: left + passed * rate, rate, among, together }
     }
 
     /// Gives back units of a request that did not run.
@@ -115,9 +157,13 @@
         self.whole as i64
     }
 
-    /// Takes over what a process that started earlier has left.
-    pub fn adopt(&mut self, left: i64) {
-        self.whole = self.whole.max(left as f64);
+    /// Takes over what a process that started earlier has left, in place of what this one started with.
+    pub fn adopt(&mut self, now: Instant, left: i64) {
+        let left = left as f64 - self.spent as f64;
+        self.whole = if self.adopted { self.whole.max(left) } else { left };
+        self.adopted = true;
+        self.stocked = true;
+        self.refilled = now;
     }
 
     /// Counts what another process let through.
@@ -129,11 +175,16 @@
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         let among = f64::from(share.among);
+        if !std::mem::replace(&mut self.stocked, true) {
+            let stock = share.tolerance.part(STOCK, limit);
+            self.whole += stock;
+            self.part += stock / among;
+        }
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
         let together = f64::from(share.together) / among;
-        let most = (limit.burst + share.tolerance.extra(limit)) * together;
+        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * together;
         self.whole = (self.whole + passed * limit.rate * together).clamp(floor, most);
         self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
     }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -238,6 +238,27 @@
     pub lack: Option<Lack>,
 }
 
+/// What a refusal was decided from, for the log.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Grounds {
+    /// Route of the request; empty where none was found.
+    pub route: String,
+    /// Whose it is.
+    pub account: Option<AccountName>,
+    /// Rank of its route.
+    pub tier: Option<u32>,
+    /// Time since it arrived.
+    pub waited: Duration,
+    /// Requests that stood before it.
+    pub ahead: usize,
+    /// Slots of its pool that no process uses, by the last rows.
+    pub free: u32,
+    /// Slots of its pool at targets that take requests.
+    pub slots: u32,
+    /// Age of the oldest row that counted.
+    pub rows: Option<Duration>,
+}
+
 /// Everything that is needed to dispatch a request.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -274,6 +295,8 @@
         ticket: Ticket,
         /// What to answer.
         refusal: Refusal,
+        /// What it was decided from.
+        grounds: Box<Grounds>,
     },
     /// Ask whether a target takes connections; the answer comes back as an event.
     Probe {
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -8,6 +8,8 @@
 pub mod allowance;
 pub mod budget;
 pub mod event;
+mod holds;
+mod limits;
 pub mod peers;
 mod pending;
 pub mod plan;
@@ -29,9 +31,10 @@
 use allowance::Allowance;
 use budget::Budget;
 pub use event::{
-    Effect, Event, Incarnation, Introduction, Lack, Note, Now, Outcome, Reason, Refusal, Request,
-    Start, Target, Ticket, Tokens,
+    Effect, Event, Grounds, Incarnation, Introduction, Lack, Note, Now, Outcome, Reason, Refusal,
+    Request, Start, Target, Ticket, Tokens,
 };
+use holds::Holds;
 use peers::{Peers, Row, Use};
 use pending::{Order, Pending, Stage};
 use plan::Plan;
@@ -118,9 +121,14 @@
     room: Room,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
+    /// Requests that wait for their account's limit.
+    limited: BTreeMap<AccountName, BTreeSet<Order>>,
+    /// When the first of them may go on.
+    next_grant: Option<Instant>,
     timers: BTreeSet<(Instant, Ticket)>,
     accounts: BTreeMap<AccountName, Allowance>,
     budgets: BTreeMap<PoolName, Budget>,
+    holds: Holds,
     peers: Peers,
     place: Place,
     /// Entry processes, this one included, that share what is left of limits.
@@ -158,6 +166,10 @@
     pub tier: u32,
     /// Time since its dispatch.
     pub running_for: Duration,
+    /// Time from its dispatch to the first event, once that came.
+    pub first: Option<Duration>,
+    /// Time that its caller gave.
+    pub patience: Duration,
     /// Which dispatch it is, from 1.
     pub attempt: u32,
 }
@@ -186,9 +198,12 @@
         room: Room::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
+        limited: BTreeMap::new(),
+        next_grant: None,
         timers: BTreeSet::new(),
         accounts: BTreeMap::new(),
         budgets: BTreeMap::new(),
+        holds: Holds::default(),
         peers: Peers::default(),
         place: Place { index: 0, among: 1 },
         together: 1,
@@ -238,6 +253,7 @@
     }
     state.freshen(now, &mut effects);
     state.relist(now.steady, &mut effects);
+    state.grant(now.steady);
     state.expire(now.steady, &mut effects);
     state.place(now, &mut effects);
     effects
@@ -248,7 +264,7 @@
     let timer = state.timers.first().map(|&(at, _)| at);
     let waits = state.waiting.values().any(|queue| !queue.is_empty());
     let up = if waits { state.room.next_up(now) } else { None };
-    timer.into_iter().chain(up).min()
+    timer.into_iter().chain(up).chain(state.next_grant).min()
 }
 
 impl State {
@@ -286,10 +302,31 @@
             account: pending.account.as_deref(),
             tier: pending.tier,
             running_for: now.saturating_duration_since(since),
+            first: running.first,
+            patience: pending.until.saturating_duration_since(pending.arrived),
             attempt: pending.dispatches,
         })
     }
 
+    /// What a refusal of a request is decided from.
+    fn grounds(&self, now: Instant, ticket: Ticket) -> Grounds {
+        let Some(pending) = self.requests.get(&ticket) else {
+            return Grounds::default();
+        };
+        let queue = self.waiting.get(&pending.pool);
+        let (free, slots) = self.room.slots(now, &pending.pool);
+        Grounds {
+            route: pending.route.clone(),
+            account: pending.account.clone(),
+            tier: Some(pending.tier),
+            waited: now.saturating_duration_since(pending.arrived),
+            ahead: queue.map_or(0, |queue| queue.range(..pending.order()).count()),
+            free,
+            slots,
+            rows: self.peers.oldest(now),
+        }
+    }
+
     /// Whether another process that may take requests isn't heard.
     pub fn is_lonely(&self, now: Instant) -> bool {
         let gone = self.settings.gone;
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -218,6 +218,12 @@
         })
     }
 
+    /// Age of the oldest row that is current.
+    pub fn oldest(&self, now: Instant) -> Option<Duration> {
+        let known = self.peers.values().filter(|peer| self.is_known(peer, now));
+        known.filter_map(|peer| Some(now.saturating_duration_since(peer.made?))).max()
+    }
+
     /// What others have at their targets, as far as that is known.
     pub fn running(&self, now: Instant) -> impl Iterator<Item = &Busy> {
         let known = self.peers.values().filter(move |peer| self.is_known(peer, now));
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -1,10 +1,11 @@
 //! A request that hasn't ended.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id::{AccountName, PoolName, TargetName};
 
 use super::{
+    allowance::Claim,
     event::{Request, Ticket},
     plan::Repeat,
     room::Taken,
@@ -28,11 +29,15 @@
     pub taken: Taken,
     /// When it was dispatched.
     pub since: Instant,
+    /// Time to its first event, once that came.
+    pub first: Option<Duration>,
 }
 
 /// Where a request is.
 #[derive(Clone, Debug)]
 pub enum Stage {
+    /// It waits for units of its account's limit.
+    Limited(Claim),
     /// It waits for room.
     Waiting,
     /// A target has it.
@@ -66,7 +71,7 @@
     pub until: Instant,
     /// When it is refused if it still waits; at most `until`.
     pub give_up: Instant,
-    /// What it took of its account's limit.
+    /// What it takes of its account's limit, once it doesn't wait for that any more.
     pub units: f64,
     /// What may be repeated.
     pub repeat: Repeat,
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -13,7 +13,13 @@
 impl State {
     pub(super) fn enqueue(&mut self, ticket: Ticket) {
         if let Some(pending) = self.requests.get(&ticket) {
-            self.waiting.entry(pending.pool.clone()).or_default().insert(pending.order());
+            let queue = match (&pending.stage, &pending.account) {
+                (Stage::Limited(_), Some(account)) => {
+                    self.limited.entry(account.clone()).or_default()
+                }
+                _ => self.waiting.entry(pending.pool.clone()).or_default(),
+            };
+            queue.insert(pending.order());
             self.timers.insert((pending.wake(), ticket));
         }
     }
@@ -31,7 +37,11 @@
 
     pub(super) fn dequeue(&mut self, ticket: Ticket) {
         if let Some(pending) = self.requests.get(&ticket) {
-            if let Some(queue) = self.waiting.get_mut(&pending.pool) {
+            let queue = match (&pending.stage, &pending.account) {
+                (Stage::Limited(_), Some(account)) => self.limited.get_mut(account),
+                _ => self.waiting.get_mut(&pending.pool),
+            };
+            if let Some(queue) = queue {
                 queue.remove(&pending.order());
             }
             self.timers.remove(&(pending.wake(), ticket));
@@ -44,6 +54,10 @@
             if self.press(now, ticket) {
                 continue;
             }
+            if let Some((lack, wait)) = self.limit_wait(now, ticket) {
+                self.refuse_limited(now, ticket, lack, wait, effects);
+                continue;
+            }
             let reason = match self.requests.get(&ticket) {
                 Some(pending) if pending.until <= now => Reason::Late,
                 _ => Reason::NoRoom,
@@ -62,7 +76,8 @@
                     placed.push(*order);
                     continue;
                 };
-                let lowest = self.lowest.get(&pending.pool) == Some(&pending.tier);
+                let lowest = self.lowest.get(&pending.pool) == Some(&pending.tier)
+                    && self.holds.is_longest(&pending.pool, pending.tier);
                 if lowest && !lowest_fits {
                     continue;
                 }
@@ -104,6 +119,6 @@
         stream: pending.stream,
         attempt: pending.dispatches,
     };
-    pending.stage = Stage::Running(Running { taken, since: now });
+    pending.stage = Stage::Running(Running { taken, since: now, first: None });
     start
 }
--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -28,10 +28,12 @@
 const FAILURE_COST: f64 = 8.0;
 /// Tokens that cost as much as what every request costs besides its prompt.
 const FIXED_TOKENS: f64 = 600.0;
-/// Slots of each target that the lowest tier leaves to the others. Its long streams would else hold
-/// every slot while the short requests of higher tiers wait: with one slot kept, reviews and notes
-/// gained 0.03 and 0.07 of their worth on loaded days, letters lost 0.04 of theirs; with two the
-/// letters lost 0.12 more and nothing was gained on the whole.
+/// Slots of each target that the lowest tier leaves to the others where its requests hold theirs for
+/// longest: its long streams would else hold every slot while the short requests of higher tiers wait.
+/// With one slot kept, a highest and a middle tier of short answers gained 0.03 and 0.07 of their worth
+/// under load, the lowest, of long ones, lost 0.04 of its; with two it lost 0.12 more and nothing was
+/// gained on the whole. A lowest tier of short answers gives its slots back at once: kept from it, the
+/// slot cost that tier 0.03 to 0.06 of its worth and gained the others nothing.
 const KEPT: u32 = 1;
 /// Time, in ms, for which a target may still have prompts to read when it gets the next.
 const READING: f64 = 150.0;
@@ -187,6 +189,16 @@
         self.seats.values().filter(|seat| seat.listed).map(|seat| &seat.target)
     }
 
+    /// Slots of a pool that no process uses, and all of them, at targets that take requests.
+    pub fn slots(&self, now: Instant, pool: &str) -> (u32, u32) {
+        let names = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
+        let seats = names.iter().filter_map(|name| self.seats.get(name));
+        seats.filter(|seat| seat.is_up(now)).fold((0, 0), |(free, all), seat| {
+            let slots = seat.target.slots;
+            (free + slots.saturating_sub(seat.own + seat.others), all + slots)
+        })
+    }
+
     /// Counts what the other processes run.
     pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a Busy>) {
         for seat in self.seats.values_mut() {
@@ -338,6 +350,7 @@
     pub tokens: f64,
     /// Targets that it was dispatched to.
     pub tried: &'a [TargetName],
-    /// Whether it is of the pool's lowest tier, and so leaves slots to the others.
+    /// Whether it is of the pool's lowest tier, whose requests hold their slots for longest, and so
+    /// leaves slots to the others.
     pub lowest: bool,
 }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -17,6 +17,7 @@
         };
         if let Stage::Running(running) = &mut pending.stage {
             let first = now.saturating_duration_since(running.since);
+            running.first = Some(first);
             self.room.learn(&mut running.taken, first);
         }
     }
@@ -32,11 +33,10 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Stage::Running(Running { taken, .. }) =
-            std::mem::replace(&mut pending.stage, Stage::Waiting)
-        else {
+        let Stage::Running(Running { taken, since, .. }) = pending.stage.clone() else {
             return;
         };
+        pending.stage = Stage::Waiting;
         let target = taken.target.clone();
         pending.begun |= begun;
         pending.ran |= outcome.may_have_run();
@@ -48,6 +48,8 @@
         }
         match outcome {
             Outcome::Done => {
+                let held = now.steady.saturating_duration_since(since);
+                self.holds.learn(&pending.pool, pending.tier, held);
                 self.remove(ticket);
             }
             Outcome::Rejected => {
@@ -175,6 +177,7 @@
         ran: bool,
         effects: &mut Vec<Effect>,
     ) {
+        let grounds = Box::new(self.grounds(now, ticket));
         let Some(pending) = self.remove(ticket) else {
             return;
         };
@@ -186,7 +189,7 @@
         let left = pending.until.saturating_duration_since(now);
         let wait = left.mul_f64(RETRY_PART).min(RETRY_MAX);
         let refusal = Refusal { reason, not_run, retry_after: not_run.then_some(wait), lack: None };
-        effects.push(Effect::Refuse { ticket, refusal });
+        effects.push(Effect::Refuse { ticket, refusal, grounds });
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Pending> {
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -102,7 +102,7 @@
                 let usage = usage.or_insert_with(|| allowance::open(opened));
                 match told {
                     Told::Spent(_, units) => usage.charge(units as f64),
-                    Told::Left(_, left) => usage.adopt(left),
+                    Told::Left(_, left) => usage.adopt(now, left),
                 }
             }
         }
