Relay to the process that asks no other, and look limits through only when they can have changed

Instead, whoever is asked by one that knows more asks back at the next exchange, 50 ms later: until now a process asked only those with higher addresses, so the highest of them learnt nothing from others while its own read hung. Test: two processes with a store each, the record only in one of them; without the change it fails.

Requests that wait for limits were looked through at every event; now when the first may go on, one comes, or what they depend on changes.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: owns the reducer's state, takes events in and carries effects out.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     sync::{
@@ -99,6 +99,8 @@
     status: watch::Sender<Status>,
     own: SocketAddr,
     exchanges: u64,
+    /// Processes that have news: they are asked at the next exchange.
+    newer: HashSet<SocketAddr>,
     metrics: Arc<Gateway>,
     recorder: Recorder,
 }
@@ -130,6 +132,7 @@
         status,
         own: settings.direct.address,
         exchanges: 0,
+        newer: HashSet::new(),
         metrics,
         recorder: proof::open(evidence),
     };
@@ -271,7 +274,11 @@
                 let _ = done.send(());
             }
             Message::Exchange { told: Told { rows, all, known }, reply } => {
+                let asking = rows.first().and_then(|row| row.address);
                 self.reduce(Event::Heard(rows));
+                if self.state.lacks(known) {
+                    self.newer.extend(asking);
+                }
                 let news = self.state.news(now(), known);
                 let _ = reply.send(Answer { rows: self.rows(all), news });
             }
@@ -408,8 +415,8 @@
         rows
     }
 
-    /// Exchanges rows with those whose address is higher, with all that aren't heard, and with all
-    /// while what this process has may be out of date.
+    /// Exchanges rows with those whose address is higher, with all that aren't heard or have news, and
+    /// with all while what this process has may be out of date.
     fn exchange(&mut self) {
         self.exchanges += 1;
         let all = self.exchanges.is_multiple_of(FULL);
@@ -418,7 +425,9 @@
         let peers: Vec<SocketAddr> = self.state.peers().collect();
         self.links.retain(|address, _| peers.contains(address));
         for address in peers {
-            if !behind && address < self.own && self.state.hears(now.steady, address) {
+            let newer = self.newer.remove(&address);
+            let heard = self.state.hears(now.steady, address);
+            if !behind && !newer && address < self.own && heard {
                 continue;
             }
             let told = Told { rows: self.rows(all), all, known: self.state.known() };
--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -32,6 +32,9 @@
 
     /// Lets requests through that waited for their accounts' limits, in their order.
     pub(super) fn grant(&mut self, now: Instant) {
+        if self.next_grant.is_some_and(|at| at > now) {
+            return;
+        }
         self.next_grant = None;
         for (account, queue) in std::mem::take(&mut self.limited) {
             let mut blocked = false;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -123,7 +123,8 @@
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
     /// Requests that wait for their account's limit.
     limited: BTreeMap<AccountName, BTreeSet<Order>>,
-    /// When the first of them may go on.
+    /// When the first of them may go on, as far as that is known: `None` where they have to be looked
+    /// through.
     next_grant: Option<Instant>,
     timers: BTreeSet<(Instant, Ticket)>,
     accounts: BTreeMap<AccountName, Allowance>,
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -15,6 +15,7 @@
         if let Some(pending) = self.requests.get(&ticket) {
             let queue = match (&pending.stage, &pending.account) {
                 (Stage::Limited(_), Some(account)) => {
+                    self.next_grant = None;
                     self.limited.entry(account.clone()).or_default()
                 }
                 _ => self.waiting.entry(pending.pool.clone()).or_default(),
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Whether another that has so much knows more. A read of the platform's that began together with a
+    /// record may not be told of it for seconds, while the reads of others were told at once.
+    pub fn lacks(&self, known: Known) -> bool {
+        let own = self.known();
+        known.plan > own.plan || known.targets > own.targets
+    }
+
     /// Whether it may lack what others know, so that it asks all of them.
     pub fn is_behind(&self, now: Now) -> bool {
         self.plan.is_none() || is_silent(self.confirmed, now)
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -36,6 +36,7 @@
         self.lowest_account = ranks.max().unwrap_or_default();
         self.lowest = pools.into_iter().filter_map(lowest).collect();
         self.plan = Some(plan);
+        self.next_grant = None;
     }
 
     pub(super) fn confirm(&mut self, now: Now, boot: Duration) {
@@ -102,7 +103,10 @@
                 let usage = usage.or_insert_with(|| allowance::open(opened));
                 match told {
                     Told::Spent(_, units) => usage.charge(units as f64),
-                    Told::Left(_, left) => usage.adopt(now, left),
+                    Told::Left(_, left) => {
+                        usage.adopt(now, left);
+                        self.next_grant = None;
+                    }
                 }
             }
         }
@@ -122,6 +126,7 @@
         let together = self.peers.together(now, gone);
         if together != self.together {
             self.together = together;
+            self.next_grant = None;
             let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
             effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -45,6 +45,18 @@
     assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
 }
 
+#[test]
+fn one_that_another_is_ahead_of_lacks_what_that_knows() {
+    let (reader, mut other) = pair();
+    let before = other.state.lacks(reader.state.known());
+
+    other.ask(&reader);
+
+    assert!(before);
+    assert!(!other.state.lacks(reader.state.known()));
+    assert!(!reader.state.lacks(other.state.known()));
+}
+
 #[test]
 fn keys_count_only_by_what_a_process_read_itself() {
     let (reader, mut other) = pair();
