Name a request's demand, a slot and promotion by the field's words

direct::room's Wish, Taken and press read as metaphors to a newcomer: a request's demand of a target, the slot that it holds there, and its promotion once its account's rank counts. Seat, Room and Place are still to be named.

--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -5,7 +5,7 @@
 use model::id::AccountName;
 
 use super::{
-    PATIENCE, PRESS_PART, RETRY, State, WAIT_MIN, WAIT_PART, allowance,
+    PATIENCE, PROMOTE_PART, RETRY, State, WAIT_MIN, WAIT_PART, allowance,
     event::{Effect, Grounds, Now, Reason, Refusal, Request},
     pending::{Pending, Stage},
     plan::Plan,
@@ -63,8 +63,8 @@
             account_rank: held.map_or(0, |account| account.rank),
             lowest_account: self.lowest_account,
             tier: route.rank,
-            press: now.steady + wait.mul_f64(PRESS_PART),
-            pressed: false,
+            promote: now.steady + wait.mul_f64(PROMOTE_PART),
+            promoted: false,
             arrived: now.steady,
             until: now.steady + patience,
             give_up: now.steady + wait,
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -62,7 +62,7 @@
 /// to the first event. Later work earns a third at most and takes as much from what can be on time.
 const WAIT_PART: f64 = 0.75;
 /// Part of its wait from which on a request's account decides over its place.
-const PRESS_PART: f64 = 0.75;
+const PROMOTE_PART: f64 = 0.75;
 /// Shortest time for which a request waits for room.
 const WAIT_MIN: Duration = Duration::from_millis(250);
 /// Part of the time that is left in which a refused caller is told to come back: late enough for a
@@ -291,7 +291,7 @@
             return None;
         };
         let since = running.since;
-        let seat = self.room.seat(&running.taken.target);
+        let seat = self.room.seat(&running.slot.target);
         Some(View {
             id: &pending.request.id,
             route: &pending.route,
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -8,7 +8,7 @@
     allowance::Claim,
     event::{Request, Ticket},
     plan::Repeat,
-    room::Taken,
+    room::Slot,
 };
 
 /// Order in which requests of a pool are dispatched.
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Running {
     /// Its slot.
-    pub taken: Taken,
+    pub slot: Slot,
     /// When it was dispatched.
     pub since: Instant,
     /// Time to its first event, once that came.
@@ -62,9 +62,9 @@
     /// Rank of its route.
     pub tier: u32,
     /// When its account's rank begins to count; at most `give_up`.
-    pub press: Instant,
+    pub promote: Instant,
     /// Whether it counts.
-    pub pressed: bool,
+    pub promoted: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When its time is over.
@@ -103,14 +103,14 @@
         if self.begun {
             return Order { rank: [0; 3], arrived: self.arrived, ticket: self.request.ticket };
         }
-        let account = if self.pressed { self.account_rank } else { self.lowest_account };
+        let account = if self.promoted { self.account_rank } else { self.lowest_account };
         let rank = [account, self.tier, self.account_rank];
         Order { rank, arrived: self.arrived, ticket: self.request.ticket }
     }
 
     /// When something has to be decided about it, if it still waits then.
     pub fn wake(&self) -> Instant {
-        if self.pressed { self.give_up } else { self.press }
+        if self.promoted { self.give_up } else { self.promote }
     }
 
     /// Whether it may be dispatched again after it may have run at so many targets.
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -7,7 +7,7 @@
     event::{Effect, Now, Reason, Start, Ticket},
     pending::{Pending, Running, Stage},
     plan::Repeat,
-    room::{Taken, Wish},
+    room::{Demand, Slot},
 };
 
 impl State {
@@ -26,10 +26,10 @@
     }
 
     /// Lets a request's account decide over its place; `false` where it is to be refused.
-    pub(super) fn press(&mut self, now: Instant, ticket: Ticket) -> bool {
+    pub(super) fn promote(&mut self, now: Instant, ticket: Ticket) -> bool {
         self.dequeue(ticket);
         match self.requests.get_mut(&ticket) {
-            Some(pending) if pending.give_up > now => pending.pressed = true,
+            Some(pending) if pending.give_up > now => pending.promoted = true,
             _ => return false,
         }
         self.enqueue(ticket);
@@ -52,7 +52,7 @@
     pub(super) fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(&(at, ticket)) = self.timers.first().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, ticket));
-            if self.press(now, ticket) {
+            if self.promote(now, ticket) {
                 continue;
             }
             if let Some((lack, wait)) = self.limit_wait(now, ticket) {
@@ -82,13 +82,13 @@
                 if lowest && !lowest_fits {
                     continue;
                 }
-                let wish = Wish { tokens: pending.prompt(), tried: &pending.tried, lowest };
+                let demand = Demand { tokens: pending.prompt(), tried: &pending.tried, lowest };
                 let (place, zone) = (self.place, &self.settings.zone);
-                let taken = self.room.take(now.steady, &pending.pool, place, zone, &wish);
-                if let Some(taken) = taken {
+                let slot = self.room.take(now.steady, &pending.pool, place, zone, &demand);
+                if let Some(slot) = slot {
                     placed.push(*order);
                     self.timers.remove(&(pending.wake(), order.ticket));
-                    effects.push(Effect::Start(start(now.steady, pending, taken)));
+                    effects.push(Effect::Start(start(now.steady, pending, slot)));
                     continue;
                 }
                 // One that may not go everywhere doesn't hold up those that may.
@@ -105,13 +105,13 @@
     }
 }
 
-fn start(now: Instant, pending: &mut Pending, taken: Taken) -> Start {
+fn start(now: Instant, pending: &mut Pending, slot: Slot) -> Start {
     pending.dispatches += 1;
-    let silence = SILENT.max(taken.first * SILENT_TIMES);
+    let silence = SILENT.max(slot.first * SILENT_TIMES);
     let start = Start {
         ticket: pending.request.ticket,
-        target: taken.target.clone(),
-        address: taken.address,
+        target: slot.target.clone(),
+        address: slot.address,
         silence: pending.may_repeat(pending.tried.len() + 1).then_some(silence),
         account: pending.account.clone(),
         tier: pending.tier,
@@ -120,6 +120,6 @@
         stream: pending.stream,
         attempt: pending.dispatches,
     };
-    pending.stage = Stage::Running(Running { taken, since: now, first: None });
+    pending.stage = Stage::Running(Running { slot, since: now, first: None });
     start
 }
--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/room.rs
@@ -108,9 +108,9 @@
         slots / place.among + u32::from(position < slots % place.among)
     }
 
-    fn has_room(&self, place: Place, wish: &Wish<'_>) -> bool {
+    fn has_room(&self, place: Place, demand: &Demand<'_>) -> bool {
         let used = self.own + self.others;
-        if wish.lowest && used + KEPT >= self.target.slots {
+        if demand.lowest && used + KEPT >= self.target.slots {
             return false;
         }
         let free = self.target.slots.saturating_sub(used);
@@ -233,54 +233,54 @@
         pool: &str,
         place: Place,
         zone: &ZoneName,
-        wish: &Wish<'_>,
-    ) -> Option<Taken> {
+        demand: &Demand<'_>,
+    ) -> Option<Slot> {
         let names = self.pools.get(pool)?;
         let usual = self.usual(names);
         let open = names.iter().filter_map(|name| self.seats.get(name));
-        let open =
-            open.filter(|seat| seat.is_up(now) && seat.has_room(place, wish) && !seat.reads(usual));
-        let open = open.filter(|seat| !wish.tried.contains(&seat.target.name));
-        let cost = |seat: &Seat| seat.cost(wish.tokens, zone, usual);
+        let open = open
+            .filter(|seat| seat.is_up(now) && seat.has_room(place, demand) && !seat.reads(usual));
+        let open = open.filter(|seat| !demand.tried.contains(&seat.target.name));
+        let cost = |seat: &Seat| seat.cost(demand.tokens, zone, usual);
         let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?.target.name.clone();
         let seat = self.seats.get_mut(&best)?;
-        let load = seat.load(wish.tokens);
+        let load = seat.load(demand.tokens);
         seat.own += 1;
-        seat.unread += wish.tokens;
+        seat.unread += demand.tokens;
         let first_ms = seat.first.unwrap_or(usual) * load;
-        Some(Taken {
+        Some(Slot {
             target: best,
             incarnation: seat.target.incarnation,
             address: seat.target.address,
-            unread: wish.tokens,
+            unread: demand.tokens,
             load,
             first: Duration::from_secs_f64(first_ms / 1_000.0),
         })
     }
 
     /// Gives a slot back.
-    pub fn release(&mut self, taken: &Taken) {
-        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
+    pub fn release(&mut self, slot: &Slot) {
+        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
             seat.own = seat.own.saturating_sub(1);
-            seat.unread = (seat.unread - taken.unread).max(0.0);
+            seat.unread = (seat.unread - slot.unread).max(0.0);
         }
     }
 
     /// Learns from the time to a first event: the prompt was read.
-    pub fn learn(&mut self, taken: &mut Taken, first: Duration) {
-        let Some(seat) = self.current(&taken.target, taken.incarnation) else {
+    pub fn learn(&mut self, slot: &mut Slot, first: Duration) {
+        let Some(seat) = self.current(&slot.target, slot.incarnation) else {
             return;
         };
-        seat.unread = (seat.unread - taken.unread).max(0.0);
-        taken.unread = 0.0;
-        let seen = first.as_secs_f64() * 1_000.0 / taken.load;
+        seat.unread = (seat.unread - slot.unread).max(0.0);
+        slot.unread = 0.0;
+        let seen = first.as_secs_f64() * 1_000.0 / slot.load;
         seat.first = Some(seat.first.map_or(seen, |known| known + NEWEST * (seen - known)));
         seat.down_for = Duration::ZERO;
     }
 
     /// Learns whether a target failed a request.
-    pub fn judge(&mut self, taken: &Taken, failed: bool) {
-        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
+    pub fn judge(&mut self, slot: &Slot, failed: bool) {
+        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
             let seen = if failed { 1.0 } else { 0.0 };
             seat.failing += NEWEST * (seen - seat.failing);
         }
@@ -295,15 +295,15 @@
     }
 
     /// Leaves a target that has no room alone.
-    pub fn mark_full(&mut self, now: Instant, taken: &Taken) {
-        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
+    pub fn mark_full(&mut self, now: Instant, slot: &Slot) {
+        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
             seat.leave_alone(now, FULL);
         }
     }
 
     /// Takes a target out whose address has another now.
-    pub fn mark_gone(&mut self, taken: &Taken) {
-        if let Some(seat) = self.current(&taken.target, taken.incarnation) {
+    pub fn mark_gone(&mut self, slot: &Slot) {
+        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
             seat.target.ready = false;
         }
     }
@@ -328,7 +328,7 @@
 
 /// A slot that a request took.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Taken {
+pub struct Slot {
     /// The target.
     pub target: TargetName,
     /// Its start: the slot is gone with it.
@@ -345,7 +345,7 @@
 
 /// What a request asks of its target.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish<'a> {
+pub struct Demand<'a> {
     /// Tokens of its prompt.
     pub tokens: f64,
     /// Targets that it was dispatched to.
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -18,7 +18,7 @@
         if let Stage::Running(running) = &mut pending.stage {
             let first = now.saturating_duration_since(running.since);
             running.first = Some(first);
-            self.room.learn(&mut running.taken, first);
+            self.room.learn(&mut running.slot, first);
         }
     }
 
@@ -33,18 +33,18 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Stage::Running(Running { taken, since, .. }) = pending.stage.clone() else {
+        let Stage::Running(Running { slot, since, .. }) = pending.stage.clone() else {
             return;
         };
         pending.stage = Stage::Waiting;
-        let target = taken.target.clone();
+        let target = slot.target.clone();
         pending.begun |= begun;
         pending.ran |= outcome.may_have_run();
         let body = pending.request.fingerprint;
-        self.room.release(&taken);
+        self.room.release(&slot);
         let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
         if failed || outcome == Outcome::Done {
-            self.room.judge(&taken, failed);
+            self.room.judge(&slot, failed);
         }
         match outcome {
             Outcome::Done => {
@@ -53,21 +53,21 @@
                 self.remove(ticket);
             }
             Outcome::Rejected => {
-                self.room.mark_full(now.steady, &taken);
+                self.room.mark_full(now.steady, &slot);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Replaced => {
-                self.room.mark_gone(&taken);
+                self.room.mark_gone(&slot);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Unreached => {
-                self.room.mark_down(now.steady, &target, taken.incarnation);
+                self.room.mark_down(now.steady, &target, slot.incarnation);
                 self.blame(now.steady, &target, effects);
                 self.again(now, ticket, false, effects);
             }
             Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
             Outcome::Silent => {
-                self.room.mark_down(now.steady, &target, taken.incarnation);
+                self.room.mark_down(now.steady, &target, slot.incarnation);
                 self.repeat(now, ticket, target, outcome, effects);
             }
             Outcome::Lost { crashed } => {
@@ -196,7 +196,7 @@
         self.dequeue(ticket);
         let pending = self.requests.remove(&ticket)?;
         if let Stage::Running(running) = &pending.stage {
-            self.room.release(&running.taken);
+            self.room.release(&running.slot);
         }
         if !pending.ran && matches!(pending.stage, Stage::Waiting) {
             self.give_back(&pending);
