Let a request wait for its account's units for a part of its wait only

Hypothesis: at an account's limit, waiting in order for up to the whole wait makes everybody wait for nearly all of it, and whoever is refused comes back when it is late already. Before requests waited at all, a caller that was refused came back within its aim.

Test: direct_limits.rs, what would wait longer is told at once when to come back.

--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -2,7 +2,7 @@
 //!
 //! Buckets are nearly empty where a process starts, since nobody knows what was let through before,
 //! and fill at the account's rate, so what is asked then lacks tenths of a second. A caller that was
-//! refused for that came back late; one whose units come within its wait is kept, and is on time.
+//! refused for that came back late; one whose units come within a part of its wait is kept, and is on time.
 
 use std::{
     collections::BTreeSet,
@@ -12,10 +12,10 @@
 use model::id::AccountName;
 
 use super::{
-    LIMIT_RETRY_MAX, State,
+    LIMIT_RETRY_MAX, LIMIT_WAIT_PART, State,
     allowance::{self, Claim, Share},
     event::{Effect, Lack, Reason, Refusal, Request, Ticket},
-    pending::Stage,
+    pending::{Pending, Stage},
     plan, refuse,
 };
 
@@ -74,7 +74,11 @@
         let Some((lack, wait)) = self.limit_wait(now, ticket) else {
             return;
         };
-        let hopeless = self.requests.get(&ticket).is_some_and(|known| now + wait > known.give_up);
+        let latest = |known: &Pending| {
+            let whole = known.give_up.saturating_duration_since(known.arrived);
+            known.arrived + whole.mul_f64(LIMIT_WAIT_PART)
+        };
+        let hopeless = self.requests.get(&ticket).is_some_and(|known| now + wait > latest(known));
         if hopeless {
             self.refuse_limited(now, ticket, lack, wait, effects);
         }
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -10,7 +10,8 @@
 };
 
 use direct_support::{
-    GONE, Process, WINDOW, address, blank, limit, plan, request, route, settings, starts, targets,
+    GONE, Process, WINDOW, address, blank, limit, plan, refusals, request, route, settings, starts,
+    targets,
 };
 use proptest::{
     prelude::*,
@@ -421,3 +422,21 @@
 
     assert!(fleet.worst <= allowed(), "{} of {}", fleet.worst, allowed());
 }
+
+#[test]
+fn what_would_wait_for_most_of_its_time_is_told_at_once_when_to_come_back() {
+    // An aim of 800 ms gives a wait of 600 ms, of which 240 may pass for units: those of two requests.
+    let plan = plan(1, vec![route("/a/", Repeat::Safe)], Some(limit(1_000.0)));
+    let mut process = direct_support::process(plan, targets(99));
+    let ask = |ticket| {
+        let tokens = Some(Tokens { prompt: 100, output: 0 });
+        direct::Request { tokens, ..request(ticket, "/a/") }
+    };
+
+    let effects: Vec<Effect> = (0..40).flat_map(|ticket| process.arrive(ask(ticket))).collect();
+
+    let (started, refused) = (starts(&effects).len(), refusals(&effects));
+    assert_eq!(started + 2 + refused.len(), 40);
+    let wait = refused[0].1.retry_after.expect("it says when to come back");
+    assert!(wait > Duration::from_millis(240) && wait <= Duration::from_millis(340), "{wait:?}");
+}
