--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -43,10 +43,8 @@
 /// each other, and for the parts that come on top when one is cut off.
 const GIVEN: f64 = 0.7;
 /// Part of the tolerance that a process starts with. What was let through before a start isn't known,
-/// and may have been all that the limit allows; this much may come on top all the same. Empty buckets
-/// refused most of what was asked in the first half second after all processes were killed at once,
-/// with two thirds of the slots free: started with a tenth of the tolerance, days that end with such a
-/// kill gain 0.01 to 0.03 of their worth, as much as with full buckets.
+/// and may have been all that the limit allows; this much may come on top all the same, also three
+/// times in a window. Days that end with a kill of all gain 0.003 to 0.015 of their worth by it.
 const STOCK: f64 = 0.1;
 /// Part of the bucket that is kept for each higher rank, so that lower ones are refused before them.
 const RESERVE: f64 = 0.15;
