Say when an account's buckets get what a process starts with; one fixture for a hot fleet

The comment of allowance::open still said that buckets are empty at a start, which they no longer are from their first refill on; two tests of limits warmed their processes up by the same loop.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -85,8 +85,8 @@
     pub tolerance: Tolerance,
 }
 
-/// An account that hasn't been used. Its buckets are empty when the process starts: one that was
-/// started again doesn't know what it let through before.
+/// An account that hasn't been used. Its buckets are empty until they are first refilled, which adds
+/// what a process starts with: one that was started again doesn't know what it let through before.
 pub fn open(started: Instant) -> Allowance {
     Allowance {
         spent: 0,
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -126,6 +126,16 @@
     }
 }
 
+/// Processes whose account has been asked for three times its limit for longer than a window.
+fn hot_fleet() -> Fleet {
+    let mut fleet = fleet();
+    fleet.introduce();
+    for step in 0..400 {
+        fleet.step(step, 0);
+    }
+    fleet
+}
+
 impl Fleet {
     fn strike(&mut self, fault: Fault) {
         match fault {
@@ -367,11 +377,7 @@
 
 #[test]
 fn restarts_in_turn_add_nothing_to_what_an_account_may_use() {
-    let mut fleet = fleet();
-    fleet.introduce();
-    for step in 0..400 {
-        fleet.step(step, 0);
-    }
+    let mut fleet = hot_fleet();
 
     for step in 0..800_u64 {
         // One process every 300 ms: each starts 13 times.
@@ -406,11 +412,7 @@
 
 #[test]
 fn kills_of_all_in_a_row_let_no_more_through_than_the_limit_allows() {
-    let mut fleet = fleet();
-    fleet.introduce();
-    for step in 0..400 {
-        fleet.step(step, 0);
-    }
+    let mut fleet = hot_fleet();
 
     for step in 0..400_u64 {
         // Three within one window, without any time in which nothing runs.
