--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -88,6 +88,8 @@
 struct Link {
     client: Option<PeerClient>,
     busy: bool,
+    /// Since when its exchanges are not answered.
+    silent: Option<Instant>,
 }
 
 struct Thread {
@@ -280,12 +282,20 @@
                     self.newer.extend(asking);
                 }
                 let news = self.state.news(now(), known);
+                let given =
+                    [("configuration", news.plan.is_some()), ("targets", news.listing.is_some())];
+                given
+                    .iter()
+                    .filter(|given| given.1)
+                    .for_each(|given| self.metrics.relayed(given.0));
                 let _ = reply.send(Answer { rows: self.rows(all), news });
             }
             Message::Exchanged { address, answer } => {
                 let link = self.links.entry(address).or_default();
                 link.busy = false;
                 link.client = None;
+                self.metrics.exchanged(answer.is_some());
+                link.silent = record::exchanged(address, link.silent, answer.is_some());
                 if let Some((client, Answer { rows, news })) = answer {
                     link.client = Some(client);
                     self.reduce(Event::Heard(rows));
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -1,6 +1,9 @@
 //! The log of decisions: one line for each.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use metrics::Gateway;
 use scheduler::direct::{Effect, Grounds, Note, Outcome, Reason, Refusal, State, View};
@@ -135,6 +138,18 @@
     );
 }
 
+/// Logs that another process no longer answers, or does again; gives since when it doesn't.
+pub fn exchanged(peer: SocketAddr, silent: Option<Instant>, answered: bool) -> Option<Instant> {
+    match (silent, answered) {
+        (None, false) => info!(%peer, "an entry process doesn't answer"),
+        (Some(since), true) => {
+            info!(%peer, away_ms = millis(since.elapsed()), "an entry process answers again");
+        }
+        _ => {}
+    }
+    if answered { None } else { silent.or_else(|| Some(Instant::now())) }
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -30,6 +30,11 @@
     reason: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct What {
+    what: &'static str,
+}
+
 /// Counters and histograms; every method may be called from any thread.
 #[derive(Debug)]
 pub struct Gateway {
@@ -39,6 +44,8 @@
     whole: Accounts,
     refused: Family<Why, Counter>,
     dispatches: Family<Why, Counter>,
+    exchanges: Family<Why, Counter>,
+    relayed: Family<What, Counter>,
     /// Requests that haven't ended.
     pub open: Gauge,
     /// Version of the configuration in force.
@@ -65,6 +72,8 @@
         whole,
         refused: Family::default(),
         dispatches: Family::default(),
+        exchanges: Family::default(),
+        relayed: Family::default(),
         open: Gauge::default(),
         version: Gauge::default(),
         fresh: Gauge::default(),
@@ -79,6 +88,10 @@
     registry.register("refusals", "Requests refused, by reason", metrics.refused.clone());
     let ended = "Dispatches that ended, by outcome";
     registry.register("dispatches", ended, metrics.dispatches.clone());
+    let exchanges = "Exchanges with other entry processes that this one began, by outcome";
+    registry.register("exchanges", exchanges, metrics.exchanges.clone());
+    let relayed = "Times that something was given to another entry process that lacks it";
+    registry.register("relayed", relayed, metrics.relayed.clone());
     let gauges = [
         ("open_requests", "Requests that haven't ended", &metrics.open),
         ("config_version", "Version of the configuration in force", &metrics.version),
@@ -119,6 +132,17 @@
         self.dispatches.get_or_create(&Why { reason: outcome.to_owned() }).inc();
     }
 
+    /// Counts an exchange with another entry process.
+    pub fn exchanged(&self, answered: bool) {
+        let reason = if answered { "answered" } else { "unanswered" };
+        self.exchanges.get_or_create(&Why { reason: reason.to_owned() }).inc();
+    }
+
+    /// Counts what was given to another entry process.
+    pub fn relayed(&self, what: &'static str) {
+        self.relayed.get_or_create(&What { what }).inc();
+    }
+
     /// Writes all metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/components/metrics/src/log.rs
+++ b/components/metrics/src/log.rs
@@ -6,6 +6,10 @@
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
+/// What is logged unless that is set. The line of `tarpc` for a call that took too long names neither
+/// peer nor call; whoever called logs both.
+const USUAL: &str = "info,tarpc=warn,tarpc::client::in_flight_requests=off,dropshot=warn";
+
 /// Variable that sets what is logged, in `tracing-subscriber`'s filter syntax.
 pub const FILTER: &str = "WAGTAILHILL_LOG";
 
@@ -44,8 +48,7 @@
 where
     W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
 {
-    let filter = EnvFilter::try_from_env(FILTER)
-        .unwrap_or_else(|_| EnvFilter::new("info,tarpc=warn,dropshot=warn"));
+    let filter = EnvFilter::try_from_env(FILTER).unwrap_or_else(|_| EnvFilter::new(USUAL));
     let started = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
