--- a/components/standin/src/relay.rs
+++ b/components/standin/src/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay between two processes that counts bytes and can cut or swallow them.
+//! A TCP relay between two processes that counts bytes and can cut, swallow or slow them.
 
 use std::{
     io,
@@ -7,6 +7,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use tokio::{
@@ -14,6 +15,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::{JoinHandle, JoinSet},
+    time::{Instant, sleep_until},
 };
 
 const BUFFER_BYTES: usize = 16 << 10;
@@ -39,11 +41,45 @@
     pub answered: u64,
 }
 
+/// A host's link: all relays that it is given to share its rate, in both directions together.
+#[derive(Debug)]
+pub struct Link {
+    /// Bytes a second.
+    rate: f64,
+    /// When it has carried what was given to it so far.
+    free: Mutex<Instant>,
+    carried: AtomicU64,
+}
+
+/// Gives a link of so many bytes a second.
+pub fn link(rate: f64) -> Arc<Link> {
+    Arc::new(Link { rate, free: Mutex::new(Instant::now()), carried: AtomicU64::new(0) })
+}
+
+impl Link {
+    /// Bytes that it carried so far.
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+
+    async fn carry(&self, bytes: usize) {
+        self.carried.fetch_add(bytes as u64, Ordering::Relaxed);
+        let until = {
+            let mut free = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+            let time = Duration::from_secs_f64(bytes as f64 / self.rate);
+            *free = (*free).max(Instant::now()) + time;
+            *free
+        };
+        sleep_until(until).await;
+    }
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     sent: AtomicU64,
     answered: AtomicU64,
     fault: Mutex<Fault>,
+    link: Option<Arc<Link>>,
 }
 
 /// A running relay; dropping it cuts its connections.
@@ -58,9 +94,18 @@
 
 /// Starts a relay from one address to another.
 pub async fn bind(address: SocketAddr, to: SocketAddr) -> io::Result<Relay> {
+    spawn(address, to, Shared::default()).await
+}
+
+/// Starts a relay whose bytes go over a link.
+pub async fn bind_over(link: &Arc<Link>, address: SocketAddr, to: SocketAddr) -> io::Result<Relay> {
+    spawn(address, to, Shared { link: Some(Arc::clone(link)), ..Shared::default() }).await
+}
+
+async fn spawn(address: SocketAddr, to: SocketAddr, shared: Shared) -> io::Result<Relay> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let shared = Arc::new(Shared::default());
+    let shared = Arc::new(shared);
     let (cuts, cut) = watch::channel(0);
     let task = tokio::spawn(accept(listener, to, Arc::clone(&shared), cut));
     Ok(Relay { address, shared, cuts, task })
@@ -92,6 +137,12 @@
 }
 
 impl Shared {
+    async fn carry(&self, bytes: usize) {
+        if let Some(link) = &self.link {
+            link.carry(bytes).await;
+        }
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -133,11 +184,13 @@
                 if read == 0 || shared.fault() == Fault::CutBefore {
                     return Ok(());
                 }
+                shared.carry(read).await;
                 far.write_all(&sent[..read]).await?;
             }
             read = far.read(&mut answered) => {
                 let read = read?;
                 shared.answered.fetch_add(read as u64, Ordering::Relaxed);
+                shared.carry(read).await;
                 match shared.fault() {
                     _ if read == 0 => return Ok(()),
                     Fault::Swallow => {}
