Name a target's state, the capacity of all targets and the count of crashes by the field's words

Cause: read as a newcomer, scheduler::direct says Seat, Room and blame for what is a target's state, the capacity and the count of bodies that ran when a target crashed. Names only; the module room is capacity. Ruled out for now: Place, which has no better single noun beside relay::Position.

--- a/components/scheduler/src/direct/room.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -42,7 +42,7 @@
 
 /// A target and what this process knows of it.
 #[derive(Clone, Debug)]
-pub struct Seat {
+pub struct TargetState {
     /// As listed.
     pub target: Target,
     /// Requests of this process that it has.
@@ -74,14 +74,14 @@
 
 /// All targets.
 #[derive(Clone, Debug, Default)]
-pub struct Room {
-    seats: BTreeMap<TargetName, Seat>,
+pub struct Capacity {
+    states: BTreeMap<TargetName, TargetState>,
     pools: HashMap<PoolName, Vec<TargetName>>,
 }
 
-impl Seat {
-    fn open(target: Target) -> Seat {
-        Seat {
+impl TargetState {
+    fn open(target: Target) -> TargetState {
+        TargetState {
             target,
             own: 0,
             others: 0,
@@ -145,82 +145,82 @@
     }
 }
 
-impl Room {
+impl Capacity {
     /// Takes the platform's list in; targets that aren't in it take no more requests. Gives those
     /// that started again, of which nothing is known any more: what ran there has ended, and their
     /// pace and failures were those of another process.
     pub fn list(&mut self, targets: Vec<Target>) -> Vec<TargetName> {
         let mut restarted = Vec::new();
-        let mut before = std::mem::take(&mut self.seats);
+        let mut before = std::mem::take(&mut self.states);
         for target in targets {
             let name = target.name.clone();
-            let seat = match before.remove(&name) {
+            let state = match before.remove(&name) {
                 // What an earlier start wrote may arrive after what the last one wrote.
-                Some(seat) if seat.target.incarnation > target.incarnation => seat,
-                Some(seat) if seat.target.incarnation == target.incarnation => {
-                    Seat { target, listed: true, ..seat }
+                Some(state) if state.target.incarnation > target.incarnation => state,
+                Some(state) if state.target.incarnation == target.incarnation => {
+                    TargetState { target, listed: true, ..state }
                 }
                 Some(_) => {
                     restarted.push(name.clone());
-                    Seat::open(target)
+                    TargetState::open(target)
                 }
-                None => Seat::open(target),
+                None => TargetState::open(target),
             };
-            self.seats.insert(name, seat);
+            self.states.insert(name, state);
         }
         let vanished =
-            before.into_iter().map(|(name, seat)| (name, Seat { listed: false, ..seat }));
-        self.seats.extend(vanished);
-        self.seats.retain(|_, seat| seat.listed || seat.own > 0);
+            before.into_iter().map(|(name, state)| (name, TargetState { listed: false, ..state }));
+        self.states.extend(vanished);
+        self.states.retain(|_, state| state.listed || state.own > 0);
         self.pools.clear();
-        for (name, seat) in &self.seats {
-            self.pools.entry(seat.target.pool.clone()).or_default().push(name.clone());
+        for (name, state) in &self.states {
+            self.pools.entry(state.target.pool.clone()).or_default().push(name.clone());
         }
         restarted
     }
 
     /// A target.
-    pub fn seat(&self, name: &TargetName) -> Option<&Seat> {
-        self.seats.get(name)
+    pub fn state(&self, name: &TargetName) -> Option<&TargetState> {
+        self.states.get(name)
     }
 
     /// All targets that are listed now.
     pub fn listed(&self) -> impl Iterator<Item = &Target> {
-        self.seats.values().filter(|seat| seat.listed).map(|seat| &seat.target)
+        self.states.values().filter(|state| state.listed).map(|state| &state.target)
     }
 
     /// Slots of a pool that no process uses, and all of them, at targets that take requests.
     pub fn slots(&self, now: Instant, pool: &str) -> (u32, u32) {
         let names = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
-        let seats = names.iter().filter_map(|name| self.seats.get(name));
-        seats.filter(|seat| seat.is_up(now)).fold((0, 0), |(free, all), seat| {
-            let slots = seat.target.slots;
-            (free + slots.saturating_sub(seat.own + seat.others), all + slots)
+        let states = names.iter().filter_map(|name| self.states.get(name));
+        states.filter(|state| state.is_up(now)).fold((0, 0), |(free, all), state| {
+            let slots = state.target.slots;
+            (free + slots.saturating_sub(state.own + state.others), all + slots)
         })
     }
 
     /// Counts what the other processes run.
     pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a Busy>) {
-        for seat in self.seats.values_mut() {
-            seat.others = 0;
-            seat.others_unread = 0.0;
+        for state in self.states.values_mut() {
+            state.others = 0;
+            state.others_unread = 0.0;
         }
         for busy in running {
-            if let Some(seat) = self.current(&busy.target, busy.incarnation) {
-                seat.others += busy.requests;
-                seat.others_unread += f64::from(busy.unread);
+            if let Some(state) = self.current(&busy.target, busy.incarnation) {
+                state.others += busy.requests;
+                state.others_unread += f64::from(busy.unread);
             }
         }
     }
 
     /// What this process runs, for the others.
     pub fn running(&self) -> Vec<Busy> {
-        let busy = self.seats.iter().filter(|(_, seat)| seat.own > 0);
-        let busy = busy.map(|(name, seat)| Busy {
+        let busy = self.states.iter().filter(|(_, state)| state.own > 0);
+        let busy = busy.map(|(name, state)| Busy {
             target: name.clone(),
-            incarnation: seat.target.incarnation,
-            requests: seat.own,
-            unread: seat.unread as u32,
+            incarnation: state.target.incarnation,
+            requests: state.own,
+            unread: state.unread as u32,
         });
         busy.collect()
     }
@@ -237,21 +237,22 @@
     ) -> Option<Slot> {
         let names = self.pools.get(pool)?;
         let usual = self.usual(names);
-        let open = names.iter().filter_map(|name| self.seats.get(name));
-        let open = open
-            .filter(|seat| seat.is_up(now) && seat.has_room(place, demand) && !seat.reads(usual));
-        let open = open.filter(|seat| !demand.tried.contains(&seat.target.name));
-        let cost = |seat: &Seat| seat.cost(demand.tokens, zone, usual);
+        let open = names.iter().filter_map(|name| self.states.get(name));
+        let open = open.filter(|state| {
+            state.is_up(now) && state.has_room(place, demand) && !state.reads(usual)
+        });
+        let open = open.filter(|state| !demand.tried.contains(&state.target.name));
+        let cost = |state: &TargetState| state.cost(demand.tokens, zone, usual);
         let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?.target.name.clone();
-        let seat = self.seats.get_mut(&best)?;
-        let load = seat.load(demand.tokens);
-        seat.own += 1;
-        seat.unread += demand.tokens;
-        let first_ms = seat.first.unwrap_or(usual) * load;
+        let state = self.states.get_mut(&best)?;
+        let load = state.load(demand.tokens);
+        state.own += 1;
+        state.unread += demand.tokens;
+        let first_ms = state.first.unwrap_or(usual) * load;
         Some(Slot {
             target: best,
-            incarnation: seat.target.incarnation,
-            address: seat.target.address,
+            incarnation: state.target.incarnation,
+            address: state.target.address,
             unread: demand.tokens,
             load,
             first: Duration::from_secs_f64(first_ms / 1_000.0),
@@ -260,67 +261,67 @@
 
     /// Gives a slot back.
     pub fn release(&mut self, slot: &Slot) {
-        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
-            seat.own = seat.own.saturating_sub(1);
-            seat.unread = (seat.unread - slot.unread).max(0.0);
+        if let Some(state) = self.current(&slot.target, slot.incarnation) {
+            state.own = state.own.saturating_sub(1);
+            state.unread = (state.unread - slot.unread).max(0.0);
         }
     }
 
     /// Learns from the time to a first event: the prompt was read.
     pub fn learn(&mut self, slot: &mut Slot, first: Duration) {
-        let Some(seat) = self.current(&slot.target, slot.incarnation) else {
+        let Some(state) = self.current(&slot.target, slot.incarnation) else {
             return;
         };
-        seat.unread = (seat.unread - slot.unread).max(0.0);
+        state.unread = (state.unread - slot.unread).max(0.0);
         slot.unread = 0.0;
         let seen = first.as_secs_f64() * 1_000.0 / slot.load;
-        seat.first = Some(seat.first.map_or(seen, |known| known + NEWEST * (seen - known)));
-        seat.down_for = Duration::ZERO;
+        state.first = Some(state.first.map_or(seen, |known| known + NEWEST * (seen - known)));
+        state.down_for = Duration::ZERO;
     }
 
     /// Learns whether a target failed a request.
     pub fn judge(&mut self, slot: &Slot, failed: bool) {
-        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
+        if let Some(state) = self.current(&slot.target, slot.incarnation) {
             let seen = if failed { 1.0 } else { 0.0 };
-            seat.failing += NEWEST * (seen - seat.failing);
+            state.failing += NEWEST * (seen - state.failing);
         }
     }
 
     /// Leaves a target that takes no connection alone.
     pub fn mark_down(&mut self, now: Instant, name: &TargetName, incarnation: Incarnation) {
-        if let Some(seat) = self.current(name, incarnation) {
-            seat.down_for = (seat.down_for * 2).clamp(DOWN_MIN, DOWN_MAX);
-            seat.leave_alone(now, seat.down_for);
+        if let Some(state) = self.current(name, incarnation) {
+            state.down_for = (state.down_for * 2).clamp(DOWN_MIN, DOWN_MAX);
+            state.leave_alone(now, state.down_for);
         }
     }
 
     /// Leaves a target that has no room alone.
     pub fn mark_full(&mut self, now: Instant, slot: &Slot) {
-        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
-            seat.leave_alone(now, FULL);
+        if let Some(state) = self.current(&slot.target, slot.incarnation) {
+            state.leave_alone(now, FULL);
         }
     }
 
     /// Takes a target out whose address has another now.
     pub fn mark_gone(&mut self, slot: &Slot) {
-        if let Some(seat) = self.current(&slot.target, slot.incarnation) {
-            seat.target.ready = false;
+        if let Some(state) = self.current(&slot.target, slot.incarnation) {
+            state.target.ready = false;
         }
     }
 
     /// When a target may be asked again, if one is left alone.
     pub fn next_up(&self, now: Instant) -> Option<Instant> {
-        self.seats.values().filter_map(|seat| seat.down_until).filter(|&at| at > now).min()
+        self.states.values().filter_map(|state| state.down_until).filter(|&at| at > now).min()
     }
 
     /// A target, unless it started again since.
-    fn current(&mut self, name: &TargetName, incarnation: Incarnation) -> Option<&mut Seat> {
-        self.seats.get_mut(name).filter(|seat| seat.target.incarnation == incarnation)
+    fn current(&mut self, name: &TargetName, incarnation: Incarnation) -> Option<&mut TargetState> {
+        self.states.get_mut(name).filter(|state| state.target.incarnation == incarnation)
     }
 
     /// The mean of what is known of a pool's targets, in ms a token.
     fn usual(&self, names: &[TargetName]) -> f64 {
-        let known = names.iter().filter_map(|name| self.seats.get(name)?.first);
+        let known = names.iter().filter_map(|name| self.states.get(name)?.first);
         let (sum, count) = known.fold((0.0, 0.0), |(sum, count), first| (sum + first, count + 1.0));
         if count > 0.0 { sum / count } else { FIRST_GUESS }
     }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 pub mod allowance;
 pub mod budget;
+pub mod capacity;
 pub mod event;
 mod holds;
 mod limits;
@@ -15,7 +16,6 @@
 pub mod plan;
 mod queue;
 pub mod relay;
-pub mod room;
 mod settle;
 mod world;
 
@@ -30,6 +30,7 @@
 
 use allowance::Allowance;
 use budget::Budget;
+use capacity::{Capacity, Place};
 pub use event::{
     Effect, Event, Grounds, Incarnation, Introduction, Lack, Note, Now, Outcome, Reason, Refusal,
     Request, Start, Target, Ticket, Tokens,
@@ -39,7 +40,6 @@
 use pending::{Order, Pending, Stage};
 use plan::Plan;
 use relay::{Known, Listing, Topic};
-use room::{Place, Room};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
@@ -51,7 +51,7 @@
 /// Most bodies whose crashes are remembered; each is told to every other process.
 const CRASHES_KEPT: usize = 1_000;
 /// Time within which a target that takes no connection is blamed on what it ran before.
-const BLAME: Duration = Duration::from_secs(2);
+const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Part of a request's wait for which it may wait for units of its account's limit. Whoever is refused
 /// then comes back in time to be served: with the whole wait, callers of an account at its limit
 /// waited for nearly all of it, and those refused came back late (0.004 to 0.009 of worth on calm days).
@@ -126,7 +126,7 @@
     fetching: BTreeSet<Topic>,
     /// Whether targets that vanished from it may still be used.
     keeps_vanished: bool,
-    room: Room,
+    capacity: Capacity,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
     /// Requests that wait for their account's limit.
@@ -206,7 +206,7 @@
         offers: BTreeMap::new(),
         fetching: BTreeSet::new(),
         keeps_vanished: false,
-        room: Room::default(),
+        capacity: Capacity::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
         limited: BTreeMap::new(),
@@ -258,8 +258,8 @@
         Event::Probed { target, reached } => {
             let asked = state.probing.remove(&target).filter(|_| !reached);
             if let Some(incarnation) = asked {
-                state.room.mark_down(now.steady, &target, incarnation);
-                state.blame(now.steady, &target, &mut effects);
+                state.capacity.mark_down(now.steady, &target, incarnation);
+                state.count_crashes(now.steady, &target, &mut effects);
             }
         }
         Event::Drain { end } => state.draining = Some(end),
@@ -278,7 +278,7 @@
 pub fn next_wake(state: &State, now: Instant) -> Option<Instant> {
     let timer = state.timers.first().map(|&(at, _)| at);
     let waits = state.waiting.values().any(|queue| !queue.is_empty());
-    let up = if waits { state.room.next_up(now) } else { None };
+    let up = if waits { state.capacity.next_up(now) } else { None };
     timer.into_iter().chain(up).chain(state.next_grant).min()
 }
 
@@ -305,13 +305,13 @@
             return None;
         };
         let since = running.since;
-        let seat = self.room.seat(&running.slot.target);
+        let state = self.capacity.state(&running.slot.target);
         Some(View {
             id: &pending.request.id,
             route: &pending.route,
             waited: now.saturating_duration_since(pending.arrived),
-            running: seat.map_or(0, |seat| seat.own),
-            elsewhere: seat.map_or(0, |seat| seat.others),
+            running: state.map_or(0, |state| state.own),
+            elsewhere: state.map_or(0, |state| state.others),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
             units: pending.units,
             account: pending.account.as_deref(),
@@ -329,7 +329,7 @@
             return Grounds::default();
         };
         let queue = self.waiting.get(&pending.pool);
-        let (free, slots) = self.room.slots(now, &pending.pool);
+        let (free, slots) = self.capacity.slots(now, &pending.pool);
         Grounds {
             route: pending.route.clone(),
             account: pending.account.clone(),
@@ -370,7 +370,7 @@
             hears: self.peers.heard_addresses(now),
             uptime: now.saturating_duration_since(self.opened),
             accounts: self.accounts.iter().map(used).collect(),
-            running: self.room.running(),
+            running: self.capacity.running(),
             crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
         }
     }
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -6,9 +6,9 @@
 
 use super::{
     allowance::Claim,
+    capacity::Slot,
     event::{Request, Ticket},
     plan::Repeat,
-    room::Slot,
 };
 
 /// Order in which requests of a pool are dispatched.
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -4,10 +4,10 @@
 
 use super::{
     SILENT, SILENT_TIMES, State,
+    capacity::{Demand, Slot},
     event::{Effect, Now, Reason, Start, Ticket},
     pending::{Pending, Running, Stage},
     plan::Repeat,
-    room::{Demand, Slot},
 };
 
 impl State {
@@ -84,7 +84,7 @@
                 }
                 let demand = Demand { tokens: pending.prompt(), tried: &pending.tried, lowest };
                 let (place, zone) = (self.place, &self.settings.zone);
-                let slot = self.room.take(now.steady, &pending.pool, place, zone, &demand);
+                let slot = self.capacity.take(now.steady, &pending.pool, place, zone, &demand);
                 if let Some(slot) = slot {
                     placed.push(*order);
                     self.timers.remove(&(pending.wake(), order.ticket));
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,7 +5,7 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BLAME, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
+    CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
     pending::{Pending, Running, Stage},
 };
@@ -18,7 +18,7 @@
         if let Stage::Running(running) = &mut pending.stage {
             let first = now.saturating_duration_since(running.since);
             running.first = Some(first);
-            self.room.learn(&mut running.slot, first);
+            self.capacity.learn(&mut running.slot, first);
         }
     }
 
@@ -41,10 +41,10 @@
         pending.begun |= begun;
         pending.ran |= outcome.may_have_run();
         let body = pending.request.fingerprint;
-        self.room.release(&slot);
+        self.capacity.release(&slot);
         let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
         if failed || outcome == Outcome::Done {
-            self.room.judge(&slot, failed);
+            self.capacity.judge(&slot, failed);
         }
         match outcome {
             Outcome::Done => {
@@ -53,27 +53,27 @@
                 self.remove(ticket);
             }
             Outcome::Rejected => {
-                self.room.mark_full(now.steady, &slot);
+                self.capacity.mark_full(now.steady, &slot);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Replaced => {
-                self.room.mark_gone(&slot);
+                self.capacity.mark_gone(&slot);
                 self.again(now, ticket, true, effects);
             }
             Outcome::Unreached => {
-                self.room.mark_down(now.steady, &target, slot.incarnation);
-                self.blame(now.steady, &target, effects);
+                self.capacity.mark_down(now.steady, &target, slot.incarnation);
+                self.count_crashes(now.steady, &target, effects);
                 self.again(now, ticket, false, effects);
             }
             Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
             Outcome::Silent => {
-                self.room.mark_down(now.steady, &target, slot.incarnation);
+                self.capacity.mark_down(now.steady, &target, slot.incarnation);
                 self.repeat(now, ticket, target, outcome, effects);
             }
             Outcome::Lost { crashed } => {
                 if crashed {
                     let loss = Loss { at: now.steady, target: target.clone(), body };
-                    self.lost.retain(|known| now.steady.duration_since(known.at) < BLAME);
+                    self.lost.retain(|known| now.steady.duration_since(known.at) < CRASH_WINDOW);
                     self.lost.push(loss);
                     self.probe(&target, effects);
                 }
@@ -136,18 +136,18 @@
 
     /// Asks whether a target still takes connections, one question at a time.
     pub(super) fn probe(&mut self, target: &TargetName, effects: &mut Vec<Effect>) {
-        if let Some(seat) = self.room.seat(target)
+        if let Some(state) = self.capacity.state(target)
             && !self.probing.contains_key(target)
         {
-            let address = seat.target.address;
-            self.probing.insert(target.clone(), seat.target.incarnation);
+            let address = state.target.address;
+            self.probing.insert(target.clone(), state.target.incarnation);
             effects.push(Effect::Probe { target: target.clone(), address });
         }
     }
 
     /// A target takes no connection, or started again: what broke off there just before ran when it died.
-    pub(super) fn blame(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
-        self.lost.retain(|loss| now.duration_since(loss.at) < BLAME);
+    pub(super) fn count_crashes(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
+        self.lost.retain(|loss| now.duration_since(loss.at) < CRASH_WINDOW);
         let (died, rest) =
             std::mem::take(&mut self.lost).into_iter().partition(|loss| loss.target == target);
         self.lost = rest;
@@ -196,7 +196,7 @@
         self.dequeue(ticket);
         let pending = self.requests.remove(&ticket)?;
         if let Stage::Running(running) = &pending.stage {
-            self.room.release(&running.slot);
+            self.capacity.release(&running.slot);
         }
         if !pending.ran && matches!(pending.stage, Stage::Waiting) {
             self.give_back(&pending);
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -10,10 +10,10 @@
 
 use super::{
     RETURN, SILENCE, State, allowance,
+    capacity::Place,
     event::{Effect, Note, Now},
     peers::{Row, Told},
     plan::Plan,
-    room::Place,
 };
 
 /// Whether the platform has been silent for so long that this is an outage.
@@ -74,14 +74,14 @@
         if keep_vanished {
             let names: BTreeSet<&str> = listed.iter().map(|target| target.name.as_str()).collect();
             let vanished =
-                self.room.listed().filter(|target| !names.contains(target.name.as_str()));
+                self.capacity.listed().filter(|target| !names.contains(target.name.as_str()));
             used.extend(vanished.cloned());
         }
         let ready = used.iter().filter(|target| target.ready).count();
         effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
-        for target in self.room.list(used) {
+        for target in self.capacity.list(used) {
             // What broke off there just before ran when it died.
-            self.blame(now, &target, effects);
+            self.count_crashes(now, &target, effects);
             effects.push(Effect::Note(Note::Restarted(target)));
         }
         self.look_round(now, effects);
@@ -130,6 +130,6 @@
             let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
             effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
-        self.room.count_others(self.peers.running(now));
+        self.capacity.count_others(self.peers.running(now));
     }
 }
