--- a/components/metrics/src/log.rs
+++ b/components/metrics/src/log.rs
@@ -6,13 +6,13 @@
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
+/// Variable that sets what is logged, in `tracing-subscriber`'s filter syntax.
+pub const FILTER: &str = "WAGTAILHILL_LOG";
+
 /// What is logged unless that is set. The line of `tarpc` for a call that took too long names neither
 /// peer nor call; whoever called logs both.
 const USUAL: &str = "info,tarpc=warn,tarpc::client::in_flight_requests=off,dropshot=warn";
 
-/// Variable that sets what is logged, in `tracing-subscriber`'s filter syntax.
-pub const FILTER: &str = "WAGTAILHILL_LOG";
-
 /// Lines that wait to be written; beyond it they are left out, and counted. At 200 bytes a line this
 /// is under a megabyte.
 const LINES: usize = 4_096;
