--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -286,9 +286,10 @@
                 let _ = reply.send(Answer { rows: self.rows(all), offer });
             }
             Message::Give { topic, reply } => {
-                let version = self.state.known().of(topic);
-                let news = self.state.news(now(), topic);
-                let given = news.and_then(|news| self.links.give(topic, version, &news));
+                let (state, now) = (&self.state, now());
+                // 0 where it isn't offered, which is the version of nothing that was packed.
+                let version = state.offer(now).known.of(topic);
+                let given = self.links.give(topic, version, || state.news(now, topic));
                 let _ = reply.send(given);
             }
             Message::Done(Done::Exchanged(peer, answer)) => {
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -99,14 +99,22 @@
         });
     }
 
-    /// What is given to one that asks for a topic, of which this process has so much.
-    pub fn give(&mut self, topic: Topic, version: u64, news: &News) -> Option<Bytes> {
-        self.metrics.relayed(topic.name());
+    /// What is given to one that asks for a topic, of which this process offers so much; the news are
+    /// made only where they aren't packed yet.
+    pub fn give(
+        &mut self,
+        topic: Topic,
+        version: u64,
+        news: impl FnOnce() -> Option<News>,
+    ) -> Option<Bytes> {
         let last = self.packed.get(&topic).filter(|last| last.0 == version);
         if let Some((_, packed)) = last {
+            self.metrics.relayed(topic.name());
             return Some(packed.clone());
         }
-        match relay::pack(news) {
+        let news = news()?;
+        self.metrics.relayed(topic.name());
+        match relay::pack(&news) {
             Ok(packed) => {
                 self.packed.insert(topic, (version, packed.clone()));
                 Some(packed)
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -17,7 +17,7 @@
 };
 
 /// Whether the platform has been silent for so long that this is an outage.
-pub(super) fn is_silent(answered: Option<Duration>, now: Now) -> bool {
+fn is_silent(answered: Option<Duration>, now: Now) -> bool {
     answered.is_none_or(|at| now.boot.saturating_sub(at) > SILENCE)
 }
 
