--- /dev/null
+++ b/components/agent/src/admission/service.rs
@@ -0,0 +1,61 @@
+//! Serves entry processes by `tarpc`.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use futures::{StreamExt, future};
+use model::{
+    refusal::Reason,
+    reservation::{Ask, Denial, Fate, Grant, Id, Load},
+};
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use wire::{
+    admission::{Admission, Target},
+    socket,
+};
+
+use super::control;
+
+#[derive(Clone)]
+struct Server {
+    control: control::Handle,
+}
+
+/// Starts to serve at an address; gives where it listens.
+pub async fn bind(address: SocketAddr, control: control::Handle) -> io::Result<SocketAddr> {
+    let incoming = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+    let address = incoming.local_addr();
+    let server = Server { control };
+    tokio::spawn(async move {
+        let connections = incoming.filter_map(|connection| future::ready(connection.ok()));
+        connections
+            .for_each(|connection| {
+                // A connection that is gone already shows itself at its first use.
+                let _ = socket::prepare(connection.get_ref());
+                let calls = BaseChannel::with_defaults(connection).execute(server.clone().serve());
+                // What waits and what is held ends with its connection.
+                tokio::spawn(calls.for_each(|call| {
+                    tokio::spawn(call);
+                    future::ready(())
+                }));
+                future::ready(())
+            })
+            .await;
+    });
+    Ok(address)
+}
+
+impl Admission for Server {
+    async fn reserve(self, _: Context, ask: Ask, target: Target) -> Result<Grant, Denial> {
+        let stopped =
+            Denial { reason: Reason::Draining, retry_after: Duration::ZERO, load: Load::default() };
+        self.control.reserve(ask, target).await.unwrap_or(Err(stopped))
+    }
+
+    async fn hold(self, _: Context, id: Id) -> Fate {
+        self.control.hold(id).await
+    }
+}
--- a/components/agent/src/claims.rs
+++ b/components/agent/src/claims.rs
@@ -17,7 +17,10 @@
     sync::{oneshot, watch},
 };
 use tracing::debug;
-use wire::pool::{self, Error, Pool, context};
+use wire::{
+    AgentClient, control as calls,
+    pool::{self, Error, Pool, context},
+};
 
 use crate::control;
 
@@ -66,7 +69,7 @@
     state: State,
     target: TargetName,
     verdicts: HashMap<RequestId, Vec<oneshot::Sender<Verdict>>>,
-    pool: Arc<Pool>,
+    pool: Arc<Pool<AgentClient>>,
     control: control::Handle,
     status: watch::Sender<Status>,
     metrics: Arc<metrics::Agent>,
@@ -85,7 +88,7 @@
         state: claim::open(Settings { incarnation, claims: CLAIM_LIMIT }),
         target,
         verdicts: HashMap::new(),
-        pool: Arc::new(pool::open(CONNECT)),
+        pool: Arc::new(pool::open(CONNECT, calls::connect)),
         control,
         status,
         metrics,
@@ -193,7 +196,7 @@
     }
 }
 
-async fn ask(pool: &Pool, address: SocketAddr, question: Question) -> Option<Answer> {
+async fn ask(pool: &Pool<AgentClient>, address: SocketAddr, question: Question) -> Option<Answer> {
     let answer = match pool.client(address).await {
         Ok(client) => client.ask_claim(context(ASK_CALL), question).await.map_err(Error::Call),
         Err(error) => Err(error),
@@ -205,7 +208,7 @@
     answer.ok()
 }
 
-async fn give(pool: &Pool, address: SocketAddr, claims: Vec<Transfer>) -> bool {
+async fn give(pool: &Pool<AgentClient>, address: SocketAddr, claims: Vec<Transfer>) -> bool {
     let Ok(client) = pool.client(address).await else {
         return false;
     };
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,5 +1,6 @@
 //! The agent: the process beside a target, and the only way to it.
 
+pub mod admission;
 mod claims;
 mod config;
 mod control;
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 use tracing::debug;
 use wire::{
-    AgentClient,
+    AgentClient, control,
     pool::{self, Error, Pool, context},
 };
 
@@ -42,13 +42,13 @@
 /// Connections to agents by their control address.
 #[derive(Debug)]
 pub struct Agents {
-    pool: Pool,
+    pool: Pool<AgentClient>,
 }
 
 impl Agents {
     /// Gives a set without connections.
     pub fn open(connect: Duration) -> Agents {
-        Agents { pool: pool::open(connect) }
+        Agents { pool: pool::open(connect, control::connect) }
     }
 
     /// Asks for room and gives the event that the answer makes.
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -31,7 +31,9 @@
 use tracing::{error, info};
 
 use crate::{
-    Feed, Records, Settings, dispatch,
+    Feed, Records, Settings,
+    agents::{self, Agents},
+    dispatch,
     links::{self, Done, Links},
     peer::{self, Answer, Told},
     proof::{self, Recorder},
@@ -60,6 +62,7 @@
     Exchange { told: Told, reply: oneshot::Sender<Answer> },
     Give { topic: Topic, reply: oneshot::Sender<Option<Bytes>> },
     Done(Done),
+    Reserved(Event),
 }
 
 /// Speaks to the control thread; clones speak to the same one.
@@ -91,6 +94,7 @@
     orders: HashMap<Ticket, mpsc::UnboundedSender<Order>>,
     ids: HashMap<Ticket, String>,
     links: Links,
+    agents: Agents,
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Sender<Status>,
     own: SocketAddr,
@@ -120,11 +124,16 @@
     let reports = messages.clone();
     // The thread ends only with the process.
     let report: links::Report = Arc::new(move |done| drop(reports.send(Message::Done(done))));
+    let reports = messages.clone();
+    let reserved: agents::Report =
+        Arc::new(move |event| drop(reports.send(Message::Reserved(event))));
+    let incarnation = settings.direct.incarnation;
     let thread = Thread {
         state: direct::open(Instant::now(), settings.direct.clone()),
         orders: HashMap::new(),
         ids: HashMap::new(),
         links: links::open(report, Arc::clone(&metrics)),
+        agents: agents::open(incarnation, reserved, Arc::clone(&metrics)),
         messages,
         status,
         own: settings.direct.address,
@@ -292,6 +301,12 @@
                 let given = self.links.give(topic, version, || state.news(now, topic));
                 let _ = reply.send(given);
             }
+            Message::Reserved(event) => {
+                if let Event::Denied { ticket, number, .. } = event {
+                    self.agents.denied(ticket, number);
+                }
+                self.reduce(event);
+            }
             Message::Done(Done::Exchanged(peer, answer)) => {
                 if let Some(Answer { rows, offer }) = self.links.exchanged(peer, answer) {
                     self.reduce(Event::Heard(rows));
@@ -385,6 +400,8 @@
                 });
             }
             Effect::Fetch { peer, topic } => self.links.fetch(peer, topic),
+            Effect::Reserve(reservation) => self.agents.reserve(reservation),
+            Effect::Withdraw { ticket, number } => self.agents.withdraw(ticket, number),
             Effect::Note(_) => {}
         }
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! traffic. How requests and answers are spelled is told by a [`Dialect`], where the configuration
 //! and the list of targets come from by a [`Feed`].
 
+mod agents;
 mod call;
 pub mod control;
 mod dispatch;
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -37,7 +37,11 @@
             );
         }
         Effect::Probe { target, .. } => info!(to = target, "asked whether it takes connections"),
-        Effect::Fetch { .. } | Effect::Refuse { .. } | Effect::Pass { .. } => {}
+        Effect::Fetch { .. }
+        | Effect::Pass { .. }
+        | Effect::Refuse { .. }
+        | Effect::Reserve(_)
+        | Effect::Withdraw { .. } => {}
         Effect::Note(note) => noted(note),
     }
 }
@@ -66,7 +70,9 @@
         Effect::Note(Note::Quarantined(_) | Note::Restarted(_))
         | Effect::Fetch { .. }
         | Effect::Pass { .. }
-        | Effect::Probe { .. } => {}
+        | Effect::Probe { .. }
+        | Effect::Reserve(_)
+        | Effect::Withdraw { .. } => {}
     }
 }
 
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -45,6 +45,7 @@
     refused: Family<Why, Counter>,
     dispatches: Family<Why, Counter>,
     exchanges: Family<Why, Counter>,
+    reservations: Family<Why, Counter>,
     relayed: Family<What, Counter>,
     /// Requests that haven't ended.
     pub open: Gauge,
@@ -73,6 +74,7 @@
         refused: Family::default(),
         dispatches: Family::default(),
         exchanges: Family::default(),
+        reservations: Family::default(),
         relayed: Family::default(),
         open: Gauge::default(),
         version: Gauge::default(),
@@ -90,6 +92,8 @@
     registry.register("dispatches", ended, metrics.dispatches.clone());
     let exchanges = "Exchanges with other entry processes that this one began, by outcome";
     registry.register("exchanges", exchanges, metrics.exchanges.clone());
+    let reservations = "Reservations at agents that ended, by outcome";
+    registry.register("reservations", reservations, metrics.reservations.clone());
     let relayed = "Times that something was given to another entry process that lacks it";
     registry.register("relayed", relayed, metrics.relayed.clone());
     let gauges = [
@@ -138,6 +142,11 @@
         self.exchanges.get_or_create(&Why { reason: reason.to_owned() }).inc();
     }
 
+    /// Counts a reservation that got room or none; those that were withdrawn aren't counted.
+    pub fn reserved(&self, outcome: &str) {
+        self.reservations.get_or_create(&Why { reason: outcome.to_owned() }).inc();
+    }
+
     /// Counts what was given to another entry process.
     pub fn relayed(&self, what: &'static str) {
         self.relayed.get_or_create(&What { what }).inc();
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -28,6 +28,12 @@
     Ended(Id),
     /// A configuration offset was heard of or applied.
     Heard(Offset),
+    /// The target runs so many requests at once.
+    Sized(usize),
+    /// Whether the target takes requests: while it takes none, no room is granted.
+    Reached(bool),
+    /// The target has so many requests that hold no room here.
+    Strangers(usize),
     /// The process is asked to leave.
     Drain,
     /// Time has passed.
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -106,6 +106,10 @@
     shed: Option<Shed>,
     heard: Offset,
     draining: bool,
+    /// Whether the target takes no requests.
+    unreached: bool,
+    /// Requests at the target that hold no room here.
+    strangers: usize,
     suspects: Suspects,
 }
 
@@ -132,6 +136,8 @@
         shed: None,
         heard: 0,
         draining: false,
+        unreached: false,
+        strangers: 0,
         suspects: Suspects::default(),
     }
 }
@@ -150,6 +156,9 @@
         Event::Lives => state.suspects.acquit(),
         Event::Ended(id) => state.end(now, id),
         Event::Heard(offset) => state.heard = state.heard.max(offset),
+        Event::Sized(slots) => state.room.slots = slots.max(1),
+        Event::Reached(reached) => state.reached(now, reached, &mut effects),
+        Event::Strangers(strangers) => state.strangers = strangers,
         Event::Drain => state.drain(now, &mut effects),
         Event::Tick => {}
     }
@@ -196,6 +205,9 @@
         if self.draining {
             return self.bury(now, ask.id, Fate::Cancelled, Reason::Draining, effects);
         }
+        if self.unreached {
+            return self.bury(now, ask.id, Fate::Cancelled, Reason::NoTarget, effects);
+        }
         if ask.remaining.is_zero() {
             return self.bury(now, ask.id, Fate::Expired, Reason::Deadline, effects);
         }
@@ -279,9 +291,21 @@
 
     fn drain(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.draining = true;
+        self.deny_waiting(now, Reason::Draining, effects);
+    }
+
+    /// Who waits at a target that takes no requests is better off elsewhere.
+    fn reached(&mut self, now: Instant, reached: bool, effects: &mut Vec<Effect>) {
+        self.unreached = !reached;
+        if !reached {
+            self.deny_waiting(now, Reason::NoTarget, effects);
+        }
+    }
+
+    fn deny_waiting(&mut self, now: Instant, reason: Reason, effects: &mut Vec<Effect>) {
         while let Some(waiting) = self.queue.pop() {
             self.live.remove(&waiting.id);
-            self.bury(now, waiting.id, Fate::Cancelled, Reason::Draining, effects);
+            self.bury(now, waiting.id, Fate::Cancelled, reason, effects);
         }
     }
 
@@ -296,7 +320,10 @@
             }
             let fits = self.held_tokens + first.tokens <= self.room.tokens || self.held == 0;
             let may = self.suspects.may_grant(first.id, self.held);
-            if self.held >= self.slots() || !fits || !may {
+            // At least one slot is for all.
+            let spare = (first.spare as usize).min(self.room.slots - 1);
+            let taken = self.held + self.strangers + spare;
+            if taken >= self.slots() || !fits || !may {
                 return;
             }
             let Some(waiting) = self.queue.pop() else {
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -35,6 +35,8 @@
     pub work: u64,
     /// Its prompt's leading blocks.
     pub prefix: Vec<BlockHash>,
+    /// Slots that it leaves to others.
+    pub spare: u32,
 }
 
 /// The queue.
@@ -74,6 +76,7 @@
             tokens: u64::from(ask.prefill) + u64::from(ask.decode),
             work,
             prefix: ask.prefix.clone(),
+            spare: ask.spare,
         };
         self.latest.insert(Latest { at: waiting.latest, order });
         self.waiting.insert(order, waiting);
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -79,6 +79,9 @@
             ran: false,
             begun: false,
             tried: Vec::new(),
+            reserved: Vec::new(),
+            reservations: 0,
+            next_reservation: now.steady,
             stage,
             request,
         })
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -1,19 +1,25 @@
 //! The targets, what runs at each, and which one a request goes to.
 //!
-//! Entry processes share a target's slots without asking each other first: each has a part of the
-//! slots that it may always use, and may use slots that the others' last rows show as free.
+//! A target with an agent beside it is reached by a reservation there. Of the others entry processes
+//! share the slots without asking each other first: each has a part of the slots that it may always
+//! use, and may use slots that the others' last rows show as free.
 
 use std::{
     collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use model::id::{PoolName, TargetName, ZoneName};
+use model::{
+    id::{PoolName, TargetName, ZoneName},
+    reservation::Load,
+};
 
 use super::{
     event::{Incarnation, Target},
     peers::Busy,
+    pending::Reserved,
 };
 
 /// Weight of the newest observation in a moving average.
@@ -24,6 +30,13 @@
 const DOWN_MAX: Duration = Duration::from_secs(2);
 /// Time for which a target that rejected a request gets no other.
 const FULL: Duration = Duration::from_millis(60);
+/// Time for which an agent that isn't reached is left alone; doubles with each repeat.
+const AWAY_MIN: Duration = Duration::from_millis(250);
+/// Longest time for which it is left alone.
+const AWAY_MAX: Duration = Duration::from_secs(4);
+/// How much a target in another availability zone seems slower, where an agent is chosen: what is
+/// relayed between zones is billed.
+const FAR_COST: f64 = 3.0;
 /// How much a target that always fails seems slower than one that never does.
 const FAILURE_COST: f64 = 8.0;
 /// Tokens that cost as much as what every request costs besides its prompt.
@@ -47,7 +60,7 @@
     pub target: Target,
     /// Requests of this process that it has.
     pub own: u32,
-    /// Requests of the others, by their last rows.
+    /// Requests of the others, by their last rows or by what its agent last said.
     pub others: u32,
     /// Tokens of own prompts whose answers haven't begun.
     unread: f64,
@@ -57,6 +70,9 @@
     pub listed: bool,
     down_until: Option<Instant>,
     down_for: Duration,
+    /// Until when its agent is left alone.
+    away_until: Option<Instant>,
+    away_for: Duration,
     /// Time to the first event, in ms a token; `None` before the first.
     first: Option<f64>,
     /// Part of the requests that failed or were lost.
@@ -75,8 +91,10 @@
 /// All targets.
 #[derive(Clone, Debug, Default)]
 pub struct Capacity {
-    states: BTreeMap<TargetName, TargetState>,
-    pools: HashMap<PoolName, Vec<TargetName>>,
+    /// In the order of their names.
+    states: Vec<TargetState>,
+    places: HashMap<TargetName, usize>,
+    pools: HashMap<PoolName, Vec<usize>>,
 }
 
 impl TargetState {
@@ -90,6 +108,8 @@
             listed: true,
             down_until: None,
             down_for: Duration::ZERO,
+            away_until: None,
+            away_for: Duration::ZERO,
             first: None,
             failing: 0.0,
         }
@@ -110,7 +130,7 @@
 
     fn has_room(&self, place: Place, demand: &Demand<'_>) -> bool {
         let used = self.own + self.others;
-        if demand.lowest && used + KEPT >= self.target.slots {
+        if demand.lowest && used + demand.spare() >= self.target.slots {
             return false;
         }
         let free = self.target.slots.saturating_sub(used);
@@ -121,6 +141,11 @@
         self.listed && self.target.ready && self.down_until.is_none_or(|until| until <= now)
     }
 
+    /// Whether requests reach it by way of its agent.
+    fn is_reserved(&self, now: Instant) -> bool {
+        self.target.agent.is_some() && self.away_until.is_none_or(|until| until <= now)
+    }
+
     /// Tokens that are read before the first event of a request.
     fn load(&self, tokens: f64) -> f64 {
         self.unread + self.others_unread + tokens + FIXED_TOKENS
@@ -133,12 +158,38 @@
         (first + far) * (1.0 + busy) * (1.0 + FAILURE_COST * self.failing)
     }
 
+    /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
+    /// request differ by target only, so that it finds the same targets again.
+    fn draw(&self, demand: &Demand<'_>, usual: f64) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (demand.draw, &self.target.name).hash(&mut hasher);
+        // Above 0, below 1.
+        let even = ((hasher.finish() >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
+        let far = if self.target.zone == *demand.zone { 1.0 } else { FAR_COST };
+        -even.ln() * far * self.cost(demand.tokens, demand.zone, usual)
+    }
+
     /// Whether it still reads prompts for so long that a request is better kept back: what has a
     /// higher rank may come before it then.
     fn reads(&self, usual: f64) -> bool {
         self.first.unwrap_or(usual) * (self.unread + self.others_unread) > READING
     }
 
+    fn occupy(&mut self, tokens: f64, usual: f64) -> Slot {
+        let load = self.load(tokens);
+        self.own += 1;
+        self.unread += tokens;
+        let first_ms = self.first.unwrap_or(usual) * load;
+        Slot {
+            target: self.target.name.clone(),
+            incarnation: self.target.incarnation,
+            address: self.target.address,
+            unread: tokens,
+            load,
+            first: Duration::from_secs_f64(first_ms / 1_000.0),
+        }
+    }
+
     fn leave_alone(&mut self, now: Instant, time: Duration) {
         let until = now + time;
         self.down_until = Some(self.down_until.map_or(until, |at| at.max(until)));
@@ -151,73 +202,74 @@
     /// pace and failures were those of another process.
     pub fn list(&mut self, targets: Vec<Target>) -> Vec<TargetName> {
         let mut restarted = Vec::new();
-        let mut before = std::mem::take(&mut self.states);
+        let before = std::mem::take(&mut self.states).into_iter();
+        let mut before: BTreeMap<TargetName, TargetState> =
+            before.map(|state| (state.target.name.clone(), state)).collect();
         for target in targets {
-            let name = target.name.clone();
-            let state = match before.remove(&name) {
+            let state = match before.remove(&target.name) {
                 // What an earlier start wrote may arrive after what the last one wrote.
                 Some(state) if state.target.incarnation > target.incarnation => state,
                 Some(state) if state.target.incarnation == target.incarnation => {
                     TargetState { target, listed: true, ..state }
                 }
                 Some(_) => {
-                    restarted.push(name.clone());
+                    restarted.push(target.name.clone());
                     TargetState::open(target)
                 }
                 None => TargetState::open(target),
             };
-            self.states.insert(name, state);
+            self.states.push(state);
         }
-        let vanished =
-            before.into_iter().map(|(name, state)| (name, TargetState { listed: false, ..state }));
-        self.states.extend(vanished);
-        self.states.retain(|_, state| state.listed || state.own > 0);
+        let vanished = before.into_values().map(|state| TargetState { listed: false, ..state });
+        self.states.extend(vanished.filter(|state| state.own > 0));
+        self.states.sort_by(|a, b| a.target.name.cmp(&b.target.name));
+        self.places.clear();
         self.pools.clear();
-        for (name, state) in &self.states {
-            self.pools.entry(state.target.pool.clone()).or_default().push(name.clone());
+        for (place, TargetState { target, .. }) in self.states.iter().enumerate() {
+            self.places.insert(target.name.clone(), place);
+            self.pools.entry(target.pool.clone()).or_default().push(place);
         }
         restarted
     }
 
     /// A target.
     pub fn state(&self, name: &TargetName) -> Option<&TargetState> {
-        self.states.get(name)
+        self.states.get(*self.places.get(name)?)
     }
 
     /// All targets that are listed now.
     pub fn listed(&self) -> impl Iterator<Item = &Target> {
-        self.states.values().filter(|state| state.listed).map(|state| &state.target)
+        self.states.iter().filter(|state| state.listed).map(|state| &state.target)
     }
 
     /// Slots of a pool that no process uses, and all of them, at targets that take requests.
     pub fn slots(&self, now: Instant, pool: &str) -> (u32, u32) {
-        let names = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
-        let states = names.iter().filter_map(|name| self.states.get(name));
-        states.filter(|state| state.is_up(now)).fold((0, 0), |(free, all), state| {
+        self.pool(pool).filter(|state| state.is_up(now)).fold((0, 0), |(free, all), state| {
             let slots = state.target.slots;
             (free + slots.saturating_sub(state.own + state.others), all + slots)
         })
     }
 
-    /// Counts what the other processes run.
-    pub fn count_others<'a>(&mut self, running: impl Iterator<Item = &'a Busy>) {
-        for state in self.states.values_mut() {
+    /// Counts what the other processes run at targets whose agents aren't asked.
+    pub fn count_others<'a>(&mut self, now: Instant, running: impl Iterator<Item = &'a Busy>) {
+        for state in self.states.iter_mut().filter(|state| !state.is_reserved(now)) {
             state.others = 0;
             state.others_unread = 0.0;
         }
         for busy in running {
-            if let Some(state) = self.current(&busy.target, busy.incarnation) {
+            let state = self.current(&busy.target, busy.incarnation);
+            if let Some(state) = state.filter(|state| !state.is_reserved(now)) {
                 state.others += busy.requests;
                 state.others_unread += f64::from(busy.unread);
             }
         }
     }
 
-    /// What this process runs, for the others.
-    pub fn running(&self) -> Vec<Busy> {
-        let busy = self.states.iter().filter(|(_, state)| state.own > 0);
-        let busy = busy.map(|(name, state)| Busy {
-            target: name.clone(),
+    /// What this process runs at targets whose agents aren't asked, for the others.
+    pub fn running(&self, now: Instant) -> Vec<Busy> {
+        let told = |state: &TargetState| state.own > 0 && !state.is_reserved(now);
+        let busy = self.states.iter().filter(|state| told(state)).map(|state| Busy {
+            target: state.target.name.clone(),
             incarnation: state.target.incarnation,
             requests: state.own,
             unread: state.unread as u32,
@@ -227,38 +279,89 @@
 
     /// Takes a slot for a request at the target that should answer it first; `None` where none
     /// has room.
-    pub fn take(
-        &mut self,
-        now: Instant,
-        pool: &str,
-        place: Place,
-        zone: &ZoneName,
-        demand: &Demand<'_>,
-    ) -> Option<Slot> {
-        let names = self.pools.get(pool)?;
-        let usual = self.usual(names);
-        let open = names.iter().filter_map(|name| self.states.get(name));
-        let open = open.filter(|state| {
-            state.is_up(now) && state.has_room(place, demand) && !state.reads(usual)
+    pub fn take(&mut self, now: Instant, place: Place, demand: &Demand<'_>) -> Option<Slot> {
+        let usual = self.usual(demand.pool);
+        let open = self.pool(demand.pool).filter(|state| {
+            state.is_up(now)
+                && !state.is_reserved(now)
+                && state.has_room(place, demand)
+                && !state.reads(usual)
         });
         let open = open.filter(|state| !demand.tried.contains(&state.target.name));
-        let cost = |state: &TargetState| state.cost(demand.tokens, zone, usual);
-        let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?.target.name.clone();
-        let state = self.states.get_mut(&best)?;
-        let load = state.load(demand.tokens);
-        state.own += 1;
-        state.unread += demand.tokens;
-        let first_ms = state.first.unwrap_or(usual) * load;
-        Some(Slot {
-            target: best,
-            incarnation: state.target.incarnation,
-            address: state.target.address,
-            unread: demand.tokens,
-            load,
-            first: Duration::from_secs_f64(first_ms / 1_000.0),
+        let cost = |state: &TargetState| state.cost(demand.tokens, demand.zone, usual);
+        let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let place = *self.places.get(&best.target.name)?;
+        let state = self.states.get_mut(place)?;
+        Some(state.occupy(demand.tokens, usual))
+    }
+
+    /// How the targets of a pool that take requests are reached.
+    pub fn ways(&self, now: Instant, pool: &str) -> Ways {
+        self.pool(pool).filter(|state| state.is_up(now)).fold(Ways::default(), |ways, state| {
+            let reserved = state.is_reserved(now);
+            Ways { agents: ways.agents || reserved, rows: ways.rows || !reserved }
         })
     }
 
+    /// A target with an agent that a request isn't reserved at yet.
+    pub fn choose(
+        &self,
+        now: Instant,
+        demand: &Demand<'_>,
+        reserved: &[Reserved],
+    ) -> Option<&Target> {
+        let usual = self.usual(demand.pool);
+        let open = self.pool(demand.pool);
+        let open = open.filter(|state| state.is_up(now) && state.is_reserved(now));
+        let fresh = open.filter(|state| {
+            let name = &state.target.name;
+            !demand.tried.contains(name) && reserved.iter().all(|known| known.target != *name)
+        });
+        let draws = fresh.map(|state| (state.draw(demand, usual), state));
+        let (_, state) = draws.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        Some(&state.target)
+    }
+
+    /// Whether a request may still wait at a target's agent.
+    pub fn keeps(&self, now: Instant, reserved: &Reserved) -> bool {
+        let state = self.state(&reserved.target);
+        let state = state.filter(|state| state.target.incarnation == reserved.incarnation);
+        state.is_some_and(|state| state.is_up(now) && state.is_reserved(now))
+    }
+
+    /// Takes the slot that a target's agent granted; `None` where the target takes no more requests.
+    pub fn occupy(&mut self, now: Instant, reserved: &Reserved, tokens: f64) -> Option<Slot> {
+        let usual = self.usual(&self.state(&reserved.target)?.target.pool);
+        let state = self.current(&reserved.target, reserved.incarnation)?;
+        state.is_up(now).then(|| state.occupy(tokens, usual))
+    }
+
+    /// Learns what an agent says of its target.
+    pub fn hear_load(&mut self, reserved: &Reserved, load: Load) {
+        if let Some(state) = self.current(&reserved.target, reserved.incarnation) {
+            // What was just granted is counted there already.
+            state.others = load.running.saturating_sub(state.own + 1);
+            state.away_for = Duration::ZERO;
+        }
+    }
+
+    /// Leaves an agent that isn't reached alone: its target is used by what other processes tell.
+    pub fn mark_away(&mut self, now: Instant, reserved: &Reserved) {
+        let state = self.current(&reserved.target, reserved.incarnation);
+        if let Some(state) = state.filter(|state| state.is_reserved(now)) {
+            state.away_for = (state.away_for * 2).clamp(AWAY_MIN, AWAY_MAX);
+            state.away_until = Some(now + state.away_for);
+            state.others = 0;
+        }
+    }
+
+    /// Leaves a target alone that its agent finds to take no requests.
+    pub fn mark_denied(&mut self, now: Instant, reserved: &Reserved) {
+        if self.keeps(now, reserved) {
+            self.mark_down(now, &reserved.target, reserved.incarnation);
+        }
+    }
+
     /// Gives a slot back.
     pub fn release(&mut self, slot: &Slot) {
         if let Some(state) = self.current(&slot.target, slot.incarnation) {
@@ -311,17 +414,25 @@
 
     /// When a target may be asked again, if one is left alone.
     pub fn next_up(&self, now: Instant) -> Option<Instant> {
-        self.states.values().filter_map(|state| state.down_until).filter(|&at| at > now).min()
+        let times = self.states.iter().flat_map(|state| [state.down_until, state.away_until]);
+        times.flatten().filter(|&at| at > now).min()
     }
 
     /// A target, unless it started again since.
     fn current(&mut self, name: &TargetName, incarnation: Incarnation) -> Option<&mut TargetState> {
-        self.states.get_mut(name).filter(|state| state.target.incarnation == incarnation)
+        let state = self.states.get_mut(*self.places.get(name)?)?;
+        (state.target.incarnation == incarnation).then_some(state)
+    }
+
+    /// The targets of a pool.
+    fn pool(&self, pool: &str) -> impl Iterator<Item = &TargetState> {
+        let places = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
+        places.iter().filter_map(|&place| self.states.get(place))
     }
 
     /// The mean of what is known of a pool's targets, in ms a token.
-    fn usual(&self, names: &[TargetName]) -> f64 {
-        let known = names.iter().filter_map(|name| self.states.get(name)?.first);
+    fn usual(&self, pool: &str) -> f64 {
+        let known = self.pool(pool).filter_map(|state| state.first);
         let (sum, count) = known.fold((0.0, 0.0), |(sum, count), first| (sum + first, count + 1.0));
         if count > 0.0 { sum / count } else { FIRST_GUESS }
     }
@@ -347,6 +458,12 @@
 /// What a request asks of its target.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
+    /// Where it goes.
+    pub pool: &'a PoolName,
+    /// Where this process is.
+    pub zone: &'a ZoneName,
+    /// Spread evenly over requests.
+    pub draw: u64,
     /// Tokens of its prompt.
     pub tokens: f64,
     /// Targets that it was dispatched to.
@@ -355,3 +472,19 @@
     /// leaves slots to the others.
     pub lowest: bool,
 }
+
+impl Demand<'_> {
+    /// Slots of a target that it leaves to others.
+    pub fn spare(&self) -> u32 {
+        if self.lowest { KEPT } else { 0 }
+    }
+}
+
+/// How the targets of a pool are reached.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Ways {
+    /// Some by reservations at their agents.
+    pub agents: bool,
+    /// Some by what entry processes tell each other.
+    pub rows: bool,
+}
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use model::id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName};
+use model::{
+    id::{AccountName, Fingerprint, PoolName, Rank, TargetName, ZoneName},
+    reservation::Load,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -107,6 +110,9 @@
     pub pool: PoolName,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where an agent beside it may listen; `None` where there is surely none.
+    #[serde(default)]
+    pub agent: Option<SocketAddr>,
     /// Its availability zone.
     pub zone: ZoneName,
     /// Requests that it runs at once.
@@ -124,11 +130,40 @@
     pub stamp: u64,
 }
 
+/// Why a reservation ended without room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lapse {
+    /// The agent isn't reached, or is leaving.
+    Away,
+    /// The agent doesn't reach its target.
+    Unreached,
+    /// The request waited for too long.
+    Late,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A request arrived whole.
     Arrived(Request),
+    /// An agent has room for a request, and keeps it until the reservation is withdrawn.
+    Granted {
+        /// The request.
+        ticket: Ticket,
+        /// Which of its reservations.
+        number: u32,
+        /// What the agent says of its load.
+        load: Load,
+    },
+    /// A reservation ended without room.
+    Denied {
+        /// The request.
+        ticket: Ticket,
+        /// Which of its reservations.
+        number: u32,
+        /// Why.
+        lapse: Lapse,
+    },
     /// The first event or the head of an answer came.
     Began {
         /// The request.
@@ -298,9 +333,43 @@
     pub attempt: u32,
 }
 
+/// A place at a target's agent.
+#[derive(Clone, Debug)]
+pub struct Reservation {
+    /// The request.
+    pub ticket: Ticket,
+    /// Which of its reservations, from 1; a number is never used twice.
+    pub number: u32,
+    /// Where the agent listens.
+    pub agent: SocketAddr,
+    /// The target.
+    pub target: TargetName,
+    /// Where that listens.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Its place among those that wait there, lowest first.
+    pub rank: Rank,
+    /// Slots that it leaves to others.
+    pub spare: u32,
+    /// Time for which it waits at most.
+    pub wait: Duration,
+    /// Tokens of the request.
+    pub tokens: Tokens,
+}
+
 /// What has to be done.
 #[derive(Clone, Debug)]
 pub enum Effect {
+    /// Reserve room at a target's agent; what becomes of it comes back as an event.
+    Reserve(Reservation),
+    /// Give a reservation up, or the room that it got.
+    Withdraw {
+        /// The request.
+        ticket: Ticket,
+        /// Which of its reservations.
+        number: u32,
+    },
     /// Dispatch a request.
     Start(Start),
     /// End a request with an answer of our own, or by breaking its answer off where that began.
--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -94,7 +94,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let grounds = Box::new(self.grounds(now, ticket));
-        self.remove(ticket);
+        self.remove(ticket, effects);
         let refusal = Refusal { lack: Some(lack), ..refuse(Reason::Limit).after(wait) };
         effects.push(Effect::Refuse { ticket, refusal, grounds });
     }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -16,6 +16,7 @@
 pub mod plan;
 mod queue;
 pub mod relay;
+mod reserve;
 mod settle;
 mod world;
 
@@ -32,8 +33,8 @@
 use budget::Budget;
 use capacity::{Capacity, Place};
 pub use event::{
-    Effect, Event, Grounds, Incarnation, Introduction, Lack, Note, Now, Outcome, Reason, Refusal,
-    Request, Start, Target, Ticket, Tokens,
+    Effect, Event, Grounds, Incarnation, Introduction, Lack, Lapse, Note, Now, Outcome, Reason,
+    Refusal, Request, Reservation, Start, Target, Ticket, Tokens,
 };
 use holds::Holds;
 use peers::{Peers, Row, Use};
@@ -129,6 +130,8 @@
     capacity: Capacity,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
+    /// When requests that wait may be reserved at one more agent.
+    reserve_at: BTreeSet<Instant>,
     /// Requests that wait for their account's limit.
     limited: BTreeMap<AccountName, BTreeSet<Order>>,
     /// When the first of them may go on, as far as that is known: `None` where they have to be looked
@@ -209,6 +212,7 @@
         capacity: Capacity::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
+        reserve_at: BTreeSet::new(),
         limited: BTreeMap::new(),
         next_grant: None,
         timers: BTreeSet::new(),
@@ -233,12 +237,16 @@
     state.freshen(now, &mut effects);
     match event {
         Event::Arrived(request) => state.arrive(now, request, &mut effects),
+        Event::Granted { ticket, number, load } => {
+            state.granted(now.steady, ticket, number, load, &mut effects);
+        }
+        Event::Denied { ticket, number, lapse } => state.denied(now.steady, ticket, number, lapse),
         Event::Began { ticket } => state.began(now.steady, ticket),
         Event::Ended { ticket, outcome, begun, events } => {
             state.ended(now, ticket, outcome, begun || events > 0, &mut effects);
         }
         Event::Left { ticket, .. } => {
-            state.remove(ticket);
+            state.remove(ticket, &mut effects);
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
         Event::Confirmed { boot } => state.confirm(now, boot),
@@ -279,7 +287,8 @@
     let timer = state.timers.first().map(|&(at, _)| at);
     let waits = state.waiting.values().any(|queue| !queue.is_empty());
     let up = if waits { state.capacity.next_up(now) } else { None };
-    timer.into_iter().chain(up).chain(state.next_grant).min()
+    let reserve = state.reserve_at.first().copied();
+    timer.into_iter().chain(up).chain(state.next_grant).chain(reserve).min()
 }
 
 impl State {
@@ -370,7 +379,7 @@
             hears: self.peers.heard_addresses(now),
             uptime: now.saturating_duration_since(self.opened),
             accounts: self.accounts.iter().map(used).collect(),
-            running: self.capacity.running(),
+            running: self.capacity.running(now),
             crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
         }
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -1,7 +1,7 @@
 //! What entry processes tell each other of themselves.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -72,7 +72,7 @@
     pub age: Duration,
     /// Whether it takes no more requests.
     pub leaving: bool,
-    /// Processes that it hears.
+    /// Processes that it hears, in the order of their addresses.
     pub hears: Vec<SocketAddr>,
     /// Time since its process started.
     pub uptime: Duration,
@@ -128,7 +128,8 @@
     }
 
     /// Takes a row in; gives what it tells of accounts to a process that runs for `uptime`.
-    pub fn hear(&mut self, now: Instant, uptime: Duration, row: Row) -> Vec<Told> {
+    pub fn hear(&mut self, now: Instant, uptime: Duration, mut row: Row) -> Vec<Told> {
+        row.hears.sort_unstable();
         let Some(address) = row.address else {
             return Vec::new();
         };
@@ -187,14 +188,15 @@
     pub fn together(&self, now: Instant, gone: Duration) -> u32 {
         let heard: Vec<&Peer> =
             self.active(now, gone).filter(|peer| self.is_known(peer, now)).collect();
+        let silent = self.active(now, gone).filter(|peer| !self.is_known(peer, now));
+        let silent: BTreeSet<SocketAddr> = silent.filter_map(|peer| peer.row.address).collect();
         let agrees = |peer: &&Peer| {
             let others = heard.iter().filter_map(|other| other.row.address);
             let mut others = others.filter(|&other| peer.row.address != Some(other));
-            others.all(|other| peer.row.hears.contains(&other))
-                && peer.row.hears.iter().all(|heard_there| {
-                    let known = self.peers.get(heard_there);
-                    known.is_none_or(|known| !self.is_silent(known, now, gone))
-                })
+            // Both are in the order of addresses.
+            let mut hears = peer.row.hears.iter();
+            others.all(|other| hears.any(|&heard_there| heard_there == other))
+                && !peer.row.hears.iter().any(|heard_there| silent.contains(heard_there))
         };
         if heard.iter().all(agrees) { heard.len() as u32 + 1 } else { 1 }
     }
@@ -211,10 +213,6 @@
         peer.made.is_some_and(|made| now.saturating_duration_since(made) < known)
     }
 
-    fn is_silent(&self, peer: &Peer, now: Instant, gone: Duration) -> bool {
-        peer.is_active(now, gone) && !self.is_known(peer, now)
-    }
-
     /// Addresses of those that may take requests.
     pub fn active_addresses(&self, now: Instant, gone: Duration) -> Vec<SocketAddr> {
         self.active(now, gone).filter_map(|peer| peer.row.address).collect()
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -7,7 +7,7 @@
 use super::{
     allowance::Claim,
     capacity::Slot,
-    event::{Request, Ticket},
+    event::{Incarnation, Request, Ticket},
     plan::Repeat,
 };
 
@@ -31,6 +31,19 @@
     pub since: Instant,
     /// Time to its first event, once that came.
     pub first: Option<Duration>,
+    /// The reservation that its slot was granted to, where the target has an agent.
+    pub reservation: Option<u32>,
+}
+
+/// A place at a target's agent.
+#[derive(Clone, Debug)]
+pub struct Reserved {
+    /// Which of the request's reservations.
+    pub number: u32,
+    /// The target.
+    pub target: TargetName,
+    /// Its start.
+    pub incarnation: Incarnation,
 }
 
 /// Where a request is.
@@ -87,6 +100,12 @@
     pub begun: bool,
     /// Targets that may have run it.
     pub tried: Vec<TargetName>,
+    /// Its places at agents; none unless it waits.
+    pub reserved: Vec<Reserved>,
+    /// Reservations so far.
+    pub reservations: u32,
+    /// When it is reserved at one more agent.
+    pub next_reservation: Instant,
     /// Where it is.
     pub stage: Stage,
 }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -8,6 +8,7 @@
     event::{Effect, Now, Reason, Start, Ticket},
     pending::{Pending, Running, Stage},
     plan::Repeat,
+    reserve,
 };
 
 impl State {
@@ -26,10 +27,22 @@
     }
 
     /// Lets a request's account decide over its place; `false` where it is to be refused.
-    pub(super) fn promote(&mut self, now: Instant, ticket: Ticket) -> bool {
+    pub(super) fn promote(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         self.dequeue(ticket);
         match self.requests.get_mut(&ticket) {
-            Some(pending) if pending.give_up > now => pending.promoted = true,
+            Some(pending) if pending.give_up > now => {
+                let before = pending.order();
+                pending.promoted = true;
+                // It is reserved anew in its new place.
+                if pending.order().rank != before.rank {
+                    pending.withdraw(effects);
+                }
+            }
             _ => return false,
         }
         self.enqueue(ticket);
@@ -52,7 +65,7 @@
     pub(super) fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(&(at, ticket)) = self.timers.first().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, ticket));
-            if self.promote(now, ticket) {
+            if self.promote(now, ticket, effects) {
                 continue;
             }
             if let Some((lack, wait)) = self.limit_wait(now, ticket) {
@@ -67,34 +80,48 @@
         }
     }
 
-    /// Dispatches what waits, as far as there is room.
+    /// Dispatches what waits, as far as there is room, and reserves room for the rest.
     pub(super) fn place(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        for queue in self.waiting.values_mut() {
+        self.reserve_at = self.reserve_at.split_off(&now.steady);
+        for (pool, queue) in &mut self.waiting {
+            if queue.is_empty() {
+                continue;
+            }
+            let ways = self.capacity.ways(now.steady, pool);
             let mut placed = Vec::new();
-            let mut lowest_fits = true;
+            let (mut fits, mut lowest_fits) = (ways.rows, true);
             for order in queue.iter() {
                 let Some(pending) = self.requests.get_mut(&order.ticket) else {
                     placed.push(*order);
                     continue;
                 };
-                let lowest = self.lowest.get(&pending.pool) == Some(&pending.tier)
-                    && self.holds.is_longest(&pending.pool, pending.tier);
-                if lowest && !lowest_fits {
-                    continue;
-                }
-                let demand = Demand { tokens: pending.prompt(), tried: &pending.tried, lowest };
-                let (place, zone) = (self.place, &self.settings.zone);
-                let slot = self.capacity.take(now.steady, &pending.pool, place, zone, &demand);
-                if let Some(slot) = slot {
-                    placed.push(*order);
-                    self.timers.remove(&(pending.wake(), order.ticket));
-                    effects.push(Effect::Start(start(now.steady, pending, slot)));
-                    continue;
+                let lowest = self.lowest.get(pool) == Some(&pending.tier)
+                    && self.holds.is_longest(pool, pending.tier);
+                let tried = pending.tried.clone();
+                let demand = Demand {
+                    pool,
+                    zone: &self.settings.zone,
+                    draw: pending.request.draw,
+                    tokens: pending.prompt(),
+                    tried: &tried,
+                    lowest,
+                };
+                if fits && (!lowest || lowest_fits) {
+                    if let Some(slot) = self.capacity.take(now.steady, self.place, &demand) {
+                        placed.push(*order);
+                        self.timers.remove(&(pending.wake(), order.ticket));
+                        pending.withdraw(effects);
+                        effects.push(Effect::Start(start(now.steady, pending, slot, None)));
+                        continue;
+                    }
+                    // One that may not go everywhere doesn't hold up those that may.
+                    lowest_fits &= !lowest;
+                    fits = lowest || !pending.tried.is_empty();
                 }
-                // One that may not go everywhere doesn't hold up those that may.
-                if lowest {
-                    lowest_fits = false;
-                } else if pending.tried.is_empty() {
+                if ways.agents {
+                    let next = reserve::seek(&self.capacity, now.steady, &demand, pending, effects);
+                    self.reserve_at.extend(next);
+                } else if !fits {
                     break;
                 }
             }
@@ -105,7 +132,12 @@
     }
 }
 
-fn start(now: Instant, pending: &mut Pending, slot: Slot) -> Start {
+pub(super) fn start(
+    now: Instant,
+    pending: &mut Pending,
+    slot: Slot,
+    reservation: Option<u32>,
+) -> Start {
     pending.dispatches += 1;
     let silence = SILENT.max(slot.first * SILENT_TIMES);
     let start = Start {
@@ -120,6 +152,6 @@
         stream: pending.stream,
         attempt: pending.dispatches,
     };
-    pending.stage = Stage::Running(Running { slot, since: now, first: None });
+    pending.stage = Stage::Running(Running { slot, since: now, first: None, reservation });
     start
 }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -33,15 +33,16 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Stage::Running(Running { slot, since, .. }) = pending.stage.clone() else {
+        let Stage::Running(running) = pending.stage.clone() else {
             return;
         };
         pending.stage = Stage::Waiting;
-        let target = slot.target.clone();
+        let target = running.slot.target.clone();
         pending.begun |= begun;
         pending.ran |= outcome.may_have_run();
-        let body = pending.request.fingerprint;
-        self.capacity.release(&slot);
+        let (pool, tier, body) = (pending.pool.clone(), pending.tier, pending.request.fingerprint);
+        self.release(ticket, &running, effects);
+        let Running { slot, since, .. } = running;
         let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
         if failed || outcome == Outcome::Done {
             self.capacity.judge(&slot, failed);
@@ -49,8 +50,8 @@
         match outcome {
             Outcome::Done => {
                 let held = now.steady.saturating_duration_since(since);
-                self.holds.learn(&pending.pool, pending.tier, held);
-                self.remove(ticket);
+                self.holds.learn(&pool, tier, held);
+                self.remove(ticket, effects);
             }
             Outcome::Rejected => {
                 self.capacity.mark_full(now.steady, &slot);
@@ -123,7 +124,7 @@
             return self.enqueue(ticket);
         }
         if outcome == Outcome::Failed {
-            self.remove(ticket);
+            self.remove(ticket, effects);
             return effects.push(Effect::Pass { ticket });
         }
         self.refuse(now.steady, ticket, Reason::Lost, true, effects);
@@ -178,7 +179,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let grounds = Box::new(self.grounds(now, ticket));
-        let Some(pending) = self.remove(ticket) else {
+        let Some(pending) = self.remove(ticket, effects) else {
             return;
         };
         let not_run = !ran && !pending.ran;
@@ -192,11 +193,12 @@
         effects.push(Effect::Refuse { ticket, refusal, grounds });
     }
 
-    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Pending> {
+    pub(super) fn remove(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) -> Option<Pending> {
         self.dequeue(ticket);
-        let pending = self.requests.remove(&ticket)?;
+        let mut pending = self.requests.remove(&ticket)?;
+        pending.withdraw(effects);
         if let Stage::Running(running) = &pending.stage {
-            self.capacity.release(&running.slot);
+            self.release(ticket, running, effects);
         }
         if !pending.ran && matches!(pending.stage, Stage::Waiting) {
             self.give_back(&pending);
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -130,6 +130,6 @@
             let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
             effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
-        self.capacity.count_others(self.peers.running(now));
+        self.capacity.count_others(now, self.peers.running(now));
     }
 }
--- a/components/scheduler/tests/agent.rs
+++ b/components/scheduler/tests/agent.rs
@@ -29,6 +29,7 @@
         decode: 10,
         prefix: Vec::new(),
         offset: 0,
+        spare: 0,
         body: Default::default(),
     }
 }
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -110,6 +110,7 @@
                     assert!(!asked.ended && asked.running.is_none(), "{asked:?}");
                     asked.ended = true;
                 }
+                Effect::Reserve(_) | Effect::Withdraw { .. } => panic!("no agent: {effect:?}"),
                 Effect::Fetch { .. } | Effect::Probe { .. } | Effect::Note(_) => {}
             }
         }
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -156,6 +156,7 @@
         incarnation: 1,
         pool: "pool".into(),
         address: address(1_000 + number),
+        agent: None,
         zone: "north".into(),
         slots: 2,
         ready: true,
--- a/components/scheduler/tests/suspects.rs
+++ b/components/scheduler/tests/suspects.rs
@@ -40,6 +40,7 @@
         decode: 1,
         prefix: Vec::new(),
         offset: 0,
+        spare: 0,
         body: Body { fingerprint, alone },
     })
 }
--- a/components/scheduler/tests/tiers.rs
+++ b/components/scheduler/tests/tiers.rs
@@ -156,6 +156,7 @@
                         decode: 0,
                         prefix: Vec::new(),
                         offset: 0, body: Default::default(),
+                        spare: 0,
                     })
                 }
                 Step::Start(index) => match pick(&index, &naive.held, false) {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,6 +1,6 @@
 //! Control calls that an agent serves.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use evidence::{batch::Sequence, outbox::Handed};
 use model::{
@@ -11,6 +11,12 @@
     snapshot::{Head, Part},
 };
 use serde::{Deserialize, Serialize};
+use tarpc::{
+    client::{self, NewClient},
+    tokio_serde::formats::Bincode,
+};
+
+use crate::pool::Connecting;
 
 /// A record of the configuration stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -79,3 +85,16 @@
     /// Hands claims to their next home.
     async fn hand_over(claims: Vec<Transfer>);
 }
+
+/// Connects to an agent.
+pub fn connect(address: SocketAddr) -> Connecting<AgentClient> {
+    Box::pin(async move {
+        let connecting = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+        let transport = connecting.await?;
+        // Small messages that wait for the last one's acknowledgement cost 40 ms each.
+        transport.get_ref().set_nodelay(true)?;
+        let NewClient { client, dispatch } = AgentClient::new(client::Config::default(), transport);
+        // However the connection ends, the next call opens another.
+        Ok((client, Box::pin(async move { drop(dispatch.await) }) as _))
+    })
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! Control goes by `tarpc`; an answer goes as a stream of frames in an HTTP response.
 
+pub mod admission;
 pub mod answer;
 pub mod control;
 pub mod events;
 pub mod frame;
 pub mod pool;
+pub mod socket;
 
+pub use admission::AdmissionClient;
 pub use answer::Answer;
 pub use control::AgentClient;
 pub use frame::Frame;
--- a/components/wire/src/pool.rs
+++ b/components/wire/src/pool.rs
@@ -2,22 +2,21 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
+    pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use displaydoc::Display;
 use tarpc::{
-    client::{self, NewClient, RpcError},
+    client::RpcError,
     context::{self, Context},
-    tokio_serde::formats::Bincode,
 };
 use thiserror::Error;
 use tokio::{sync::Mutex, time::timeout};
 
-use crate::AgentClient;
-
 /// Why a call had no answer.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -27,49 +26,50 @@
     Call(#[from] RpcError),
 }
 
-type Slot = Arc<Mutex<Option<AgentClient>>>;
+/// What carries a connection's calls until it ends.
+pub type Dispatch = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// A connection that is being opened.
+pub type Connecting<C> = Pin<Box<dyn Future<Output = io::Result<(C, Dispatch)>> + Send>>;
+
+type Slot<C> = Arc<Mutex<Option<C>>>;
 
-/// Connections by control address.
+/// Connections by address.
 #[derive(Debug)]
-pub struct Pool {
-    connect: Duration,
-    slots: Mutex<HashMap<SocketAddr, Slot>>,
+pub struct Pool<C> {
+    wait: Duration,
+    connect: fn(SocketAddr) -> Connecting<C>,
+    slots: Mutex<HashMap<SocketAddr, Slot<C>>>,
 }
 
-/// Gives a pool without connections; `connect` is the longest wait for one.
-pub fn open(connect: Duration) -> Pool {
-    Pool { connect, slots: Mutex::default() }
+/// Gives a pool without connections; `wait` is the longest wait for one.
+pub fn open<C>(wait: Duration, connect: fn(SocketAddr) -> Connecting<C>) -> Pool<C> {
+    Pool { wait, connect, slots: Mutex::default() }
 }
 
-impl Pool {
+impl<C: Clone + Send + 'static> Pool<C> {
     /// The client of an agent; connects where no connection is open.
-    pub async fn client(&self, address: SocketAddr) -> Result<AgentClient, Error> {
+    pub async fn client(&self, address: SocketAddr) -> Result<C, Error> {
         let shared = Arc::clone(self.slots.lock().await.entry(address).or_default());
         let mut slot = shared.lock().await;
         if let Some(client) = slot.as_ref() {
             return Ok(client.clone());
         }
-        let connecting = tarpc::serde_transport::tcp::connect(address, Bincode::default);
-        let transport = match timeout(self.connect, connecting).await {
-            Ok(Ok(transport)) => transport,
-            _ => return Err(Error::Connect),
+        let Ok(Ok((client, dispatch))) = timeout(self.wait, (self.connect)(address)).await else {
+            return Err(Error::Connect);
         };
-        // Small messages that wait for the last one's acknowledgement cost 40 ms each.
-        transport.get_ref().set_nodelay(true).map_err(|_| Error::Connect)?;
-        let NewClient { client, dispatch } = AgentClient::new(client::Config::default(), transport);
         *slot = Some(client.clone());
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
-            // However the connection ends, the next call opens another.
-            let _ = dispatch.await;
+            dispatch.await;
             shared.lock().await.take();
         });
         Ok(client)
     }
 
     /// The clients of all agents that are connected.
-    pub async fn connected(&self) -> Vec<AgentClient> {
-        let slots: Vec<Slot> = self.slots.lock().await.values().cloned().collect();
+    pub async fn connected(&self) -> Vec<C> {
+        let slots: Vec<Slot<C>> = self.slots.lock().await.values().cloned().collect();
         let open = slots.iter().filter_map(|slot| slot.try_lock().ok()?.clone());
         open.collect()
     }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,11 +2,16 @@
 
 mod exit;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
+use agent::admission;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use tokio::{
-    runtime::Runtime,
+    runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
 };
 use tracing::error;
@@ -14,6 +19,9 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("settings").expect("clap requires it");
+    if matches.get_flag("platform") {
+        return admit(path, is_check(&matches));
+    }
     let settings = match settings::load_agent(path) {
         Ok(settings) => settings,
         Err(findings) => return exit::faulty(path, &findings),
@@ -36,6 +44,43 @@
     }
 }
 
+/// Runs an agent on the users' platform, whose targets are called by the entry processes themselves.
+fn admit(path: &Path, check: bool) -> ExitCode {
+    let settings = match platform::load_agent(path) {
+        Ok(settings) => settings,
+        Err(findings) => return exit::faulty(path, &findings),
+    };
+    if check {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let _log = metrics::log::spawn();
+    // The hosts have a part of one core.
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return exit::failed(error),
+    };
+    match runtime.block_on(serve(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(%error, "the agent ends");
+            ExitCode::from(exit::FAILED)
+        }
+    }
+}
+
+async fn serve(settings: admission::Settings) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let agent = admission::spawn(settings, platform::report::open()).await?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    agent.drain().await;
+    Ok(())
+}
+
 fn command() -> Command {
     Command::new("wagtailhill-agent")
         .version(env!("CARGO_PKG_VERSION"))
@@ -47,6 +92,12 @@
                 .required(true)
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .help("Read the users' platform's settings file, and admit requests without carrying them")
+                .num_args(0),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
