--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -74,7 +74,7 @@
     let room = Room { slots: SLOTS, tokens: u64::MAX, waiting: WAITING, grant: GRANT };
     let task = Task {
         // Entry processes refuse what comes too late, by what they know of all targets.
-        state: agent::open_with(room, Policy::first()),
+        state: agent::open_with(room, Policy { newest: true, ..Policy::first() }),
         granting: HashMap::new(),
         target: None,
         strangers: 0,
--- a/components/scheduler/src/agent/estimate.rs
+++ b/components/scheduler/src/agent/estimate.rs
@@ -22,18 +22,21 @@
     pub cut_off: bool,
     /// Whether grants are given ahead of the slots while others travel to their start.
     pub ahead: bool,
+    /// Whether the request of a tier goes first that came last: where a tier asks for more than it
+    /// gets, who came first would be late by the time that he has room, and so would all after him.
+    pub newest: bool,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { cut_off: true, ahead: true }
+        Policy { cut_off: true, ahead: true, newest: false }
     }
 }
 
 impl Policy {
     /// The policy of the first version, which did neither.
     pub fn first() -> Policy {
-        Policy { cut_off: false, ahead: false }
+        Policy { cut_off: false, ahead: false, newest: false }
     }
 }
 
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -123,7 +123,7 @@
     State {
         room,
         policy,
-        queue: Queue::default(),
+        queue: queue::open(policy.newest),
         live: BTreeMap::new(),
         lapses: BTreeSet::new(),
         ended: BTreeMap::new(),
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -1,6 +1,7 @@
 //! Waiting reservations: highest tier first, then by deadline, then by arrival.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
@@ -14,10 +15,19 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Order {
     rank: Rank,
-    deadline: Instant,
+    due: Due,
     arrival: u64,
 }
 
+/// Place within a tier.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Due {
+    /// The earliest deadline first.
+    Earliest(Instant),
+    /// The latest deadline first.
+    Latest(Reverse<Instant>),
+}
+
 /// A reservation that waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Waiting {
@@ -42,6 +52,8 @@
 /// The queue.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    /// Whether the latest deadline of a tier goes first.
+    newest: bool,
     waiting: BTreeMap<Order, Waiting>,
     /// The same places by the time when they become hopeless.
     latest: BTreeSet<Latest>,
@@ -57,6 +69,11 @@
     order: Order,
 }
 
+/// Gives an empty queue, in which the latest deadline of a tier goes first or the earliest.
+pub fn open(newest: bool) -> Queue {
+    Queue { newest, ..Queue::default() }
+}
+
 impl Queue {
     /// Reservations that wait.
     pub fn len(&self) -> usize {
@@ -67,7 +84,9 @@
     pub fn push(&mut self, now: Instant, ask: &Ask, work: u64, run: Duration) -> Order {
         self.arrivals += 1;
         let deadline = now + ask.remaining;
-        let order = Order { rank: ask.rank, deadline, arrival: self.arrivals };
+        let due =
+            if self.newest { Due::Latest(Reverse(deadline)) } else { Due::Earliest(deadline) };
+        let order = Order { rank: ask.rank, due, arrival: self.arrivals };
         let waiting = Waiting {
             id: ask.id,
             rank: ask.rank,
