Reserve room at agents beside targets before a request is dispatched

Cause: before tens of targets, what entry processes tell each other of their use is older than the time for which a slot is held (a period of 10 ms for each other process), and a part of 5 slots among 68 processes is a fourteenth of a slot. Requests waited in the engines' queues, where no tier counts.

Requests now wait at the agents of two targets (up to six, the longer they wait) and go to the first that has room; an agent counts what all entry processes have at its target. Where an agent isn't reached, or there is none, rows decide as before. Within a tier the newest goes first, and each tier may have a twentieth of a target's work whatever waits above it.

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -24,6 +24,8 @@
 const SLOTS: usize = 1;
 /// Most reservations that wait; each is under a kilobyte.
 const WAITING: usize = 10_000;
+/// Part of the work that each tier may have whatever waits above it.
+const FLOOR: f64 = 0.05;
 /// Longest sleep, in case no timer is due.
 const IDLE: Duration = Duration::from_secs(60);
 /// Period in which the target is asked what it has.
@@ -74,7 +76,7 @@
     let room = Room { slots: SLOTS, tokens: u64::MAX, waiting: WAITING, grant: GRANT };
     let task = Task {
         // Entry processes refuse what comes too late, by what they know of all targets.
-        state: agent::open_with(room, Policy { newest: true, ..Policy::first() }),
+        state: agent::open_with(room, Policy { floor: FLOOR, newest: true, ..Policy::first() }),
         granting: HashMap::new(),
         target: None,
         strangers: 0,
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -102,7 +102,6 @@
         prefix: Vec::new(),
         offset: 0,
         body: Body::default(),
-        spare: reservation.spare,
     };
     let target = admission::Target { address: reservation.address, slots: reservation.slots };
     let asked = Instant::now();
--- a/components/model/src/reservation.rs
+++ b/components/model/src/reservation.rs
@@ -41,8 +41,6 @@
     pub offset: Offset,
     /// What is known of the request's body.
     pub body: Body,
-    /// Slots of the target that it leaves to others.
-    pub spare: u32,
 }
 
 /// What became of a reservation; all but the first two are final.
--- a/components/scheduler/benches/support/mod.rs
+++ b/components/scheduler/benches/support/mod.rs
@@ -94,7 +94,6 @@
             decode,
             prefix,
             offset: 0,
-            spare: 0,
             body: Default::default(),
         };
         self.reduce(agent::Event::Reserve(ask));
--- a/components/scheduler/src/agent/estimate.rs
+++ b/components/scheduler/src/agent/estimate.rs
@@ -16,7 +16,7 @@
 const MOST_ABOVE: f64 = 0.95;
 
 /// What the agent weighs beyond room and order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
     /// Whether work that can no longer be answered in time is denied at once.
     pub cut_off: bool,
@@ -25,18 +25,21 @@
     /// Whether the request of a tier goes first that came last: where a tier asks for more than it
     /// gets, who came first would be late by the time that he has room, and so would all after him.
     pub newest: bool,
+    /// Part of the work, from 0 to 1, that each tier may have whatever waits above it, so that none
+    /// starves while those above want all that there is.
+    pub floor: f64,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { cut_off: true, ahead: true, newest: false }
+        Policy { cut_off: true, ahead: true, newest: false, floor: 0.0 }
     }
 }
 
 impl Policy {
     /// The policy of the first version, which did neither.
     pub fn first() -> Policy {
-        Policy { cut_off: false, ahead: false, newest: false }
+        Policy { cut_off: false, ahead: false, newest: false, floor: 0.0 }
     }
 }
 
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -23,7 +23,7 @@
 pub use event::{Effect, Event};
 use pace::Pace;
 use prefixes::Prefixes;
-use queue::{Order, Queue};
+use queue::{Order, Queue, Waiting};
 use shares::Shares;
 use suspects::Suspects;
 
@@ -309,24 +309,21 @@
         }
     }
 
-    /// Grants room to those who wait, best first; the best is never passed over for a smaller.
+    /// Grants room to those who wait; who comes next is never passed over for a smaller.
     fn fill(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        while let Some(first) = self.queue.first() {
-            if let Some(wait) = self.suspects.barred(now, first.id) {
-                let id = first.id;
-                self.queue.pop();
+        while let Some(next) = self.next() {
+            let (id, order) = (next.id, next.order);
+            let fits = self.held_tokens + next.tokens <= self.room.tokens || self.held == 0;
+            if let Some(wait) = self.suspects.barred(now, id) {
+                self.queue.remove(&order);
                 self.deny_barred(now, id, wait, effects);
                 continue;
             }
-            let fits = self.held_tokens + first.tokens <= self.room.tokens || self.held == 0;
-            let may = self.suspects.may_grant(first.id, self.held);
-            // At least one slot is for all.
-            let spare = (first.spare as usize).min(self.room.slots - 1);
-            let taken = self.held + self.strangers + spare;
-            if taken >= self.slots() || !fits || !may {
+            let may = self.suspects.may_grant(id, self.held);
+            if self.held + self.strangers >= self.slots() || !fits || !may {
                 return;
             }
-            let Some(waiting) = self.queue.pop() else {
+            let Some(waiting) = self.queue.remove(&order) else {
                 return;
             };
             self.held += 1;
@@ -343,6 +340,16 @@
         }
     }
 
+    /// Who is granted room next: the best, unless a lower tier has less than what each may have.
+    fn next(&self) -> Option<&Waiting> {
+        let starves = |waiting: &&Waiting| self.shares.of(waiting.rank) < self.policy.floor;
+        let first = self.queue.first()?;
+        if self.policy.floor == 0.0 || self.queue.last()?.rank == first.rank {
+            return Some(first);
+        }
+        self.queue.iter().find(starves).or(Some(first))
+    }
+
     fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(lapse) = self.lapses.first().copied().filter(|lapse| lapse.at <= now) {
             self.lapses.pop_first();
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -33,6 +33,8 @@
 pub struct Waiting {
     /// The reservation.
     pub id: Id,
+    /// Its place.
+    pub order: Order,
     /// Its tier's rank.
     pub rank: Rank,
     /// When its answer is due.
@@ -45,8 +47,6 @@
     pub work: u64,
     /// Its prompt's leading blocks.
     pub prefix: Vec<BlockHash>,
-    /// Slots that it leaves to others.
-    pub spare: u32,
 }
 
 /// The queue.
@@ -89,13 +89,13 @@
         let order = Order { rank: ask.rank, due, arrival: self.arrivals };
         let waiting = Waiting {
             id: ask.id,
+            order,
             rank: ask.rank,
             deadline,
             latest: deadline - run.min(ask.remaining),
             tokens: u64::from(ask.prefill) + u64::from(ask.decode),
             work,
             prefix: ask.prefix.clone(),
-            spare: ask.spare,
         };
         self.latest.insert(Latest { at: waiting.latest, order });
         self.waiting.insert(order, waiting);
@@ -108,6 +108,11 @@
         self.waiting.first_key_value().map(|(_, waiting)| waiting)
     }
 
+    /// All reservations, best first.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.values()
+    }
+
     /// The worst reservation: the lowest tier, there the latest deadline.
     pub fn last(&self) -> Option<&Waiting> {
         self.waiting.last_key_value().map(|(_, waiting)| waiting)
--- a/components/scheduler/src/agent/shares.rs
+++ b/components/scheduler/src/agent/shares.rs
@@ -22,6 +22,15 @@
         *self.work.entry(rank).or_default() += work as f64;
     }
 
+    /// Share of one tier, between 0 and 1; 1 before any work was granted.
+    pub fn of(&self, rank: Rank) -> f64 {
+        let all: f64 = self.work.values().sum();
+        if all == 0.0 {
+            return 1.0;
+        }
+        self.work.get(&rank).copied().unwrap_or_default() / all
+    }
+
     /// Share of the tiers above one, between 0 and 1.
     pub fn above(&self, rank: Rank) -> f64 {
         let all: f64 = self.work.values().sum();
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -130,7 +130,7 @@
 
     fn has_room(&self, place: Place, demand: &Demand<'_>) -> bool {
         let used = self.own + self.others;
-        if demand.lowest && used + demand.spare() >= self.target.slots {
+        if demand.lowest && used + KEPT >= self.target.slots {
             return false;
         }
         let free = self.target.slots.saturating_sub(used);
@@ -295,11 +295,11 @@
         Some(state.occupy(demand.tokens, usual))
     }
 
-    /// How the targets of a pool that take requests are reached.
+    /// How the targets of a pool are reached.
     pub fn ways(&self, now: Instant, pool: &str) -> Ways {
-        self.pool(pool).filter(|state| state.is_up(now)).fold(Ways::default(), |ways, state| {
-            let reserved = state.is_reserved(now);
-            Ways { agents: ways.agents || reserved, rows: ways.rows || !reserved }
+        self.pool(pool).fold(Ways::default(), |ways, state| Ways {
+            agents: ways.agents || state.target.agent.is_some(),
+            rows: ways.rows || (state.is_up(now) && !state.is_reserved(now)),
         })
     }
 
@@ -473,18 +473,11 @@
     pub lowest: bool,
 }
 
-impl Demand<'_> {
-    /// Slots of a target that it leaves to others.
-    pub fn spare(&self) -> u32 {
-        if self.lowest { KEPT } else { 0 }
-    }
-}
-
 /// How the targets of a pool are reached.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Ways {
-    /// Some by reservations at their agents.
+    /// Whether some have agents, reached or not.
     pub agents: bool,
-    /// Some by what entry processes tell each other.
+    /// Whether some take requests by what entry processes tell each other.
     pub rows: bool,
 }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -350,8 +350,6 @@
     pub slots: u32,
     /// Its place among those that wait there, lowest first.
     pub rank: Rank,
-    /// Slots that it leaves to others.
-    pub spare: u32,
     /// Time for which it waits at most.
     pub wait: Duration,
     /// Tokens of the request.
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -118,7 +118,8 @@
                     lowest_fits &= !lowest;
                     fits = lowest || !pending.tried.is_empty();
                 }
-                if ways.agents {
+                // What waits at a target that is gone is given up too.
+                if ways.agents || !pending.reserved.is_empty() {
                     let next = reserve::seek(&self.capacity, now.steady, &demand, pending, effects);
                     self.reserve_at.extend(next);
                 } else if !fits {
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -92,7 +92,6 @@
             address: target.address,
             slots: target.slots,
             rank: pack(&pending.order()),
-            spare: demand.spare(),
             wait: pending.give_up.saturating_duration_since(now),
             tokens: pending.request.tokens.unwrap_or_default(),
         }));
--- a/components/scheduler/src/entry/seek.rs
+++ b/components/scheduler/src/entry/seek.rs
@@ -152,7 +152,6 @@
             decode: pending.request.decode,
             prefix: pending.request.prefix.clone(),
             offset,
-            spare: 0,
             body: Body { fingerprint: pending.request.fingerprint, alone: pending.alone },
         };
         effects.push(Effect::Reserve { target: target.name.clone(), address: target.control, ask });
--- a/components/scheduler/tests/agent.rs
+++ b/components/scheduler/tests/agent.rs
@@ -29,7 +29,6 @@
         decode: 10,
         prefix: Vec::new(),
         offset: 0,
-        spare: 0,
         body: Default::default(),
     }
 }
--- a/components/scheduler/tests/agent_wake.rs
+++ b/components/scheduler/tests/agent_wake.rs
@@ -64,7 +64,6 @@
             decode: 1,
             prefix: Vec::new(),
             offset: 0,
-            spare: 0,
             body: Default::default(),
         }),
         Step::Start(number) => Event::Start(id(number)),
--- a/components/scheduler/tests/cutoff.rs
+++ b/components/scheduler/tests/cutoff.rs
@@ -27,7 +27,6 @@
         decode: 99,
         prefix: Vec::new(),
         offset: 0,
-        spare: 0,
         body: Default::default(),
     }
 }
--- /dev/null
+++ b/components/scheduler/tests/direct_agents.rs
@@ -0,0 +1,207 @@
+//! Requests of one entry process that wait at the agents of targets.
+//!
+//! Pattern: many entry processes before many targets. What they tell each other is older than the time
+//! for which a slot is held, so that only a target's agent knows whether it has room.
+
+mod direct_support;
+
+use std::time::Duration;
+
+use direct_support::{Process, limit, plan, process, request, route, start, starts, target};
+use model::reservation::Load;
+use scheduler::direct::{Effect, Event, Lapse, Outcome, Reservation, Target, Ticket, plan::Repeat};
+use test_case::test_case;
+
+const MS: Duration = Duration::from_millis(1);
+/// Longer than an agent or a target that was not reached is left alone at first.
+const BACKOFF: Duration = Duration::from_millis(260);
+
+fn agents(count: u16) -> Vec<Target> {
+    let agent = |number| Some(direct_support::address(2_000 + number));
+    (0..count).map(|number| Target { agent: agent(number), ..target(number) }).collect()
+}
+
+fn entry(targets: Vec<Target>) -> Process {
+    let routes = vec![route("/resume/", Repeat::Resume), route("/never/", Repeat::Never)];
+    process(plan(1, routes, Some(limit(100_000.0))), targets)
+}
+
+fn reservations(effects: &[Effect]) -> Vec<Reservation> {
+    let reservations = effects.iter().filter_map(|effect| match effect {
+        Effect::Reserve(reservation) => Some(reservation.clone()),
+        _ => None,
+    });
+    reservations.collect()
+}
+
+fn withdrawn(effects: &[Effect]) -> Vec<u32> {
+    let withdrawn = effects.iter().filter_map(|effect| match effect {
+        Effect::Withdraw { number, .. } => Some(*number),
+        _ => None,
+    });
+    withdrawn.collect()
+}
+
+fn grant(process: &mut Process, ticket: Ticket, number: u32) -> Vec<Effect> {
+    process.send(Event::Granted { ticket, number, load: Load::default() })
+}
+
+fn deny(process: &mut Process, ticket: Ticket, number: u32, lapse: Lapse) -> Vec<Effect> {
+    process.send(Event::Denied { ticket, number, lapse })
+}
+
+#[test]
+fn a_request_goes_to_the_first_agent_that_has_room_and_leaves_the_others() {
+    let mut entry = entry(agents(4));
+
+    let reserved = reservations(&entry.arrive(request(1, "/never/")));
+    let effects = grant(&mut entry, 1, 2);
+
+    assert_eq!(reserved.iter().map(|reserved| reserved.number).collect::<Vec<_>>(), [1, 2]);
+    assert_ne!(reserved[0].target, reserved[1].target);
+    assert_eq!(start(&effects).target, reserved[1].target);
+    assert_eq!(withdrawn(&effects), [1]);
+}
+
+#[test]
+fn a_request_that_waits_is_reserved_at_more_agents_but_not_at_all() {
+    let mut entry = entry(agents(12));
+    let mut reserved = reservations(&entry.arrive(request(1, "/never/"))).len();
+
+    for _ in 0..59 {
+        reserved += reservations(&entry.pass(10 * MS)).len();
+    }
+
+    assert!((4..=6).contains(&reserved), "{reserved}");
+}
+
+#[test]
+fn room_that_comes_too_late_is_given_back() {
+    let mut entry = entry(agents(2));
+    entry.arrive(request(1, "/never/"));
+    grant(&mut entry, 1, 1);
+
+    let late = grant(&mut entry, 1, 2);
+
+    assert!(starts(&late).is_empty());
+    assert_eq!(withdrawn(&late), [2]);
+}
+
+#[test]
+fn the_room_is_given_back_when_the_run_ends() {
+    let mut entry = entry(agents(2));
+    entry.arrive(request(1, "/never/"));
+    grant(&mut entry, 1, 1);
+
+    let effects = entry.end(1, Outcome::Done);
+
+    assert_eq!(withdrawn(&effects), [1]);
+}
+
+#[test]
+fn a_caller_that_leaves_takes_its_reservations_along() {
+    let mut entry = entry(agents(3));
+    entry.arrive(request(1, "/never/"));
+
+    let effects = entry.send(Event::Left { ticket: 1, events: 0 });
+
+    assert_eq!(withdrawn(&effects), [1, 2]);
+}
+
+#[test]
+fn a_request_that_is_refused_leaves_no_reservation() {
+    let mut entry = entry(agents(2));
+    entry.arrive(request(1, "/never/"));
+
+    let effects = entry.pass(Duration::from_millis(600));
+
+    assert_eq!(direct_support::refusals(&effects).len(), 1);
+    assert_eq!(withdrawn(&effects), [1, 2]);
+}
+
+#[test_case(vec![]; "whose target is gone")]
+#[test_case(vec![Target { ready: false, ..agents(1).remove(0) }]; "whose target is leaving")]
+fn a_reservation_is_left(left: Vec<Target>) {
+    let mut entry = entry(agents(1));
+    entry.arrive(request(1, "/never/"));
+
+    let effects = entry.list(left);
+
+    assert_eq!(withdrawn(&effects), [1]);
+    assert!(starts(&grant(&mut entry, 1, 1)).is_empty());
+}
+
+#[test]
+fn a_target_whose_agent_is_away_is_used_by_what_others_tell_until_that_is_back() {
+    let mut entry = entry(agents(1));
+    entry.arrive(request(1, "/never/"));
+
+    let at_once = deny(&mut entry, 1, 1, Lapse::Away);
+    entry.end(1, Outcome::Done);
+    entry.pass(BACKOFF);
+    let later = entry.arrive(request(2, "/never/"));
+
+    assert_eq!(start(&at_once).target, "target-0");
+    assert_eq!(reservations(&later).len(), 1);
+}
+
+#[test]
+fn what_runs_where_no_agent_is_asked_is_told_to_others() {
+    let mut entry = entry(agents(2));
+    entry.arrive(request(1, "/never/"));
+    grant(&mut entry, 1, 1);
+    let told = entry.state.row(entry.now.steady).running;
+    entry.arrive(request(2, "/never/"));
+
+    deny(&mut entry, 2, 1, Lapse::Away);
+    let away = entry.state.row(entry.now.steady).running;
+
+    assert!(told.is_empty(), "{told:?}");
+    assert_eq!(away.iter().map(|busy| busy.requests).sum::<u32>(), 1, "{away:?}");
+}
+
+#[test]
+fn a_target_that_its_agent_does_not_reach_is_left_alone_for_a_while() {
+    let mut entry = entry(agents(1));
+    entry.arrive(request(1, "/never/"));
+
+    let at_once = deny(&mut entry, 1, 1, Lapse::Unreached);
+    let later = entry.pass(BACKOFF);
+
+    assert!(starts(&at_once).is_empty() && reservations(&at_once).is_empty());
+    assert_eq!(reservations(&later).len(), 1);
+}
+
+#[test]
+fn a_stream_that_broke_off_is_reserved_anew_before_all_others() {
+    let mut entry = entry(agents(3));
+    entry.arrive(request(1, "/resume/"));
+    let first = start(&grant(&mut entry, 1, 1)).target;
+    entry.send(Event::Began { ticket: 1 });
+
+    let outcome = Outcome::Lost { crashed: false };
+    let effects = entry.send(Event::Ended { ticket: 1, outcome, begun: true, events: 1 });
+
+    let again = reservations(&effects);
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|again| again.target != first && again.rank == 0), "{again:?}");
+}
+
+#[test]
+fn requests_spread_over_the_agents_of_a_pool() {
+    let mut entry = entry(agents(8));
+    let mut times = [0; 8];
+
+    for ticket in 0..400_u64 {
+        // Draws of real requests are hashes.
+        let draw = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let asked = scheduler::direct::Request { draw, ..request(ticket, "/never/") };
+        for reserved in reservations(&entry.arrive(asked)) {
+            let number = reserved.target.trim_start_matches("target-");
+            times[number.parse::<usize>().expect("it is a number")] += 1;
+        }
+    }
+
+    // 800 reservations are 100 each; chance alone stays far within half and twice that.
+    assert!(times.iter().all(|times| (50..200).contains(times)), "{times:?}");
+}
--- a/components/scheduler/tests/suspects.rs
+++ b/components/scheduler/tests/suspects.rs
@@ -40,7 +40,6 @@
         decode: 1,
         prefix: Vec::new(),
         offset: 0,
-        spare: 0,
         body: Body { fingerprint, alone },
     })
 }
--- a/components/scheduler/tests/tiers.rs
+++ b/components/scheduler/tests/tiers.rs
@@ -132,7 +132,7 @@
     fn the_agent_does_as_one_that_sorts_everything(steps in prop::collection::vec(step(), 1..120)) {
         let mut now = Instant::now();
         // The naive version sorts and counts; it has no estimates to cut hopeless work off by.
-        let policy = agent::Policy { ahead: false, cut_off: false, newest: false };
+        let policy = agent::Policy { ahead: false, cut_off: false, ..agent::Policy::default() };
         let mut state = agent::open_with(ROOM, policy);
         let mut naive = Naive { waiting: Vec::new(), held: Vec::new() };
 
@@ -156,7 +156,6 @@
                         decode: 0,
                         prefix: Vec::new(),
                         offset: 0, body: Default::default(),
-                        spare: 0,
                     })
                 }
                 Step::Start(index) => match pick(&index, &naive.held, false) {
--- a/components/standin/examples/load/traffic.rs
+++ b/components/standin/examples/load/traffic.rs
@@ -70,7 +70,6 @@
         decode: 300,
         prefix: (0..BLOCKS).collect(),
         offset: 0,
-        spare: 0,
         body: Default::default(),
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -50,7 +50,6 @@
         decode: 1,
         prefix: Vec::new(),
         offset: 0,
-        spare: 0,
         body: Default::default(),
     }
 }
