End what an entry process waits for and holds with its connection

Cause: a tarpc server lets the calls of a connection go on that its client closed, so the room that a killed process held was never free again. The test of it had passed since the room wasn't held yet when the process died; it now waits until a grant would have lapsed, and failed (room not free after 20 s) before the connection's end was made an error.

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -18,8 +18,8 @@
 
 use super::{Look, Seen};
 
-/// Life of a grant whose reservation isn't held.
-const GRANT: Duration = Duration::from_secs(1);
+/// Life of a grant whose reservation isn't held: it may have crossed the word that gave it up.
+const GRANT: Duration = Duration::from_millis(200);
 /// Slots that are assumed before a process says how many the target has.
 const SLOTS: usize = 1;
 /// Most reservations that wait; each is under a kilobyte.
--- a/components/agent/src/admission/service.rs
+++ b/components/agent/src/admission/service.rs
@@ -14,7 +14,7 @@
 };
 use wire::{
     admission::{Admission, Target},
-    socket,
+    ending, socket,
 };
 
 use super::control;
@@ -35,8 +35,9 @@
             .for_each(|connection| {
                 // A connection that is gone already shows itself at its first use.
                 let _ = socket::prepare(connection.get_ref());
-                let calls = BaseChannel::with_defaults(connection).execute(server.clone().serve());
                 // What waits and what is held ends with its connection.
+                let connection = ending::open(connection);
+                let calls = BaseChannel::with_defaults(connection).execute(server.clone().serve());
                 tokio::spawn(calls.for_each(|call| {
                     tokio::spawn(call);
                     future::ready(())
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -16,7 +16,10 @@
     refusal::Reason,
     reservation::{Ask, Fate, Id},
 };
-use tokio::{task::JoinHandle, time::timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 use uuid::Uuid;
 use wire::{
     AdmissionClient,
@@ -26,6 +29,8 @@
 
 /// Longest wait for something that must come.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Longer than the life of a grant that nobody holds.
+const LAPSE: Duration = Duration::from_millis(1_500);
 /// What a stand-in target says where it isn't reached.
 const DOWN: usize = usize::MAX;
 
@@ -122,9 +127,12 @@
     entry.reserve(1).await.expect("there is room");
     let held = entry.hold(1);
     let waits = entry.wait(2);
+    sleep(LAPSE).await;
+    let early = waits.is_finished();
 
     held.abort();
 
+    assert!(!early, "the room is held");
     assert!(is_granted(waits).await);
 }
 
@@ -135,9 +143,12 @@
     dies.reserve(1).await.expect("there is room");
     let _held = dies.hold(1);
     let waits = lives.wait(2);
+    sleep(LAPSE).await;
+    let early = waits.is_finished();
 
     drop(dies);
 
+    assert!(!early, "the room is held");
     assert!(is_granted(waits).await);
 }
 
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -34,6 +34,8 @@
 const AWAY_MIN: Duration = Duration::from_millis(250);
 /// Longest time for which it is left alone.
 const AWAY_MAX: Duration = Duration::from_secs(4);
+/// Time after which half of what an agent said still counts: about as long as a slot is held.
+const TOLD_HALF: Duration = Duration::from_millis(500);
 /// How much a target in another availability zone seems slower, where an agent is chosen: what is
 /// relayed between zones is billed.
 const FAR_COST: f64 = 3.0;
@@ -73,6 +75,8 @@
     /// Until when its agent is left alone.
     away_until: Option<Instant>,
     away_for: Duration,
+    /// What its agent said last, and when.
+    told: Option<(Instant, Load)>,
     /// Time to the first event, in ms a token; `None` before the first.
     first: Option<f64>,
     /// Part of the requests that failed or were lost.
@@ -110,6 +114,7 @@
             down_for: Duration::ZERO,
             away_until: None,
             away_for: Duration::ZERO,
+            told: None,
             first: None,
             failing: 0.0,
         }
@@ -158,6 +163,16 @@
         (first + far) * (1.0 + busy) * (1.0 + FAILURE_COST * self.failing)
     }
 
+    /// Time to the first event of a request that is reserved at its agent, in ms, as far as is known.
+    fn expected(&self, now: Instant, demand: &Demand<'_>, usual: f64) -> f64 {
+        let told = self.told.map_or(0.0, |(at, load)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            f64::from(load.running + load.waiting) * 0.5_f64.powf(age / TOLD_HALF.as_secs_f64())
+        });
+        let busy = told.max(f64::from(self.own)) / f64::from(self.target.slots.max(1));
+        self.cost(demand.tokens, demand.zone, usual) * (1.0 + busy)
+    }
+
     /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
     /// request differ by target only, so that it finds the same targets again.
     fn draw(&self, demand: &Demand<'_>, usual: f64) -> f64 {
@@ -303,7 +318,9 @@
         })
     }
 
-    /// A target with an agent that a request isn't reserved at yet.
+    /// A target with an agent that a request isn't reserved at yet: first the one that should answer
+    /// it first by what is known here, then any others, since that is little where many processes
+    /// share the targets.
     pub fn choose(
         &self,
         now: Instant,
@@ -317,8 +334,15 @@
             let name = &state.target.name;
             !demand.tried.contains(name) && reserved.iter().all(|known| known.target != *name)
         });
-        let draws = fresh.map(|state| (state.draw(demand, usual), state));
-        let (_, state) = draws.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let costs = fresh.map(|state| {
+            let cost = if reserved.is_empty() {
+                state.expected(now, demand, usual)
+            } else {
+                state.draw(demand, usual)
+            };
+            (cost, state)
+        });
+        let (_, state) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         Some(&state.target)
     }
 
@@ -337,10 +361,11 @@
     }
 
     /// Learns what an agent says of its target.
-    pub fn hear_load(&mut self, reserved: &Reserved, load: Load) {
+    pub fn hear_load(&mut self, now: Instant, reserved: &Reserved, load: Load) {
         if let Some(state) = self.current(&reserved.target, reserved.incarnation) {
             // What was just granted is counted there already.
             state.others = load.running.saturating_sub(state.own + 1);
+            state.told = Some((now, load));
             state.away_for = Duration::ZERO;
         }
     }
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -129,7 +129,7 @@
         let pending = self.requests.get_mut(&ticket)?;
         let reserved = pending.take_reserved(number)?;
         let tokens = pending.prompt();
-        self.capacity.hear_load(&reserved, load);
+        self.capacity.hear_load(now, &reserved, load);
         self.capacity.occupy(now, &reserved, tokens)
     }
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod answer;
 pub mod control;
+pub mod ending;
 pub mod events;
 pub mod frame;
 pub mod pool;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -14,7 +14,7 @@
     runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
 };
-use tracing::error;
+use tracing::{error, info};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -72,10 +72,14 @@
 async fn serve(settings: admission::Settings) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let agent = admission::spawn(settings, platform::report::open()).await?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => info!("changed settings hold from the next start"),
+        }
     }
     agent.drain().await;
     Ok(())
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -47,6 +47,14 @@
     start(command, file)
 }
 
+/// Starts `wagtailhill-agent --platform`.
+pub fn admission(settings: &Value) -> Process {
+    let file = write(settings);
+    let mut command = Command::new(AGENT);
+    command.arg("--platform").arg(file.path());
+    start(command, file)
+}
+
 /// Writes settings to a file that lives as long as the handle.
 pub fn write(settings: &impl Serialize) -> NamedTempFile {
     let file = NamedTempFile::new().unwrap();
