--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -63,7 +63,7 @@
     granting: HashMap<Id, oneshot::Sender<Granted>>,
     target: Option<Target>,
     /// What the target had beyond what is held here, when it was last asked.
-    strangers: usize,
+    unreserved: usize,
     reached: bool,
     control: Handle,
     look: Look,
@@ -79,7 +79,7 @@
         state: agent::open_with(room, Policy { floor: FLOOR, newest: true, ..Policy::first() }),
         granting: HashMap::new(),
         target: None,
-        strangers: 0,
+        unreserved: 0,
         reached: true,
         control: handle.clone(),
         look,
@@ -212,11 +212,11 @@
         }
         self.reach(seen.is_some());
         let running = self.state.load().running as usize;
-        let strangers = seen.unwrap_or_default().saturating_sub(running);
+        let unreserved = seen.unwrap_or_default().saturating_sub(running);
         // What has just been given up here may still be there: it counts once it stays.
-        let lasting = strangers.min(self.strangers);
-        self.strangers = strangers;
-        self.reduce(Event::Strangers(lasting));
+        let lasting = unreserved.min(self.unreserved);
+        self.unreserved = unreserved;
+        self.reduce(Event::Unreserved(lasting));
     }
 
     fn reach(&mut self, reached: bool) {
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -33,7 +33,7 @@
     /// Whether the target takes requests: while it takes none, no room is granted.
     Reached(bool),
     /// The target has so many requests that hold no room here.
-    Strangers(usize),
+    Unreserved(usize),
     /// The process is asked to leave.
     Drain,
     /// Time has passed.
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -109,7 +109,7 @@
     /// Whether the target takes no requests.
     unreached: bool,
     /// Requests at the target that hold no room here.
-    strangers: usize,
+    unreserved: usize,
     suspects: Suspects,
 }
 
@@ -137,7 +137,7 @@
         heard: 0,
         draining: false,
         unreached: false,
-        strangers: 0,
+        unreserved: 0,
         suspects: Suspects::default(),
     }
 }
@@ -158,7 +158,7 @@
         Event::Heard(offset) => state.heard = state.heard.max(offset),
         Event::Sized(slots) => state.room.slots = slots.max(1),
         Event::Reached(reached) => state.reached(now, reached, &mut effects),
-        Event::Strangers(strangers) => state.strangers = strangers,
+        Event::Unreserved(unreserved) => state.unreserved = unreserved,
         Event::Drain => state.drain(now, &mut effects),
         Event::Tick => {}
     }
@@ -320,7 +320,7 @@
                 continue;
             }
             let may = self.suspects.may_grant(id, self.held);
-            if self.held + self.strangers >= self.slots() || !fits || !may {
+            if self.held + self.unreserved >= self.slots() || !fits || !may {
                 return;
             }
             let Some(waiting) = self.queue.remove(&order) else {
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -44,7 +44,7 @@
 const GIVEN: f64 = 0.7;
 /// Part of the tolerance that a process starts with. What was let through before a start isn't known,
 /// and may have been all that the limit allows; this much may come on top all the same, also three
-/// times in a window. Days that end with a kill of all gain 0.003 to 0.015 of their worth by it.
+/// times in a window.
 const STOCK: f64 = 0.1;
 /// Part of the bucket that is kept for each higher rank, so that lower ones are refused before them.
 const RESERVE: f64 = 0.15;
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -45,10 +45,7 @@
 const FIXED_TOKENS: f64 = 600.0;
 /// Slots of each target that the lowest tier leaves to the others where its requests hold theirs for
 /// longest: its long streams would else hold every slot while the short requests of higher tiers wait.
-/// With one slot kept, a highest and a middle tier of short answers gained 0.03 and 0.07 of their worth
-/// under load, the lowest, of long ones, lost 0.04 of its; with two it lost 0.12 more and nothing was
-/// gained on the whole. A lowest tier of short answers gives its slots back at once: kept from it, the
-/// slot cost that tier 0.03 to 0.06 of its worth and gained the others nothing.
+/// A lowest tier of short answers gives its slots back at once.
 const KEPT: u32 = 1;
 /// Time, in ms, for which a target may still have prompts to read when it gets the next.
 const READING: f64 = 150.0;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -53,9 +53,8 @@
 const CRASHES_KEPT: usize = 1_000;
 /// Time within which a target that takes no connection is blamed on what it ran before.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
-/// Part of a request's wait for which it may wait for units of its account's limit. Whoever is refused
-/// then comes back in time to be served: with the whole wait, callers of an account at its limit
-/// waited for nearly all of it, and those refused came back late (0.004 to 0.009 of worth on calm days).
+/// Part of a request's wait for which it may wait for units of its account's limit: whoever is refused
+/// then still comes back in time to be served.
 const LIMIT_WAIT_PART: f64 = 0.4;
 /// Longest time to come back in, where an account is beyond its limit, in seconds.
 const LIMIT_RETRY_MAX: f64 = 30.0;
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -115,8 +115,7 @@
     ///
     /// An account's rank goes before the route's: whoever is shed is shed by it. But a request that
     /// can still wait lets those of higher tiers of any account go first, and is on time all the same:
-    /// its account's rank counts in the last quarter of its wait. On days on which an account of high
-    /// rank sends much, the highest tier of all accounts gained up to 0.1 of its worth by that.
+    /// its account's rank counts in the last quarter of its wait.
     pub fn order(&self) -> Order {
         // An answer that has begun goes on before anything else begins: half of it is lost otherwise.
         if self.begun {
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -4,15 +4,12 @@
 //! one that offers it, so that a process without a way to the platform's service goes on by those that
 //! have one, and one that starts in an outage learns what the others know.
 //!
-//! Of each topic one fetch runs at a time. If all that are ahead give the whole with each exchange, 25
-//! of them fill a link of 10 Mbit/s with copies that are dropped unfinished and begun again: of a
-//! configuration of 2,800 routes 1.2 MB came in each second, for as long as it was that large. By one
-//! fetch it is 38 KB, and in force 0.3 to 0.6 s after it was written.
+//! Of each topic one fetch runs at a time. If all that are ahead gave the whole with each exchange,
+//! their copies would fill a narrow link, be dropped unfinished and begin again.
 //!
 //! Whether the configuration is current each process proves by its own reads: one that has no way to
 //! the platform's service is owed nothing for requests with a key, and what it served of them would
-//! take room from those that are. With proofs that others relay, days on which the service served
-//! some hosts only lost 0.02 to 0.04 of their worth.
+//! take room from those that are.
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
--- a/components/scheduler/tests/agent_admission.rs
+++ b/components/scheduler/tests/agent_admission.rs
@@ -82,9 +82,9 @@
     let now = Instant::now();
     let mut state = open(2, policy());
 
-    agent::reduce(&mut state, now, Event::Strangers(2));
+    agent::reduce(&mut state, now, Event::Unreserved(2));
     let full = agent::reduce(&mut state, now, ask(1, 0, 1_000 * MS));
-    let free = agent::reduce(&mut state, now, Event::Strangers(1));
+    let free = agent::reduce(&mut state, now, Event::Unreserved(1));
 
     assert_eq!((granted(&full), granted(&free)), (vec![], vec![id(1)]));
 }
