--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// Learns of the target from who reserves.
+    /// Learns of the target from an entry process that reserves.
     fn meet(&mut self, target: Target) {
         if self.target == Some(target) {
             return;
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -9,8 +9,8 @@
 use metrics::Gateway;
 use model::{
     id::RequestId,
-    refusal,
-    reservation::{Ask, Id},
+    refusal::Reason,
+    reservation::{Ask, Id, Load},
     suspect::Body,
 };
 use scheduler::direct::{Event, Lapse, Reservation, Ticket};
@@ -18,7 +18,7 @@
 use uuid::Uuid;
 use wire::{
     AdmissionClient, admission,
-    pool::{self, Error, Pool, context},
+    pool::{self, Pool, context},
 };
 
 /// Longest wait for an agent to take a connection.
@@ -90,8 +90,8 @@
     pool: &Pool<AdmissionClient>,
     reservation: &Reservation,
     request: RequestId,
-) -> Result<(AdmissionClient, model::reservation::Load), Lapse> {
-    let client = pool.client(reservation.agent).await.map_err(|_: Error| Lapse::Away)?;
+) -> Result<(AdmissionClient, Load), Lapse> {
+    let client = pool.client(reservation.agent).await.map_err(|_| Lapse::Away)?;
     let ask = Ask {
         id: Id { request, attempt: reservation.number },
         rank: reservation.rank,
@@ -107,8 +107,8 @@
     let asked = Instant::now();
     match client.reserve(context(reservation.wait + GRACE), ask, target).await {
         Ok(Ok(grant)) => Ok((client, grant.load)),
-        Ok(Err(denial)) if denial.reason == refusal::Reason::NoTarget => Err(Lapse::Unreached),
-        Ok(Err(denial)) if denial.reason == refusal::Reason::Draining => Err(Lapse::Away),
+        Ok(Err(denial)) if denial.reason == Reason::NoTarget => Err(Lapse::Unreached),
+        Ok(Err(denial)) if denial.reason == Reason::Draining => Err(Lapse::Away),
         Ok(Err(_)) => Err(Lapse::Late),
         Err(_) if asked.elapsed() >= reservation.wait => Err(Lapse::Late),
         Err(_) => Err(Lapse::Away),
--- a/components/scheduler/src/agent/queue.rs
+++ b/components/scheduler/src/agent/queue.rs
@@ -1,4 +1,4 @@
-//! Waiting reservations: highest tier first, then by deadline, then by arrival.
+//! Waiting reservations: highest tier first, then by deadline in one order or the other, then by arrival.
 
 use std::{
     cmp::Reverse,
--- a/components/wire/src/socket.rs
+++ b/components/wire/src/socket.rs
@@ -7,7 +7,7 @@
 
 /// Longest time for which data may stay unacknowledged before the connection counts as dead.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
-/// Time without data after which a connection is probed. The first probe may come a second late.
+/// Time without data after which a connection is probed, and between two probes.
 const PROBE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which the connection counts as dead.
 const PROBES: u32 = 2;
