Choose among targets that are alike by chance where a request is reserved first

Cause: the first agent of a request was the one with the least expected time, and among equal ones the first by name, for every process alike: until it had run something everywhere, each sent all its first reservations to one target. direct_agents.rs (requests_spread_over_the_agents_of_a_pool) failed with 400 of 800 reservations at one of eight targets; it was written before the choice changed and wasn't run after it. Targets within a quarter of each other are drawn by the request's hash now.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -36,6 +36,9 @@
 const AWAY_MAX: Duration = Duration::from_secs(4);
 /// Time after which half of what an agent said still counts: about as long as a slot is held.
 const TOLD_HALF: Duration = Duration::from_millis(500);
+/// Part of the time to a first event by which targets may differ and count as alike: else all processes
+/// would choose the same one.
+const ALIKE: f64 = 0.25;
 /// How much a target in another availability zone seems slower, where an agent is chosen: what is
 /// relayed between zones is billed.
 const FAR_COST: f64 = 3.0;
@@ -167,18 +170,22 @@
             f64::from(load.running + load.waiting) * 0.5_f64.powf(age / TOLD_HALF.as_secs_f64())
         });
         let busy = told.max(f64::from(self.own)) / f64::from(self.target.slots.max(1));
-        self.cost(demand.tokens, demand.zone, usual) * (1.0 + busy)
+        let cost = self.cost(demand.tokens, demand.zone, usual) * (1.0 + busy);
+        cost * (1.0 + ALIKE * self.chance(demand))
+    }
+
+    /// A number between 0 and 1, not included, that differs by request and target only.
+    fn chance(&self, demand: &Demand<'_>) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (demand.draw, &self.target.name).hash(&mut hasher);
+        ((hasher.finish() >> 12) as f64 + 0.5) / (1_u64 << 52) as f64
     }
 
     /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
     /// request differ by target only, so that it finds the same targets again.
     fn draw(&self, demand: &Demand<'_>, usual: f64) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        (demand.draw, &self.target.name).hash(&mut hasher);
-        // Above 0, below 1.
-        let even = ((hasher.finish() >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
         let far = if self.target.zone == *demand.zone { 1.0 } else { FAR_COST };
-        -even.ln() * far * self.cost(demand.tokens, demand.zone, usual)
+        -self.chance(demand).ln() * far * self.cost(demand.tokens, demand.zone, usual)
     }
 
     /// Whether it still reads prompts for so long that a request is better kept back: what has a
