--- /dev/null
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -0,0 +1,121 @@
+//! Targets that are reached by way of their agents.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::{Duration, Instant},
+};
+
+use model::reservation::Load;
+
+use super::{Capacity, Demand, Reserved, Slot, Target, TargetState};
+
+/// Time for which an agent that isn't reached is left alone; doubles with each repeat.
+const AWAY_MIN: Duration = Duration::from_millis(250);
+/// Longest time for which it is left alone.
+const AWAY_MAX: Duration = Duration::from_secs(4);
+/// Time after which half of what an agent said still counts: about as long as a slot is held.
+const TOLD_HALF: Duration = Duration::from_millis(500);
+/// Part of the time to a first event by which targets may differ and count as alike: else all processes
+/// would choose the same one.
+const ALIKE: f64 = 0.25;
+/// How much a target in another availability zone seems slower, where an agent is chosen: what is
+/// relayed between zones is billed.
+const FAR_COST: f64 = 3.0;
+
+impl TargetState {
+    /// Time to the first event of a request that is reserved at its agent, in ms, as far as is known.
+    fn expected(&self, now: Instant, demand: &Demand<'_>, usual: f64) -> f64 {
+        let told = self.told.map_or(0.0, |(at, load)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            f64::from(load.running + load.waiting) * 0.5_f64.powf(age / TOLD_HALF.as_secs_f64())
+        });
+        let busy = told.max(f64::from(self.own)) / f64::from(self.target.slots.max(1));
+        let cost = self.cost(demand.tokens, demand.zone, usual) * (1.0 + busy);
+        cost * (1.0 + ALIKE * self.chance(demand))
+    }
+
+    /// A number between 0 and 1, not included, that differs by request and target only.
+    fn chance(&self, demand: &Demand<'_>) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (demand.draw, &self.target.name).hash(&mut hasher);
+        ((hasher.finish() >> 12) as f64 + 0.5) / (1_u64 << 52) as f64
+    }
+
+    /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
+    /// request differ by target only, so that it finds the same targets again.
+    fn draw(&self, demand: &Demand<'_>, usual: f64) -> f64 {
+        let far = if self.target.zone == *demand.zone { 1.0 } else { FAR_COST };
+        -self.chance(demand).ln() * far * self.cost(demand.tokens, demand.zone, usual)
+    }
+}
+
+impl Capacity {
+    /// A target with an agent that a request isn't reserved at yet: first the one that should answer
+    /// it first by what is known here, then any others, since that is little where many processes
+    /// share the targets.
+    pub fn choose(
+        &self,
+        now: Instant,
+        demand: &Demand<'_>,
+        reserved: &[Reserved],
+    ) -> Option<&Target> {
+        let usual = self.usual(demand.pool);
+        let open = self.pool(demand.pool);
+        let open = open.filter(|state| state.is_up(now) && state.is_reserved(now));
+        let fresh = open.filter(|state| {
+            let name = &state.target.name;
+            !demand.tried.contains(name) && reserved.iter().all(|known| known.target != *name)
+        });
+        let costs = fresh.map(|state| {
+            let cost = if reserved.is_empty() {
+                state.expected(now, demand, usual)
+            } else {
+                state.draw(demand, usual)
+            };
+            (cost, state)
+        });
+        let (_, state) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        Some(&state.target)
+    }
+
+    /// Whether a request may still wait at a target's agent.
+    pub fn keeps(&self, now: Instant, reserved: &Reserved) -> bool {
+        let state = self.state(&reserved.target);
+        let state = state.filter(|state| state.target.incarnation == reserved.incarnation);
+        state.is_some_and(|state| state.is_up(now) && state.is_reserved(now))
+    }
+
+    /// Takes the slot that a target's agent granted; `None` where the target takes no more requests.
+    pub fn occupy(&mut self, now: Instant, reserved: &Reserved, tokens: f64) -> Option<Slot> {
+        let usual = self.usual(&self.state(&reserved.target)?.target.pool);
+        let state = self.current(&reserved.target, reserved.incarnation)?;
+        state.is_up(now).then(|| state.occupy(tokens, usual))
+    }
+
+    /// Learns what an agent says of its target.
+    pub fn hear_load(&mut self, now: Instant, reserved: &Reserved, load: Load) {
+        if let Some(state) = self.current(&reserved.target, reserved.incarnation) {
+            // What was just granted is counted there already.
+            state.others = load.running.saturating_sub(state.own + 1);
+            state.told = Some((now, load));
+            state.away_for = Duration::ZERO;
+        }
+    }
+
+    /// Leaves an agent that isn't reached alone: its target is used by what other processes tell.
+    pub fn mark_away(&mut self, now: Instant, reserved: &Reserved) {
+        let state = self.current(&reserved.target, reserved.incarnation);
+        if let Some(state) = state.filter(|state| state.is_reserved(now)) {
+            state.away_for = (state.away_for * 2).clamp(AWAY_MIN, AWAY_MAX);
+            state.away_until = Some(now + state.away_for);
+            state.others = 0;
+        }
+    }
+
+    /// Leaves a target alone that its agent finds to take no requests.
+    pub fn mark_denied(&mut self, now: Instant, reserved: &Reserved) {
+        if self.keeps(now, reserved) {
+            self.mark_down(now, &reserved.target, reserved.incarnation);
+        }
+    }
+}
