--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -204,7 +204,8 @@
             self.states.push(state);
         }
         let vanished = before.into_values().map(|state| TargetState { listed: false, ..state });
-        self.states.extend(vanished.filter(|state| state.own > 0));
+        self.states.extend(vanished);
+        self.states.retain(|state| state.listed || state.own > 0);
         self.states.sort_by(|a, b| a.target.name.cmp(&b.target.name));
         self.places.clear();
         self.pools.clear();
