Read the store's era, and let nothing step back when it comes from an older copy

Cause: a store that comes back from a copy gives offsets out again and says so by Store-Era, which nothing read. A runner's record whose reused offset was lower than its last one was passed over, so a leaving runner went on getting requests; positions of the era before were read from; late answers of it were taken; a configuration in a copy counted as a proof that a newer one in force was current; and a process that started on a copy served keys that had been taken away.

A position is (era, offset) now, compared together. Answers of an older era are errors, reads begin anew in a newer one, and each process makes itself known again there. In the reducer (scheduler::direct::era): a copy proves the configuration in force only if it has that version, not within the first second, and not for a process that starts before it heard what others have (or reached nobody for 1.5 s: its risk, stated there). Targets that a copy lacks live on for 2.2 s as after an outage; starts of targets that left or were leaving don't return for 6 s.

Ruled out: waiting for others at each start, which would lengthen a start of all at once where no drill ever was. Not built: writing lost evidence again.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -296,7 +296,7 @@
             }
             Message::Give { topic, reply } => {
                 let (state, now) = (&self.state, now());
-                // 0 where it isn't offered, which is the version of nothing that was packed.
+                // The default where it isn't offered, which is the version of nothing that was packed.
                 let version = state.offer(now).known.of(topic);
                 let given = self.links.give(topic, version, || state.news(now, topic));
                 let _ = reply.send(given);
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use metrics::Gateway;
-use scheduler::direct::relay::{News, Topic};
+use scheduler::direct::relay::{News, Position, Topic};
 use tracing::error;
 
 use crate::{
@@ -41,7 +41,7 @@
 pub struct Links {
     links: HashMap<SocketAddr, Link>,
     /// What was last given of each topic, and its version.
-    packed: BTreeMap<Topic, (u64, Bytes)>,
+    packed: BTreeMap<Topic, (Position, Bytes)>,
     report: Report,
     metrics: Arc<Gateway>,
 }
@@ -104,7 +104,7 @@
     pub fn give(
         &mut self,
         topic: Topic,
-        version: u64,
+        version: Position,
         news: impl FnOnce() -> Option<News>,
     ) -> Option<Bytes> {
         let last = self.packed.get(&topic).filter(|last| last.0 == version);
@@ -120,7 +120,7 @@
                 Some(packed)
             }
             Err(error) => {
-                error!(%error, topic = topic.name(), version, "nothing can be given to others");
+                error!(%error, topic = topic.name(), ?version, "nothing can be given to others");
                 None
             }
         }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -16,7 +16,7 @@
 use super::{
     peers::Row,
     plan::Plan,
-    relay::{Listing, News, Offer, Topic},
+    relay::{Era, Listing, News, Offer, Topic},
 };
 
 /// Number of a request in this process.
@@ -189,10 +189,14 @@
     },
     /// A configuration was read.
     Planned(Arc<Plan>),
-    /// Nothing newer than the configuration in force existed at a time of the boot clock.
+    /// The platform was asked for the newest configuration.
     Confirmed {
-        /// When.
+        /// Time of the boot clock at which it had nothing newer.
         boot: Duration,
+        /// Version of the newest that it had; 0 where it had none.
+        version: u64,
+        /// The platform's era.
+        era: Era,
     },
     /// The targets that the platform lists were read.
     Listed(Listing),
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod capacity;
+mod era;
 pub mod event;
 mod holds;
 mod limits;
@@ -40,7 +41,7 @@
 use peers::{Peers, Row, Use};
 use pending::{Order, Pending, Stage};
 use plan::Plan;
-use relay::{Known, Listing, Topic};
+use relay::{Era, Known, Listing, Topic};
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
@@ -126,6 +127,14 @@
     fetching: BTreeSet<Topic>,
     /// Whether targets that vanished from it may still be used.
     keeps_vanished: bool,
+    /// The platform's era.
+    era: Option<Era>,
+    /// When this process saw it begin; `None` for the first that it saw.
+    era_began: Option<Instant>,
+    /// Targets that are listed no more, their starts, and when they went.
+    left: BTreeMap<TargetName, (Incarnation, Instant)>,
+    /// Whether another process told what it has.
+    heard_offer: bool,
     capacity: Capacity,
     requests: HashMap<Ticket, Pending>,
     waiting: BTreeMap<PoolName, BTreeSet<Order>>,
@@ -208,6 +217,10 @@
         offers: BTreeMap::new(),
         fetching: BTreeSet::new(),
         keeps_vanished: false,
+        era: None,
+        era_began: None,
+        left: BTreeMap::new(),
+        heard_offer: false,
         capacity: Capacity::default(),
         requests: HashMap::new(),
         waiting: BTreeMap::new(),
@@ -248,7 +261,7 @@
             state.remove(ticket, &mut effects);
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
-        Event::Confirmed { boot } => state.confirm(now, boot),
+        Event::Confirmed { boot, version, era } => state.confirm(now, boot, version, era),
         Event::Listed(listing) => state.take_over(now.steady, listing, &mut effects),
         Event::Offered { peer, offer } => state.offered(now, peer, offer),
         Event::Fetched { peer, topic, news } => {
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -26,8 +26,19 @@
     plan::Plan,
 };
 
-/// Place in the platform's stream of records of targets; grows with each record.
-pub type Position = u64;
+/// Number of the copies of itself that the platform's service came back from, and so lost the last of
+/// what it had acknowledged; 0 where it doesn't count them.
+pub type Era = u64;
+
+/// Place in a stream of records of the platform's service. In a newer era offsets are given out again:
+/// one means nothing without its era.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Position {
+    /// The era; goes before the offset.
+    pub era: Era,
+    /// Grows with each record of an era.
+    pub offset: u64,
+}
 
 /// What is fetched by itself, the one with the shorter bound first.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -43,7 +54,7 @@
 pub struct Known {
     /// Version of its configuration; 0 where it has none.
     pub plan: u64,
-    /// Position of its list of targets; 0 where it has none.
+    /// Position of its list of targets; the default where it has none.
     pub targets: Position,
 }
 
@@ -89,17 +100,18 @@
 }
 
 impl Known {
-    /// What it has of a topic: grows with each change, 0 where it has nothing.
-    pub fn of(&self, topic: Topic) -> u64 {
+    /// What it has of a topic: grows with each change, the default where it has nothing. Versions of
+    /// the configuration grow through all eras.
+    pub fn of(&self, topic: Topic) -> Position {
         match topic {
             Topic::Targets => self.targets,
-            Topic::Plan => self.plan,
+            Topic::Plan => Position { era: 0, offset: self.plan },
         }
     }
 
     fn forget(&mut self, topic: Topic) {
         match topic {
-            Topic::Targets => self.targets = 0,
+            Topic::Targets => self.targets = Position::default(),
             Topic::Plan => self.plan = 0,
         }
     }
@@ -126,7 +138,7 @@
 
     /// What this process gives to one that asks, if it offers it.
     pub fn news(&self, now: Now, topic: Topic) -> Option<News> {
-        if self.offer(now).known.of(topic) == 0 {
+        if self.offer(now).known.of(topic) == Position::default() {
             return None;
         }
         match topic {
@@ -143,6 +155,7 @@
                 self.outage = None;
             }
         }
+        self.heard_offer = true;
         self.offers.insert(peer, offer.known);
     }
 
@@ -162,7 +175,8 @@
         match news {
             Some(News::Plan(plan)) => self.plan(plan, effects),
             Some(News::Targets(listing)) if listing.position > self.listing.position => {
-                self.listing = listing;
+                self.enter(now, listing.position.era);
+                self.listing = self.settle(now, listing);
                 self.use_listed(now, false, effects);
             }
             Some(News::Targets(_)) | None => {}
@@ -181,7 +195,7 @@
             let offers = self.offers.iter().map(|(&peer, known)| (known.of(topic), peer));
             let ahead = offers.filter(|&(version, _)| version > own.of(topic));
             // Processes that lack the same ask different ones for it.
-            let rank = |&(version, peer): &(u64, SocketAddr)| (version, self.affinity(peer));
+            let rank = |&(version, peer): &(Position, SocketAddr)| (version, self.affinity(peer));
             if let Some((_, peer)) = ahead.max_by_key(rank) {
                 self.fetching.insert(topic);
                 effects.push(Effect::Fetch { peer, topic });
@@ -198,7 +212,8 @@
     /// Takes a list over that was read here, unless a newer one is known.
     pub(super) fn take_over(&mut self, now: Instant, listing: Listing, effects: &mut Vec<Effect>) {
         if listing.position >= self.listing.position {
-            self.listing = listing;
+            self.enter(now, listing.position.era);
+            self.listing = self.settle(now, listing);
             self.use_listed(now, self.is_returning(now), effects);
         }
     }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -14,6 +14,7 @@
     event::{Effect, Note, Now},
     peers::{Row, Told},
     plan::Plan,
+    relay::Era,
 };
 
 /// Whether the platform has been silent for so long that this is an outage.
@@ -39,12 +40,16 @@
         self.next_grant = None;
     }
 
-    pub(super) fn confirm(&mut self, now: Now, boot: Duration) {
+    /// The platform's newest configuration was of that version.
+    pub(super) fn confirm(&mut self, now: Now, boot: Duration, version: u64, era: Era) {
         if is_silent(self.answered, now) {
             self.outage = Some(now.steady);
         }
         self.answered = Some(now.boot);
-        self.confirmed = self.confirmed.max(Some(boot));
+        self.enter(now.steady, era);
+        if self.proves(now.steady, version) {
+            self.confirmed = self.confirmed.max(Some(boot));
+        }
     }
 
     pub(super) fn freshen(&mut self, now: Now, effects: &mut Vec<Effect>) {
@@ -69,6 +74,9 @@
         effects: &mut Vec<Effect>,
     ) {
         self.keeps_vanished = keep_vanished;
+        if !keep_vanished {
+            self.see_off(now);
+        }
         let listed = &self.listing.targets;
         let mut used = listed.clone();
         if keep_vanished {
--- a/components/scheduler/tests/direct_agents_fuzz.rs
+++ b/components/scheduler/tests/direct_agents_fuzz.rs
@@ -222,7 +222,7 @@
             self.entries[entry].now.steady += time;
             self.entries[entry].now.boot += time;
             let boot = self.entries[entry].now.boot;
-            self.send(entry, None, Event::Confirmed { boot });
+            self.send(entry, None, Event::Confirmed { boot, version: u64::MAX, era: 0 });
         }
         for agent in 0..self.agents.len() {
             self.feed(agent, agent::Event::Tick);
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -102,7 +102,7 @@
     settings.incarnation = incarnation;
     settings.tolerance = TOLERANCE;
     let address = settings.address;
-    let mut process = Process { state: direct::open(now.steady, settings), now, address };
+    let mut process = Process { state: direct::open(now.steady, settings), now, address, era: 1 };
     let plan = plan(1, vec![route("/a/", Repeat::Safe)], Some(limit(RATE)));
     process.send(Event::Planned(Arc::new(plan)));
     process.list(targets(60));
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -199,7 +199,7 @@
     reader.pass(LONG);
     // What was asked before the outage is answered first.
     let boot = reader.now.boot - SILENT;
-    reader.send(Event::Confirmed { boot });
+    reader.send(Event::Confirmed { boot, version: 7, era: reader.era });
     reader.list(Vec::new());
     reader.pass(RETURN / 2);
     reader.confirm();
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -13,7 +13,7 @@
     allowance::Tolerance,
     budget::Rule,
     plan::{Account, Limit, Part, Plan, Repeat, Route},
-    relay::{Listing, Topic},
+    relay::{Era, Listing, Position, Topic},
 };
 
 pub const FRESHNESS: Duration = Duration::from_secs(4);
@@ -26,6 +26,8 @@
     pub now: Now,
     /// Where it listens for the others.
     pub address: SocketAddr,
+    /// Era of the platform that it reads.
+    pub era: Era,
 }
 
 pub fn address(number: u16) -> SocketAddr {
@@ -49,7 +51,7 @@
     let now = Now { steady: Instant::now(), boot: Duration::from_secs(1_000) };
     let settings = settings(number);
     let address = settings.address;
-    Process { state: direct::open(now.steady, settings), now, address }
+    Process { state: direct::open(now.steady, settings), now, address, era: 1 }
 }
 
 /// A process that knows a plan and targets, and that its plan is current.
@@ -70,13 +72,15 @@
     }
 
     pub fn confirm(&mut self) -> Vec<Effect> {
-        let boot = self.now.boot;
-        self.send(Event::Confirmed { boot })
+        let (boot, version) = (self.now.boot, self.state.known().plan);
+        self.send(Event::Confirmed { boot, version, era: self.era })
     }
 
     /// The platform lists other targets.
     pub fn list(&mut self, targets: Vec<Target>) -> Vec<Effect> {
-        let position = self.state.known().targets + 1;
+        let known = self.state.known().targets;
+        let offset = if known.era < self.era { 0 } else { known.offset + 1 };
+        let position = Position { era: self.era, offset };
         self.send(Event::Listed(Listing { targets, position }))
     }
 
