Roll a version out by order: bounded trial, shared evidence, one verdict, and nothing without an order

Cause: the version of a target was decoded and dropped, so targets that were started for a roll-out got requests like all others, before the order and without bound (platform/tests/rollouts.rs, first test: 4 of 8 requests went to the version that nobody ordered; none do now).

scheduler::direct::rollout: each entry bounds what it sends to the ordered version by its own dispatches, route by route (0.6 of the allowed share), to a twentieth of the targets so that they are loaded; nothing before it is known what was reported, nothing where most other entries aren't heard. Counts of answers, failures and slow answers by route ride on rows, by start of a process. A cumulative sum over all counts rolls back at a hundred to one; a sequential probability ratio test finds good, over all and for each route; doubt a second before the end rolls back. What is good moves in the last 0.35 of the time, first a tenth, then all; completed only when every entry that may take requests says that it has nothing at old targets. The first final report in the store decides (append under the condition of the topic's end).

Ruled out: fixed steps without a test of significance (they need as many answers for each step); spending the slack, which each start of a process would spend again; a bound during the move, which would make requests wait or keep them at targets that have to run empty.

Tests: direct_rollouts.rs, 23: exposure and the fiftieth bad answer hold for versions that fail 15 to 60 in 100, are 3 or 8 times slower, on one route only, later, or in the move, with entries cut off and started again; platform/tests/rollouts.rs, 5.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -21,6 +21,7 @@
     peers::{self, Row},
     plan::Plan,
     relay::Topic,
+    rollout::Report,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -87,6 +88,10 @@
     pub peers: Vec<SocketAddr>,
     /// The configuration in force.
     pub plan: Option<Arc<Plan>>,
+    /// What the platform's service is to be told of roll-outs.
+    pub reports: Vec<Report>,
+    /// Number of this process among those that may tell it.
+    pub turn: u32,
 }
 
 struct Thread {
@@ -424,13 +429,16 @@
         let lonely = self.state.is_lonely(Instant::now());
         let peers = || self.state.peers();
         let plan = self.state.plan_in_force();
+        let (reports, turn) = (self.state.reports(), self.state.turn());
         self.status.send_if_modified(|status| {
             let version = |plan: Option<&Arc<Plan>>| plan.map(|plan| plan.version);
             let changed = (status.ready, status.lonely) != (ready, lonely)
                 || version(status.plan.as_ref()) != version(plan)
+                || (status.turn, &status.reports) != (turn, &reports)
                 || !peers().eq(status.peers.iter().copied());
             if changed {
-                *status = Status { ready, lonely, peers: peers().collect(), plan: plan.cloned() };
+                let (peers, plan) = (peers().collect(), plan.cloned());
+                *status = Status { ready, lonely, peers, plan, reports, turn };
             }
             changed
         });
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -7,7 +7,9 @@
 
 use metrics::Gateway;
 use scheduler::direct::{
-    Effect, Grounds, Note, Outcome, Reason, Refusal, State, View, relay::Topic,
+    Effect, Grounds, Note, Outcome, Reason, Refusal, State, View,
+    relay::Topic,
+    rollout::{Action, Step},
 };
 use tracing::{info, warn};
 
@@ -67,7 +69,7 @@
         Effect::Note(Note::Targets { ready, .. }) => {
             metrics.targets.set(i64::try_from(*ready).unwrap_or(i64::MAX));
         }
-        Effect::Note(Note::Quarantined(_) | Note::Restarted(_))
+        Effect::Note(Note::Quarantined(_) | Note::Restarted(_) | Note::Rollout(_))
         | Effect::Fetch { .. }
         | Effect::Pass { .. }
         | Effect::Probe { .. }
@@ -172,6 +174,34 @@
     if answered { None } else { silent.or_else(|| Some(Instant::now())) }
 }
 
+fn stepped(step: &Step) {
+    let (action, decided) = match step.action {
+        Action::Try => ("try", None),
+        Action::Move => ("move", None),
+        Action::Complete => ("complete", None),
+        Action::RollBack => ("roll_back", None),
+        Action::GiveUp => ("give_up", None),
+        Action::Withdraw => ("withdraw", None),
+        Action::Follow(progress) => ("follow", Some(progress)),
+    };
+    info!(
+        pool = step.pool,
+        target = step.target,
+        action,
+        decided = ?decided,
+        age_ms = millis(step.age),
+        dispatched = step.dispatched.0,
+        exposed = step.dispatched.1,
+        before_answers = step.before.answers,
+        before_failed = step.before.failed,
+        before_slow = step.before.slow,
+        after_answers = step.after.answers,
+        after_failed = step.after.failed,
+        after_slow = step.after.slow,
+        "a roll-out goes on"
+    );
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -179,13 +209,16 @@
 fn noted(note: &Note) {
     match note {
         Note::Planned { version } => info!(version, "a configuration is in force"),
-        Note::Targets { ready, listed } => info!(ready, listed, "the targets changed"),
+        Note::Targets { ready, listed, unordered } => {
+            info!(ready, listed, unordered, "the targets changed");
+        }
         Note::Fresh(true) => info!("the configuration is current: keys count"),
         Note::Fresh(false) => warn!("the configuration may be out of date: keys don't count"),
         Note::Peers { heard, expected, together } => {
             info!(heard, expected, together, "entry processes that are heard changed");
         }
         Note::Restarted(target) => info!(to = target, "a target started again under its name"),
+        Note::Rollout(step) => stepped(step),
         Note::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
             warn!(body, "a body is refused: targets died while they ran it");
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -82,6 +82,7 @@
             reserved: Vec::new(),
             reservations: 0,
             next_reservation: now.steady,
+            chosen: None,
             stage,
             request,
         })
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -21,6 +21,7 @@
     event::{Incarnation, Target},
     peers::Busy,
     pending::Reserved,
+    rollout::{Lane, Version},
 };
 
 /// Weight of the newest observation in a moving average.
@@ -59,6 +60,8 @@
     others_unread: f64,
     /// Whether the platform still lists it.
     pub listed: bool,
+    /// Which requests it takes.
+    lane: Lane,
     down_until: Option<Instant>,
     down_for: Duration,
     /// Until when its agent is left alone.
@@ -99,6 +102,7 @@
             unread: 0.0,
             others_unread: 0.0,
             listed: true,
+            lane: Lane::Base,
             down_until: None,
             down_for: Duration::ZERO,
             away_until: None,
@@ -132,7 +136,8 @@
     }
 
     fn is_up(&self, now: Instant) -> bool {
-        self.listed && self.target.ready && self.down_until.is_none_or(|until| until <= now)
+        let open = self.listed && self.target.ready && self.lane != Lane::Shut;
+        open && self.down_until.is_none_or(|until| until <= now)
     }
 
     /// Whether requests reach it by way of its agent.
@@ -170,6 +175,7 @@
             unread: tokens,
             load,
             first: Duration::from_secs_f64(first_ms / 1_000.0),
+            ordered: self.lane == Lane::Ordered,
         }
     }
 
@@ -266,7 +272,8 @@
     pub fn take(&mut self, now: Instant, place: Place, demand: &Demand<'_>) -> Option<Slot> {
         let usual = self.usual(demand.pool);
         let open = self.pool(demand.pool).filter(|state| {
-            state.is_up(now)
+            state.lane == demand.lane
+                && state.is_up(now)
                 && !state.is_reserved(now)
                 && state.has_room(place, demand)
                 && !state.reads(usual)
@@ -279,6 +286,35 @@
         Some(state.occupy(demand.tokens, usual))
     }
 
+    /// Tells the listed targets which requests they take.
+    pub fn assign(&mut self, mut lanes: impl FnMut(&PoolName, &[(&Version, bool)]) -> Vec<Lane>) {
+        for (pool, places) in &self.pools {
+            let states = places.iter().filter_map(|&place| Some((place, self.states.get(place)?)));
+            let listed: Vec<_> = states.filter(|(_, state)| state.listed).collect();
+            let targets: Vec<(&Version, bool)> = listed
+                .iter()
+                .map(|(_, state)| (&state.target.version, state.target.ready))
+                .collect();
+            let assigned = lanes(pool, &targets);
+            let places: Vec<usize> = listed.into_iter().map(|(place, _)| place).collect();
+            for (place, lane) in places.into_iter().zip(assigned) {
+                self.states[place].lane = lane;
+            }
+        }
+    }
+
+    /// Ready targets whose version takes no requests.
+    pub fn shut(&self) -> usize {
+        let shut = |state: &&TargetState| state.target.ready && state.lane == Lane::Shut;
+        self.states.iter().filter(shut).count()
+    }
+
+    /// Requests of this process at targets of a pool that have another version.
+    pub fn running_besides(&self, pool: &str, version: &Version) -> u32 {
+        let others = self.pool(pool).filter(|state| state.target.version != *version);
+        others.map(|state| state.own).sum()
+    }
+
     /// How the targets of a pool are reached.
     pub fn ways(&self, now: Instant, pool: &str) -> Ways {
         self.pool(pool).fold(Ways::default(), |ways, state| Ways {
@@ -378,6 +414,15 @@
     load: f64,
     /// Time to the first event that was expected.
     pub first: Duration,
+    /// Whether the target has a version that is on trial.
+    pub ordered: bool,
+}
+
+impl Slot {
+    /// The part of a time to the first event that fell to each token which was read for it.
+    pub fn each_token(&self, first: Duration) -> Duration {
+        first.div_f64(self.load.max(1.0))
+    }
 }
 
 /// What a request asks of its target.
@@ -393,6 +438,8 @@
     pub tokens: f64,
     /// Targets that it was dispatched to.
     pub tried: &'a [TargetName],
+    /// Which targets it may go to.
+    pub lane: Lane,
     /// Whether it is of the pool's lowest tier, whose requests hold their slots for longest, and so
     /// leaves slots to the others.
     pub lowest: bool,
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -61,7 +61,9 @@
     ) -> Option<&Target> {
         let usual = self.usual(demand.pool);
         let open = self.pool(demand.pool);
-        let open = open.filter(|state| state.is_up(now) && state.is_reserved(now));
+        let open = open.filter(|state| {
+            state.lane == demand.lane && state.is_up(now) && state.is_reserved(now)
+        });
         let fresh = open.filter(|state| {
             let name = &state.target.name;
             !demand.tried.contains(name) && reserved.iter().all(|known| known.target != *name)
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -16,7 +16,8 @@
 use super::{
     peers::Row,
     plan::Plan,
-    relay::{Era, Listing, News, Offer, Topic},
+    relay::{Era, Listing, News, Offer, Position, Topic},
+    rollout::{Order, Report, Step, Version},
 };
 
 /// Number of a request in this process.
@@ -119,6 +120,9 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub ready: bool,
+    /// Version of its software.
+    #[serde(default)]
+    pub version: Version,
 }
 
 /// An entry process that the platform's service names.
@@ -189,6 +193,17 @@
     },
     /// A configuration was read.
     Planned(Arc<Plan>),
+    /// A roll-out that the operator orders.
+    Ordered(Order),
+    /// The operator took the order for a pool back.
+    Withdrawn {
+        /// The pool.
+        pool: PoolName,
+        /// Where that stands.
+        position: Position,
+    },
+    /// What the platform's service says of roll-outs.
+    Reported(Vec<Report>),
     /// The platform was asked for the newest configuration.
     Confirmed {
         /// Time of the boot clock at which it had nothing newer.
@@ -407,7 +422,7 @@
 }
 
 /// A change of what is believed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Note {
     /// A configuration is in force.
     Planned {
@@ -420,6 +435,8 @@
         ready: usize,
         /// Targets that are listed.
         listed: usize,
+        /// Ready targets that take none since nobody ordered their version.
+        unordered: usize,
     },
     /// The configuration is known to be current again, or no longer.
     Fresh(bool),
@@ -436,4 +453,6 @@
     Restarted(TargetName),
     /// A body is refused from now on.
     Quarantined(Fingerprint),
+    /// A roll-out goes on.
+    Rollout(Box<Step>),
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -18,7 +18,9 @@
 mod queue;
 pub mod relay;
 mod reserve;
+pub mod rollout;
 mod settle;
+mod versions;
 mod world;
 
 use std::{
@@ -42,6 +44,7 @@
 use pending::{Order, Pending, Stage};
 use plan::Plan;
 use relay::{Era, Known, Listing, Topic};
+use rollout::Rollouts;
 
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
@@ -99,6 +102,8 @@
     pub repeats: budget::Rule,
     /// How far accounts may pass their limits.
     pub tolerance: allowance::Tolerance,
+    /// Share of a pool's requests, from 0 to 1, that a version may get before it is found good.
+    pub exposure: f64,
 }
 
 /// Everything that direct dispatch decides from.
@@ -149,6 +154,7 @@
     accounts: BTreeMap<AccountName, Allowance>,
     budgets: BTreeMap<PoolName, Budget>,
     holds: Holds,
+    rollouts: Rollouts,
     peers: Peers,
     place: Place,
     /// Entry processes, this one included, that share what is left of limits.
@@ -231,6 +237,7 @@
         accounts: BTreeMap::new(),
         budgets: BTreeMap::new(),
         holds: Holds::default(),
+        rollouts: Rollouts::default(),
         peers: Peers::default(),
         place: Place { index: 0, among: 1 },
         together: 1,
@@ -255,12 +262,26 @@
         Event::Denied { ticket, number, lapse } => state.denied(now.steady, ticket, number, lapse),
         Event::Began { ticket } => state.began(now.steady, ticket),
         Event::Ended { ticket, outcome, begun, events } => {
-            state.ended(now, ticket, outcome, begun || events > 0, &mut effects);
+            state.ended(now, ticket, outcome, (begun, events), &mut effects);
         }
         Event::Left { ticket, .. } => {
             state.remove(ticket, &mut effects);
         }
         Event::Planned(plan) => state.plan(plan, &mut effects),
+        Event::Ordered(order) => {
+            let step = state.rollouts.order(now.steady, order, Duration::ZERO);
+            state.step(now.steady, step.into_iter().collect(), &mut effects);
+        }
+        Event::Withdrawn { pool, position } => {
+            let step = state.rollouts.withdraw(now.steady, &pool, position);
+            state.step(now.steady, step.into_iter().collect(), &mut effects);
+        }
+        Event::Reported(reports) => {
+            for report in reports {
+                let step = state.rollouts.report(now.steady, &report);
+                state.step(now.steady, step.into_iter().collect(), &mut effects);
+            }
+        }
         Event::Confirmed { boot, version, era } => state.confirm(now, boot, version, era),
         Event::Listed(listing) => state.take_over(now.steady, listing, &mut effects),
         Event::Offered { peer, offer } => state.offered(now, peer, offer),
@@ -393,6 +414,7 @@
             accounts: self.accounts.iter().map(used).collect(),
             running: self.capacity.running(now),
             crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
+            rollouts: self.shares(now),
         }
     }
 
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -9,7 +9,11 @@
 use model::id::{AccountName, Fingerprint, TargetName};
 use serde::{Deserialize, Serialize};
 
-use super::event::{Incarnation, Introduction};
+use super::{
+    event::{Incarnation, Introduction},
+    relay::Position,
+    rollout::Share,
+};
 
 /// Shortest period of the exchange of rows.
 const PERIOD: Duration = Duration::from_millis(50);
@@ -60,7 +64,7 @@
 }
 
 /// What one entry process says of itself.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Row {
     /// Where it listens for the others.
     pub address: Option<SocketAddr>,
@@ -82,6 +86,8 @@
     pub running: Vec<Busy>,
     /// Bodies that ran when a target crashed there, and how often.
     pub crashes: Vec<(Fingerprint, u32)>,
+    /// What it knows of each roll-out.
+    pub rollouts: Vec<Share>,
 }
 
 #[derive(Clone, Debug)]
@@ -238,6 +244,18 @@
         known.flat_map(|peer| &peer.row.running)
     }
 
+    /// What all others last told of roll-outs.
+    pub fn shares(&self) -> impl Iterator<Item = &Share> {
+        self.peers.values().flat_map(|peer| &peer.row.rollouts)
+    }
+
+    /// Whether all that may take requests tell that an order's requests have moved.
+    pub fn all_moved(&self, now: Instant, gone: Duration, order: Position) -> bool {
+        self.active(now, gone).all(|peer| {
+            peer.row.rollouts.iter().any(|share| share.order.position == order && share.moved)
+        })
+    }
+
     /// How often a body ran when a target crashed elsewhere.
     pub fn crashes(&self, body: &Fingerprint) -> u32 {
         let rows = self.peers.values().flat_map(|peer| &peer.row.crashes);
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -106,6 +106,8 @@
     pub reservations: u32,
     /// When it is reserved at one more agent.
     pub next_reservation: Instant,
+    /// Whether it goes to a version that is on trial; `None` before it began to wait for room.
+    pub chosen: Option<bool>,
     /// Where it is.
     pub stage: Stage,
 }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -9,6 +9,7 @@
     pending::{Pending, Running, Stage},
     plan::Repeat,
     reserve,
+    rollout::{Lane, Rollouts},
 };
 
 impl State {
@@ -38,8 +39,13 @@
             Some(pending) if pending.give_up > now => {
                 let before = pending.order();
                 pending.promoted = true;
+                // What found no room at a version on trial still finds it at the other.
+                let tried = pending.chosen.replace(false) == Some(true);
+                if tried {
+                    self.rollouts.release(&pending.pool, &pending.route);
+                }
                 // It is reserved anew in its new place.
-                if pending.order().rank != before.rank {
+                if tried || pending.order().rank != before.rank {
                     pending.withdraw(effects);
                 }
             }
@@ -83,6 +89,7 @@
     /// Dispatches what waits, as far as there is room, and reserves room for the rest.
     pub(super) fn place(&mut self, now: Now, effects: &mut Vec<Effect>) {
         self.reserve_at = self.reserve_at.split_off(&now.steady);
+        let alone = self.rollouts.any_active() && self.is_outnumbered(now.steady);
         for (pool, queue) in &mut self.waiting {
             if queue.is_empty() {
                 continue;
@@ -98,25 +105,42 @@
                 let lowest = self.lowest.get(pool) == Some(&pending.tier)
                     && self.holds.is_longest(pool, pending.tier);
                 let tried = pending.tried.clone();
+                let draw = (pending.request.draw >> 12) as f64 / (1_u64 << 52) as f64;
+                let chosen = *pending.chosen.get_or_insert_with(|| {
+                    let allowed = self.settings.exposure;
+                    let asked = (pool, pending.route.as_str());
+                    self.rollouts.choose(now.steady, asked, draw, allowed, alone)
+                });
+                let lane = self.rollouts.lane(now.steady, pool, chosen);
                 let demand = Demand {
                     pool,
                     zone: &self.settings.zone,
                     draw: pending.request.draw,
                     tokens: pending.prompt(),
                     tried: &tried,
+                    lane,
                     lowest,
                 };
-                if fits && (!lowest || lowest_fits) {
+                let open = fits || lane == Lane::Ordered;
+                if open && (!lowest || lowest_fits) {
                     if let Some(slot) = self.capacity.take(now.steady, self.place, &demand) {
                         placed.push(*order);
                         self.timers.remove(&(pending.wake(), order.ticket));
                         pending.withdraw(effects);
-                        effects.push(Effect::Start(start(now.steady, pending, slot, None)));
+                        effects.push(Effect::Start(start(
+                            now.steady,
+                            pending,
+                            slot,
+                            None,
+                            &mut self.rollouts,
+                        )));
                         continue;
                     }
                     // One that may not go everywhere doesn't hold up those that may.
-                    lowest_fits &= !lowest;
-                    fits = lowest || !pending.tried.is_empty();
+                    if lane == Lane::Base {
+                        lowest_fits &= !lowest;
+                        fits = lowest || !pending.tried.is_empty();
+                    }
                 }
                 // What waits at a target that is gone is given up too.
                 if ways.agents || !pending.reserved.is_empty() {
@@ -138,8 +162,14 @@
     pending: &mut Pending,
     slot: Slot,
     reservation: Option<u32>,
+    rollouts: &mut Rollouts,
 ) -> Start {
     pending.dispatches += 1;
+    // What is dispatched again goes to the version in use.
+    if pending.chosen.replace(false) == Some(true) {
+        rollouts.release(&pending.pool, &pending.route);
+    }
+    rollouts.dispatched(&pending.pool, &pending.route, slot.ordered);
     let silence = SILENT.max(slot.first * SILENT_TIMES);
     let start = Start {
         ticket: pending.request.ticket,
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -115,7 +115,8 @@
         self.dequeue(ticket);
         if let Some(pending) = self.requests.get_mut(&ticket) {
             pending.withdraw(effects);
-            effects.push(Effect::Start(queue::start(now, pending, slot, Some(number))));
+            let start = queue::start(now, pending, slot, Some(number), &mut self.rollouts);
+            effects.push(Effect::Start(start));
         }
     }
 
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -27,7 +27,7 @@
         now: Now,
         ticket: Ticket,
         outcome: Outcome,
-        begun: bool,
+        (begun, events): (bool, u32),
         effects: &mut Vec<Effect>,
     ) {
         let Some(pending) = self.requests.get_mut(&ticket) else {
@@ -38,9 +38,11 @@
         };
         pending.stage = Stage::Waiting;
         let target = running.slot.target.clone();
-        pending.begun |= begun;
+        pending.begun |= begun || events > 0;
         pending.ran |= outcome.may_have_run();
         let (pool, tier, body) = (pending.pool.clone(), pending.tier, pending.request.fingerprint);
+        let route = pending.route.clone();
+        self.learn_version(now.steady, (&pool, &route), &running, (outcome, events));
         self.release(ticket, &running, effects);
         let Running { slot, since, .. } = running;
         let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
@@ -197,6 +199,9 @@
         self.dequeue(ticket);
         let mut pending = self.requests.remove(&ticket)?;
         pending.withdraw(effects);
+        if pending.chosen == Some(true) {
+            self.rollouts.release(&pending.pool, &pending.route);
+        }
         if let Stage::Running(running) = &pending.stage {
             self.release(ticket, running, effects);
         }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -86,8 +86,12 @@
             used.extend(vanished.cloned());
         }
         let ready = used.iter().filter(|target| target.ready).count();
-        effects.push(Effect::Note(Note::Targets { ready, listed: used.len() }));
-        for target in self.capacity.list(used) {
+        let listed = used.len();
+        let restarted = self.capacity.list(used);
+        self.assign_lanes(now);
+        let unordered = self.capacity.shut();
+        effects.push(Effect::Note(Note::Targets { ready, listed, unordered }));
+        for target in restarted {
             // What broke off there just before ran when it died.
             self.count_crashes(now, &target, effects);
             effects.push(Effect::Note(Note::Restarted(target)));
@@ -105,6 +109,7 @@
     pub(super) fn hear(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
         let (own, opened) = (self.settings.address, self.opened);
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
+            self.hear_shares(now, row.age, &row.rollouts, effects);
             for told in self.peers.hear(now, now.saturating_duration_since(opened), row) {
                 let (Told::Spent(account, _) | Told::Left(account, _)) = &told;
                 let usage = self.accounts.entry(account.clone());
@@ -139,5 +144,6 @@
             effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
         self.capacity.count_others(now, self.peers.running(now));
+        self.decide_rollouts(now, effects);
     }
 }
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -43,6 +43,7 @@
         gone: GONE,
         repeats: Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
         tolerance: Tolerance { ratio: 0.1, slack: 1_000.0, window: WINDOW },
+        exposure: 0.1,
     }
 }
 
@@ -164,6 +165,7 @@
         zone: "north".into(),
         slots: 2,
         ready: true,
+        version: "v1".into(),
     }
 }
 
