Send long answers, by their callers' hints, to targets that end them in time

Cause: targets differ threefold in pace and answers a hundredfold in length, and an answer went anywhere. Length-Hint is on every stream and nothing read it; the log shows it within 0.5 and 2.3 times of what came for nine of ten.

Agents tell the time of a token with each grant (Load::step); an entry reserves an answer only where 1.6 times the expected tokens end in time, or at the fastest, and gives a grant back that tells it too late. What agents weigh as work is what is expected, no longer the most that may come.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -129,6 +129,7 @@
         key: call.ask.key.clone(),
         patience: call.ask.patience,
         tokens: call.ask.tokens,
+        expected: call.ask.expected,
         fingerprint,
         draw: u64::from_le_bytes(bytes),
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -83,6 +83,8 @@
     pub patience: Option<Duration>,
     /// Its tokens.
     pub tokens: Option<Tokens>,
+    /// Tokens of the answer that its caller expects.
+    pub expected: Option<u32>,
     /// The event after which its answer goes on.
     pub last_event: Option<String>,
 }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -33,6 +33,7 @@
                 elsewhere = view.elsewhere,
                 plan = view.plan,
                 units = view.units,
+                expected = view.expected,
                 patience_ms = millis(view.patience),
                 left_ms = start.until.saturating_duration_since(now).as_millis() as u64,
                 "dispatched"
@@ -136,6 +137,7 @@
         route = grounds.route,
         account = grounds.account,
         tier = grounds.tier,
+        expected = grounds.expected,
         waited_ms = millis(grounds.waited),
         open,
         ahead = grounds.ahead,
--- a/components/model/src/reservation.rs
+++ b/components/model/src/reservation.rs
@@ -100,4 +100,6 @@
     pub floor: Option<Rank>,
     /// Highest configuration offset that the agent has heard of.
     pub offset: Offset,
+    /// Time that the target takes for each token that it generates; `None` while too little is known.
+    pub step: Option<Duration>,
 }
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -181,7 +181,7 @@
         let running = self.held.try_into().unwrap_or(u32::MAX);
         let waiting = self.queue.len().try_into().unwrap_or(u32::MAX);
         let floor = self.shed.map(|shed| shed.rank);
-        Load { running, waiting, floor, offset: self.heard }
+        Load { running, waiting, floor, offset: self.heard, step: self.pace.step() }
     }
 
     /// The lowest tier's rank among those that wait.
--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -95,6 +95,13 @@
         Some(Duration::from_secs_f64(unit * work as f64))
     }
 
+    /// Average time of a decode step, of which a prompt counts as a part; `None` while too little is
+    /// known.
+    pub fn step(&self) -> Option<Duration> {
+        let step = Duration::from_secs_f64(self.unit * STEP as f64);
+        (self.learnt >= LEARNT).then_some(step)
+    }
+
     /// Average time that a run takes.
     pub fn run(&self) -> Duration {
         Duration::from_secs_f64(self.run)
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -42,6 +42,10 @@
 const KEPT: u32 = 1;
 /// Time, in ms, for which a target may still have prompts to read when it gets the next.
 const READING: f64 = 150.0;
+/// How much longer than expected an answer may be that still has to end in time: one of six is longer.
+const LONGER: f64 = 1.6;
+/// How much slower than the fastest a target may be that takes answers which may not end in time there.
+const FASTEST: f64 = 1.2;
 /// Time to the first event that is assumed of a request before any was seen, in ms a token.
 const FIRST_GUESS: f64 = 0.05;
 
@@ -71,6 +75,8 @@
     told: Option<(Instant, Load)>,
     /// Time to the first event, in ms a token; `None` before the first.
     first: Option<f64>,
+    /// Time for each token of an answer, in ms, as its agent says.
+    pace: Option<f64>,
     /// Part of the requests that failed or were lost.
     failing: f64,
 }
@@ -109,6 +115,7 @@
             away_for: Duration::ZERO,
             told: None,
             first: None,
+            pace: None,
             failing: 0.0,
         }
     }
@@ -163,6 +170,14 @@
         self.first.unwrap_or(usual) * (self.unread + self.others_unread) > READING
     }
 
+    /// Whether a long answer ends in time here, or is better off nowhere else.
+    fn ends_in_time(&self, demand: &Demand<'_>, fastest: f64) -> bool {
+        let left_ms = demand.left.as_secs_f64() * 1_000.0;
+        self.pace.is_none_or(|pace| {
+            pace * demand.output * LONGER <= left_ms || pace <= fastest * FASTEST
+        })
+    }
+
     fn occupy(&mut self, tokens: f64, usual: f64) -> Slot {
         let load = self.load(tokens);
         self.own += 1;
@@ -391,6 +406,13 @@
         places.iter().filter_map(|&place| self.states.get(place))
     }
 
+    /// The shortest time for a token at any target that a request may go to, in ms.
+    fn fastest(&self, now: Instant, demand: &Demand<'_>) -> f64 {
+        let open = self.pool(demand.pool);
+        let open = open.filter(|state| state.lane == demand.lane && state.is_up(now));
+        open.filter_map(|state| state.pace).fold(f64::INFINITY, f64::min)
+    }
+
     /// The mean of what is known of a pool's targets, in ms a token.
     fn usual(&self, pool: &str) -> f64 {
         let known = self.pool(pool).filter_map(|state| state.first);
@@ -436,6 +458,10 @@
     pub draw: u64,
     /// Tokens of its prompt.
     pub tokens: f64,
+    /// Tokens that its answer is expected to have; 0 where that isn't known.
+    pub output: f64,
+    /// Time that is left for the answer.
+    pub left: Duration,
     /// Targets that it was dispatched to.
     pub tried: &'a [TargetName],
     /// Which targets it may go to.
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -64,6 +64,8 @@
         let open = open.filter(|state| {
             state.lane == demand.lane && state.is_up(now) && state.is_reserved(now)
         });
+        let fastest = self.fastest(now, demand);
+        let open = open.filter(|state| state.ends_in_time(demand, fastest));
         let fresh = open.filter(|state| {
             let name = &state.target.name;
             !demand.tried.contains(name) && reserved.iter().all(|known| known.target != *name)
@@ -87,11 +89,18 @@
         state.is_some_and(|state| state.is_up(now) && state.is_reserved(now))
     }
 
-    /// Takes the slot that a target's agent granted; `None` where the target takes no more requests.
-    pub fn occupy(&mut self, now: Instant, reserved: &Reserved, tokens: f64) -> Option<Slot> {
-        let usual = self.usual(&self.state(&reserved.target)?.target.pool);
+    /// Takes the slot that a target's agent granted; `None` where the target takes no more requests, or
+    /// its agent said just now that it is too slow for this one.
+    pub fn occupy(
+        &mut self,
+        now: Instant,
+        reserved: &Reserved,
+        demand: &Demand<'_>,
+    ) -> Option<Slot> {
+        let (usual, fastest) = (self.usual(demand.pool), self.fastest(now, demand));
         let state = self.current(&reserved.target, reserved.incarnation)?;
-        state.is_up(now).then(|| state.occupy(tokens, usual))
+        let fits = state.is_up(now) && state.ends_in_time(demand, fastest);
+        fits.then(|| state.occupy(demand.tokens, usual))
     }
 
     /// Learns what an agent says of its target.
@@ -100,6 +109,7 @@
             // What was just granted is counted there already.
             state.others = load.running.saturating_sub(state.own + 1);
             state.told = Some((now, load));
+            state.pace = load.step.map(|step| step.as_secs_f64() * 1_000.0);
             state.away_for = Duration::ZERO;
         }
     }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -58,6 +58,8 @@
     pub patience: Option<Duration>,
     /// Its tokens, where it says them.
     pub tokens: Option<Tokens>,
+    /// Tokens of the answer that its caller expects, which may be far off.
+    pub expected: Option<u32>,
     /// Fingerprint of its path, caller and body.
     pub fingerprint: Fingerprint,
     /// Spread evenly over requests.
@@ -315,6 +317,8 @@
     pub account: Option<AccountName>,
     /// Rank of its route.
     pub tier: Option<u32>,
+    /// Tokens of the answer that its caller expects.
+    pub expected: Option<u32>,
     /// Time since it arrived.
     pub waited: Duration,
     /// Requests that stood before it.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -186,6 +186,8 @@
     pub plan: u64,
     /// Units that it took of its account's limit.
     pub units: f64,
+    /// Tokens of the answer that its caller expects.
+    pub expected: Option<u32>,
     /// Whose it is.
     pub account: Option<&'a str>,
     /// Rank of its route.
@@ -356,6 +358,7 @@
             elsewhere: state.map_or(0, |state| state.others),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
             units: pending.units,
+            expected: pending.request.expected,
             account: pending.account.as_deref(),
             tier: pending.tier,
             running_for: now.saturating_duration_since(since),
@@ -376,6 +379,7 @@
             route: pending.route.clone(),
             account: pending.account.clone(),
             tier: Some(pending.tier),
+            expected: pending.request.expected,
             waited: now.saturating_duration_since(pending.arrived),
             ahead: queue.map_or(0, |queue| queue.range(..pending.order()).count()),
             free,
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use model::id::{AccountName, PoolName, TargetName};
+use model::id::{AccountName, PoolName, TargetName, ZoneName};
 
 use super::{
     allowance::Claim,
-    capacity::Slot,
-    event::{Incarnation, Request, Ticket},
+    capacity::{Demand, Slot},
+    event::{Incarnation, Request, Ticket, Tokens},
     plan::Repeat,
+    rollout::Lane,
 };
 
 /// Order in which requests of a pool are dispatched.
@@ -143,6 +144,34 @@
         allowed && ran < self.attempts as usize
     }
 
+    /// What it asks of a target.
+    pub fn demand<'a>(
+        &self,
+        now: Instant,
+        pool: &'a PoolName,
+        zone: &'a ZoneName,
+        tried: &'a [TargetName],
+    ) -> Demand<'a> {
+        Demand {
+            pool,
+            zone,
+            draw: self.request.draw,
+            tokens: self.prompt(),
+            output: self.request.expected.map_or(0.0, f64::from),
+            left: self.until.saturating_duration_since(now),
+            tried,
+            lane: Lane::Base,
+            lowest: false,
+        }
+    }
+
+    /// Its tokens, those of the answer as its caller expects them.
+    pub fn tokens(&self) -> Tokens {
+        let tokens = self.request.tokens.unwrap_or_default();
+        let output = self.request.expected.map_or(tokens.output, |tokens| tokens);
+        Tokens { output, ..tokens }
+    }
+
     /// Tokens of its prompt; 0 where it has none.
     pub fn prompt(&self) -> f64 {
         self.request.tokens.map_or(0.0, |tokens| f64::from(tokens.prompt))
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -104,7 +104,6 @@
                 };
                 let lowest = self.lowest.get(pool) == Some(&pending.tier)
                     && self.holds.is_longest(pool, pending.tier);
-                let tried = pending.tried.clone();
                 let draw = (pending.request.draw >> 12) as f64 / (1_u64 << 52) as f64;
                 let chosen = *pending.chosen.get_or_insert_with(|| {
                     let allowed = self.settings.exposure;
@@ -112,14 +111,11 @@
                     self.rollouts.choose(now.steady, asked, draw, allowed, alone)
                 });
                 let lane = self.rollouts.lane(now.steady, pool, chosen);
+                let tried = pending.tried.clone();
                 let demand = Demand {
-                    pool,
-                    zone: &self.settings.zone,
-                    draw: pending.request.draw,
-                    tokens: pending.prompt(),
-                    tried: &tried,
                     lane,
                     lowest,
+                    ..pending.demand(now.steady, pool, &self.settings.zone, &tried)
                 };
                 let open = fits || lane == Lane::Ordered;
                 if open && (!lowest || lowest_fits) {
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -93,7 +93,7 @@
             slots: target.slots,
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
-            tokens: pending.request.tokens.unwrap_or_default(),
+            tokens: pending.tokens(),
         }));
     }
     (pending.reserved.len() < MOST).then_some(pending.next_reservation)
@@ -129,9 +129,10 @@
     ) -> Option<Slot> {
         let pending = self.requests.get_mut(&ticket)?;
         let reserved = pending.take_reserved(number)?;
-        let tokens = pending.prompt();
         self.capacity.hear_load(now, &reserved, load);
-        self.capacity.occupy(now, &reserved, tokens)
+        let lane = self.rollouts.lane(now, &pending.pool, pending.chosen == Some(true));
+        let demand = pending.demand(now, &pending.pool, &self.settings.zone, &pending.tried);
+        self.capacity.occupy(now, &reserved, &Demand { lane, ..demand })
     }
 
     /// An agent gives no room: its target is left alone for a while or, where only the agent is away,
--- a/components/scheduler/tests/agent_admission.rs
+++ b/components/scheduler/tests/agent_admission.rs
@@ -157,3 +157,31 @@
 
     assert_eq!(lower, 0);
 }
+
+/// Pattern: answers of a length that is known, at a target of one pace.
+#[test]
+fn the_time_of_a_token_is_told_once_enough_runs_have_ended() {
+    let mut state = open(1, policy());
+    let mut now = Instant::now();
+    assert_eq!(state.load().step, None);
+
+    for number in 0..8 {
+        let asked = Ask {
+            id: id(number),
+            rank: 1,
+            remaining: Duration::from_secs(60),
+            prefill: 100,
+            decode: 1_000,
+            prefix: Vec::new(),
+            offset: 0,
+            body: Default::default(),
+        };
+        agent::reduce(&mut state, now, Event::Reserve(asked));
+        agent::reduce(&mut state, now, Event::Start(id(number)));
+        now += 1_000 * MS;
+        agent::reduce(&mut state, now, Event::Ended(id(number)));
+    }
+
+    let step = state.load().step.expect("enough runs have ended");
+    assert!((MS.mul_f64(0.99)..MS).contains(&step), "{step:?}");
+}
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -182,6 +182,7 @@
         key: Some("key".into()),
         patience: Some(Duration::from_secs(5)),
         tokens: Some(Tokens { prompt: 100, output: 10 }),
+        expected: None,
         fingerprint: [ticket as u8; 16],
         draw: ticket,
     }
