--- a/components/scheduler/tests/direct_rollouts.rs
+++ b/components/scheduler/tests/direct_rollouts.rs
@@ -15,6 +15,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use scheduler::direct::{
     Effect, Event, Note, Outcome, Target, Ticket,
+    peers::Row,
     plan::Repeat,
     relay::Position,
     rollout::{Action, Order, Progress, Report},
@@ -56,6 +57,9 @@
     status: Option<Report>,
     /// Processes that hear no other, and don't reach the platform's service.
     cut: BTreeSet<usize>,
+    /// Part of the rows that are lost; as many come twice, or after later ones.
+    lossy: f64,
+    late: Vec<(usize, Row)>,
     dispatched: u32,
     exposed: u32,
     /// Steps at which the ordered version answered badly, and at which it got a request.
@@ -111,6 +115,8 @@
         running: BTreeMap::new(),
         status: None,
         cut: BTreeSet::new(),
+        lossy: 0.0,
+        late: Vec::new(),
         dispatched: 0,
         exposed: 0,
         bad: Vec::new(),
@@ -192,12 +198,37 @@
             let row = self.processes[from].state.row(now);
             for to in 0..self.processes.len() {
                 if from != to && !self.cut.contains(&from) && !self.cut.contains(&to) {
-                    self.send(to, Event::Heard(vec![row.clone()]));
+                    self.tell(to, &row);
                 }
             }
         }
     }
 
+    fn tell(&mut self, to: usize, row: &Row) {
+        if self.random.random_bool(self.lossy) {
+            return;
+        }
+        if self.random.random_bool(self.lossy) {
+            self.late.push((to, row.clone()));
+        }
+        self.send(to, Event::Heard(vec![row.clone()]));
+        if self.random.random_bool(self.lossy) && !self.late.is_empty() {
+            let place = self.random.random_range(0..self.late.len());
+            let (to, row) = self.late.swap_remove(place);
+            self.send(to, Event::Heard(vec![row]));
+        }
+    }
+
+    /// A process starts again, with nothing that it knew but what it reads.
+    fn restart(&mut self, index: usize) {
+        let other = (index + 1) % PROCESSES;
+        let at = Process { now: self.processes[other].now, ..joined(index, None) };
+        self.processes[index] = joined(index, Some(&at));
+        self.running.retain(|(_, running, _), _| *running != index);
+        self.processes[index].list(all_targets());
+        self.processes[index].send(Event::Ordered(order()));
+    }
+
     /// The platform's service takes reports, and says what stands there.
     fn serve(&mut self) {
         for index in 0..self.processes.len() {
@@ -344,11 +375,7 @@
         world.run(200);
         world.begin();
         world.run(150);
-        let at = Process { now: world.processes[1].now, ..joined(0, None) };
-        world.processes[0] = joined(0, Some(&at));
-        world.running.retain(|(_, index, _), _| *index != 0);
-        world.processes[0].list(all_targets());
-        world.processes[0].send(Event::Ordered(order()));
+        world.restart(0);
 
         world.run(END - 150);
 
@@ -357,6 +384,34 @@
     }
 }
 
+/// Rows are lost, doubled and late; processes are cut off and start again in any order.
+#[test]
+fn whatever_happens_to_rows_and_processes_a_bad_version_keeps_to_its_share() {
+    for seed in 0..30 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let failing = random.random_range(0.15..0.9);
+        let from = random.random_range(0..600);
+        let mut world = world(Version { failing, from, ..GOOD }, seed);
+        world.run(200);
+        world.begin();
+        world.lossy = 0.3;
+
+        for _ in 0..12 {
+            match random.random_range(0..4) {
+                0 => world.restart(random.random_range(0..PROCESSES)),
+                1 => drop(world.cut.insert(random.random_range(0..PROCESSES))),
+                2 => world.cut.clear(),
+                _ => {}
+            }
+            world.run(END / 12);
+        }
+
+        let completed = Some(Progress::Completed);
+        assert_ne!(world.progress(), completed, "seed {seed}: {:?}", world.actions);
+        world.check_exposure();
+    }
+}
+
 #[test]
 fn before_the_order_and_without_a_report_the_version_gets_nothing() {
     let mut process = joined(0, None);
