Report roll-outs again in a new era of the store, also where others still tell of the older one

Cause: a final report was known to stand for good, so one that an older copy of the store lacks was written again only where that copy held `running`. Rows now say in which era the store said what it says; in a newer one nothing counts as reported until it is read or written there. An order that was taken back is never reported, by a flag of its own instead of a report that was made up.

--- a/components/scheduler/src/direct/era.rs
+++ b/components/scheduler/src/direct/era.rs
@@ -27,10 +27,14 @@
 impl State {
     /// Sees the platform's era. In a newer one the list may lack targets, as after an outage.
     pub(super) fn enter(&mut self, now: Instant, era: Era) {
-        if self.era.is_none_or(|known| known < era) && self.era.replace(era).is_some() {
+        if self.era.is_some_and(|known| known >= era) {
+            return;
+        }
+        if self.era.replace(era).is_some() {
             self.era_began = Some(now);
             self.outage = Some(now);
         }
+        self.rollouts.enter(era);
     }
 
     /// Whether a version that the platform has as its newest proves that the one in force is current.
--- a/components/scheduler/src/direct/rollout.rs
+++ b/components/scheduler/src/direct/rollout.rs
@@ -19,7 +19,7 @@
 pub use evidence::{Answer, Tally};
 use evidence::{Evidence, Judgement};
 
-use super::relay::Position;
+use super::relay::{Era, Position};
 
 /// Version of the software of a target.
 pub type Version = String;
@@ -87,6 +87,8 @@
     pub progress: Progress,
     /// What the platform's service is known to say.
     pub reported: Option<Progress>,
+    /// The era in which it said so.
+    pub era: Era,
     /// Whether the process sends nothing to old targets any more, and has nothing there.
     pub moved: bool,
     /// Answers by route: of the version before, and of the ordered one.
@@ -153,6 +155,8 @@
     reported: Option<Progress>,
     /// Whether the report that stands is of an earlier order.
     renews: bool,
+    /// Whether the operator took the order back; nothing is reported then.
+    withdrawn: bool,
     /// Dispatches of this process by route, so that the ordered version gets its share of each.
     counts: BTreeMap<String, Count>,
     evidence: Evidence,
@@ -175,6 +179,8 @@
     rollouts: BTreeMap<PoolName, Rollout>,
     /// Versions that are served without an order.
     base: BTreeMap<PoolName, BTreeSet<Version>>,
+    /// The platform's era.
+    era: Era,
 }
 
 /// What the other processes that may take requests tell of an order.
@@ -283,6 +289,7 @@
             moving: None,
             reported: None,
             renews,
+            withdrawn: false,
             counts: BTreeMap::new(),
             evidence: Evidence::default(),
         };
@@ -298,10 +305,18 @@
             return None;
         }
         rollout.progress = Progress::RolledBack;
-        rollout.reported = Some(Progress::RolledBack);
+        rollout.withdrawn = true;
         Some(rollout.step(now, Action::Withdraw))
     }
 
+    /// The platform's service came back from an older copy, which may lack what was reported.
+    pub fn enter(&mut self, era: Era) {
+        self.era = era;
+        for rollout in self.rollouts.values_mut() {
+            rollout.reported = None;
+        }
+    }
+
     /// Takes in what the platform's service says; a final report there decides.
     pub fn report(&mut self, now: Instant, report: &Report) -> Option<Step> {
         let rollout = self.rollouts.get_mut(&report.pool)?;
@@ -326,7 +341,9 @@
         if rollout.order.position != share.order.position {
             return steps;
         }
-        if rollout.reported.is_none_or(|known| known == Progress::Running) {
+        // What stood in an older era may be gone.
+        let current = share.era >= self.era;
+        if current && rollout.reported.is_none_or(|known| known == Progress::Running) {
             rollout.reported = share.reported.or(rollout.reported);
         }
         // Only the platform's service says that it is completed: another may have rolled back.
@@ -385,7 +402,8 @@
 
     /// What the platform's service isn't known to say yet.
     pub fn reports(&self) -> Vec<Report> {
-        let open = self.rollouts.values().filter(|rollout| {
+        let ordered = self.rollouts.values().filter(|rollout| !rollout.withdrawn);
+        let open = ordered.filter(|rollout| {
             rollout.reported.is_none()
                 || (rollout.reported == Some(Progress::Running) && !rollout.is_active())
         });
@@ -405,6 +423,7 @@
             age: now.saturating_duration_since(rollout.since),
             progress: rollout.progress,
             reported: rollout.reported,
+            era: self.era,
             moved: rollout.has_moved(now) && idle(&rollout.order),
             tallies: if rollout.is_active() { rollout.evidence.own() } else { Vec::new() },
         });
--- a/components/scheduler/tests/direct_rollouts.rs
+++ b/components/scheduler/tests/direct_rollouts.rs
@@ -459,6 +459,31 @@
     assert!(process.state.reports().is_empty());
 }
 
+/// Another process that hasn't seen the newer era yet still tells what stood in the older one.
+#[test]
+fn what_an_older_copy_lacks_is_reported_again() {
+    let mut first = joined(0, None);
+    let mut second = joined(1, None);
+    let said = Report {
+        pool: "pool".into(),
+        target: "v2".into(),
+        progress: Progress::RolledBack,
+        renews: false,
+    };
+    for process in [&mut first, &mut second] {
+        process.send(Event::Ordered(order()));
+        process.send(Event::Reported(vec![said.clone()]));
+        assert!(process.state.reports().is_empty());
+    }
+
+    first.era += 1;
+    first.confirm();
+    let row = second.state.row(second.now.steady);
+    first.send(Event::Heard(vec![row]));
+
+    assert_eq!(first.state.reports(), [said]);
+}
+
 #[test]
 fn an_order_that_is_taken_back_ends_without_a_report() {
     let mut process = joined(0, None);
@@ -468,6 +493,9 @@
     process.send(Event::Withdrawn { pool: "pool".into(), position });
 
     assert!(process.state.reports().is_empty());
+    process.era += 1;
+    process.confirm();
+    assert!(process.state.reports().is_empty());
 }
 
 #[test]
