Say how old the list of targets is by which a request is dispatched

Nothing is decided by it.

direct_relay.rs: the age counts from the last answer (new API, so it couldn't fail before).

--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -32,6 +32,7 @@
                 running = view.running,
                 elsewhere = view.elsewhere,
                 plan = view.plan,
+                list_age_ms = view.list_age.map(millis),
                 units = view.units,
                 expected = view.expected,
                 patience_ms = millis(view.patience),
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Metrics of an entry process that dispatches straight to targets.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -57,6 +57,8 @@
     pub together: Gauge,
     /// Targets that take requests.
     pub targets: Gauge,
+    /// Seconds since the platform last answered a read of its list of targets.
+    pub list_age: Gauge<f64, AtomicU64>,
     /// Log lines that were left out.
     pub left_out: Gauge,
 }
@@ -81,6 +83,7 @@
         fresh: Gauge::default(),
         together: Gauge::default(),
         targets: Gauge::default(),
+        list_age: Gauge::default(),
         left_out: Gauge::default(),
     };
     let first = "Time from dispatch to the first event or the whole answer, by tier";
@@ -107,6 +110,8 @@
     for (name, help, gauge) in gauges {
         registry.register(name, help, gauge.clone());
     }
+    let list_age = "Time since the platform last answered a read of its list of targets";
+    registry.register("targets_list_age_seconds", list_age, metrics.list_age.clone());
     Gateway { registry, ..metrics }
 }
 
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -217,6 +217,8 @@
     },
     /// The targets that the platform lists were read.
     Listed(Listing),
+    /// The platform answered a read of its list, whether or not that changed.
+    ListAnswered,
     /// Another process told what it has.
     Offered {
         /// Where it listens.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -126,6 +126,8 @@
     outage: Option<Instant>,
     /// The last list that was read or relayed.
     listing: Listing,
+    /// When the platform last answered a read of its list.
+    list_answered: Option<Instant>,
     /// What others have; of those only that are ahead of this process in something.
     offers: BTreeMap<SocketAddr, Known>,
     /// What is being fetched from one of them.
@@ -184,6 +186,8 @@
     pub elsewhere: u32,
     /// Version of the configuration.
     pub plan: u64,
+    /// Time since the platform last answered a read of its list of targets; `None` where it never did.
+    pub list_age: Option<Duration>,
     /// Units that it took of its account's limit.
     pub units: f64,
     /// Tokens of the answer that its caller expects.
@@ -222,6 +226,7 @@
         answered: None,
         outage: None,
         listing: Listing::default(),
+        list_answered: None,
         offers: BTreeMap::new(),
         fetching: BTreeSet::new(),
         keeps_vanished: false,
@@ -286,6 +291,7 @@
         }
         Event::Confirmed { boot, version, era } => state.confirm(now, boot, version, era),
         Event::Listed(listing) => state.take_over(now.steady, listing, &mut effects),
+        Event::ListAnswered => state.list_answered = Some(now.steady),
         Event::Offered { peer, offer } => state.offered(now, peer, offer),
         Event::Fetched { peer, topic, news } => {
             state.fetched(now.steady, (peer, topic), news, &mut effects);
@@ -357,6 +363,7 @@
             running: state.map_or(0, |state| state.own),
             elsewhere: state.map_or(0, |state| state.others),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
+            list_age: self.list_age(now),
             units: pending.units,
             expected: pending.request.expected,
             account: pending.account.as_deref(),
@@ -388,6 +395,11 @@
         }
     }
 
+    /// Time since the platform last answered a read of its list of targets; `None` where it never did.
+    pub fn list_age(&self, now: Instant) -> Option<Duration> {
+        self.list_answered.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Whether another process that may take requests isn't heard.
     pub fn is_lonely(&self, now: Instant) -> bool {
         let gone = self.settings.gone;
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -250,3 +250,16 @@
 
     assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
 }
+
+#[test]
+fn a_dispatch_tells_how_long_ago_the_platform_answered_for_its_list() {
+    let mut process = process(routes(7), targets(1));
+    assert_eq!(process.state.list_age(process.now.steady), None);
+    process.send(Event::ListAnswered);
+    process.pass(SILENT);
+
+    process.arrive(request(1, "/open/"));
+
+    let view = process.state.view(1, process.now.steady).expect("it was dispatched");
+    assert_eq!(view.list_age, Some(SILENT));
+}
