Give up reads of the log and of the hosts while what they bring is still in time

Both now end for 2 s of silence, before the answer or within it, so that a large answer on a slow link isn't cut. Appends keep their 10 s: what became of one is asked from the log, and no bound rests on it.

--- a/components/source/src/hosts.rs
+++ b/components/source/src/hosts.rs
@@ -5,7 +5,10 @@
 use model::{Host, id::HostName};
 use serde::{Deserialize, Serialize};
 
-const TIMEOUT: Duration = Duration::from_secs(5);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest silence before an answer and within it. With the pause before the next read it must fit into
+/// the time in which a host that leaves must get no more work.
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// Names one state of the list; the platform chooses it.
 pub type Version = String;
@@ -40,7 +43,11 @@
 
 /// Gives a client of the list at a base URL; nothing is sent yet.
 pub fn open(base: &str) -> Client {
-    let http = reqwest::Client::builder().timeout(TIMEOUT).no_proxy().build();
+    let http = reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(SILENCE)
+        .no_proxy()
+        .build();
     Client { base: base.to_owned(), http: http.expect("a client without TLS can be built") }
 }
 
--- a/components/source/src/log.rs
+++ b/components/source/src/log.rs
@@ -4,12 +4,17 @@
 
 use displaydoc::Display;
 use model::id::Offset;
-use reqwest::StatusCode;
-use serde::{Deserialize, Serialize};
+use reqwest::{Response, StatusCode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
+use tokio::time::timeout;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const APPEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest silence within the answer to a read, and before it beyond the wait that was asked for. A
+/// read that hangs and the one after it must both fit into the time in which a configuration must be
+/// in force.
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// One record of a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -89,7 +94,7 @@
     pub async fn append(&self, stream: &str, payload: &str) -> Result<Offset, Error> {
         let url = format!("{}/streams/{stream}/records", self.base);
         let body = Append { payload: payload.to_owned() };
-        let sent = self.http.post(url).timeout(CALL_TIMEOUT).json(&body).send().await;
+        let sent = self.http.post(url).timeout(APPEND_TIMEOUT).json(&body).send().await;
         let answer = sent.map_err(classify)?;
         match answer.status() {
             StatusCode::OK | StatusCode::CREATED => {
@@ -114,12 +119,12 @@
             self.base,
             wait.as_millis()
         );
-        let sent = self.http.get(url).timeout(CALL_TIMEOUT + wait).send().await;
-        let answer = sent.map_err(classify)?;
+        let sent = timeout(wait + SILENCE, self.http.get(url).send()).await;
+        let answer = sent.map_err(|_| Error::Unknown)?.map_err(classify)?;
         match answer.status() {
-            StatusCode::OK => answer.json().await.map_err(|_| Error::Unknown),
+            StatusCode::OK => collect(answer).await,
             StatusCode::GONE => {
-                let gone: Gone = answer.json().await.map_err(|_| Error::Unknown)?;
+                let gone: Gone = collect(answer).await?;
                 Err(Error::Expired(gone.first))
             }
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(Error::Busy),
@@ -128,6 +133,18 @@
     }
 }
 
+/// Reads an answer for as long as it keeps coming.
+async fn collect<T: DeserializeOwned>(mut answer: Response) -> Result<T, Error> {
+    let mut body = Vec::new();
+    loop {
+        let next = timeout(SILENCE, answer.chunk()).await.map_err(|_| Error::Unknown)?;
+        match next.map_err(|_| Error::Unknown)? {
+            Some(chunk) => body.extend_from_slice(&chunk),
+            None => return serde_json::from_slice(&body).map_err(|_| Error::Unknown),
+        }
+    }
+}
+
 fn classify(error: reqwest::Error) -> Error {
     if error.is_connect() { Error::Unreachable } else { Error::Unknown }
 }
