Keep an agent alive whose target's runs seem to take no time

One that goes on is then overdue by an infinite factor, and the estimate panics, which ends the agent; whoever waits there is denied, and entries go on by rows until it is started again. Runs that are expected to take no time don't count as overdue now.

scheduler/tests/agent.rs: runs_that_take_no_time_are_learnt_from panicked before and passes now.

--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -63,7 +63,8 @@
     pub fn start(&mut self, now: Instant, id: Id, granted: Instant, work: u64) {
         let lead = now.saturating_duration_since(granted).as_secs_f64();
         self.lead += (lead - self.lead) * WEIGHT;
-        if let Some(run) = self.estimate(now, work) {
+        // A run that is taken to end at once says nothing of the pace by not doing so.
+        if let Some(run) = self.estimate(now, work).filter(|run| !run.is_zero()) {
             self.overdue.insert(Overdue { at: now + run * OVERDUE, since: now, id });
         }
     }
--- a/components/scheduler/tests/agent.rs
+++ b/components/scheduler/tests/agent.rs
@@ -33,6 +33,11 @@
     }
 }
 
+fn run(state: &mut State, now: Instant, request: u128) {
+    agent::reduce(state, now, Event::Reserve(ask(request, 0)));
+    agent::reduce(state, now, Event::Start(id(request)));
+}
+
 fn granted(effects: &[Effect]) -> Vec<Id> {
     let granted = effects.iter().filter_map(|effect| match effect {
         Effect::Grant { id, .. } => Some(*id),
@@ -148,3 +153,23 @@
     assert_eq!(granted(&late), []);
     assert_eq!(state.load().running, 0);
 }
+
+/// Guards against an agent that ends by a panic: runs that end in the moment in which they start teach it
+/// that work takes no time, and the next one is then overdue beyond any number.
+#[test]
+fn runs_that_take_no_time_are_learnt_from() {
+    let begun = Instant::now();
+    let mut state = open(2, 8);
+    for request in 1..=8 {
+        run(&mut state, begun, request);
+        agent::reduce(&mut state, begun, Event::Ended(id(request)));
+    }
+    run(&mut state, begun, 20);
+    run(&mut state, begun, 21);
+    let later = begun + Duration::from_millis(20);
+    agent::reduce(&mut state, later, Event::Ended(id(21)));
+
+    let effects = agent::reduce(&mut state, later, Event::Reserve(ask(22, 0)));
+
+    assert_eq!(granted(&effects), [id(22)]);
+}
