Admit calls of targets without agents at agents of others

An agent can admit to targets besides its own: each entry chooses the same one by rendezvous hashing over the agents that are listed, in the target's zone first. An agent that is away leaves the rows, as for its own target. Ways weighed: rows (as it was); agents.

--- /dev/null
+++ b/components/agent/src/admission/desk.rs
@@ -0,0 +1,146 @@
+//! Admission to one target: owns the reducer's state, takes events in and carries effects out.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use model::reservation::{Ask, Denial, Fate, Grant, Id, Load};
+use scheduler::agent::{self, Effect, Event, Policy, Room, State};
+use tokio::sync::oneshot;
+use tracing::info;
+use wire::admission::Target;
+
+use super::Seen;
+
+/// Life of a grant whose reservation isn't held: it may have crossed the word that gave it up.
+const GRANT: Duration = Duration::from_millis(200);
+/// Most reservations that wait; each is under a kilobyte.
+const WAITING: usize = 10_000;
+/// Part of the work that each tier may have whatever waits above it.
+const FLOOR: f64 = 0.05;
+/// Time without a reservation after which a target is forgotten that another agent may admit to by now.
+const KEEP: Duration = Duration::from_secs(10);
+
+/// What becomes of a reservation.
+pub type Granted = Result<Grant, Denial>;
+
+/// A target and who waits for it.
+pub struct Desk {
+    state: State,
+    granting: HashMap<Id, oneshot::Sender<Granted>>,
+    target: Target,
+    /// What the target had beyond what is held here, when it was last asked.
+    unreserved: usize,
+    reached: bool,
+    /// When room was last asked for.
+    asked: Instant,
+}
+
+/// Gives one where nobody waits, for a target as an entry process knows it.
+pub fn open(target: Target) -> Desk {
+    let slots = target.slots as usize;
+    let room = Room { slots, tokens: u64::MAX, waiting: WAITING, grant: GRANT };
+    info!(address = %target.address, slots, beside = target.beside, "the target is known");
+    Desk {
+        // Entry processes refuse what comes too late, by what they know of all targets.
+        state: agent::open_with(room, Policy { floor: FLOOR, newest: true, ..Policy::first() }),
+        granting: HashMap::new(),
+        target,
+        unreserved: 0,
+        reached: true,
+        asked: Instant::now(),
+    }
+}
+
+impl Desk {
+    /// The target, as an entry process last told it.
+    pub fn target(&self) -> Target {
+        self.target
+    }
+
+    /// When the next `Event::Tick` is due.
+    pub fn next_wake(&self) -> Option<Instant> {
+        agent::next_wake(&self.state)
+    }
+
+    /// Whether nobody needs it any more.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        let Load { running, waiting, .. } = self.state.load();
+        running + waiting == 0 && now.saturating_duration_since(self.asked) > KEEP
+    }
+
+    /// Takes a reservation in; it is answered once there is room, or surely none.
+    pub fn reserve(&mut self, ask: Ask, target: Target, reply: oneshot::Sender<Granted>) {
+        self.asked = Instant::now();
+        if self.target != target {
+            self.target = target;
+            info!(address = %target.address, slots = target.slots, "the target's size changed");
+            self.reduce(Event::Sized(target.slots as usize));
+        }
+        self.granting.insert(ask.id, reply);
+        self.reduce(Event::Reserve(ask));
+    }
+
+    /// Gives a reservation up.
+    pub fn cancel(&mut self, id: Id) {
+        self.granting.remove(&id);
+        self.reduce(Event::Cancel(id));
+    }
+
+    /// Keeps granted room; answers only where there is none.
+    pub fn hold(&mut self, id: Id, reply: oneshot::Sender<Fate>) {
+        let denied = self.effects(Event::Start(id)).into_iter().find_map(|effect| match effect {
+            Effect::DenyStart { fate, .. } => Some(fate),
+            _ => None,
+        });
+        if let Some(fate) = denied {
+            // Whoever asked may have gone.
+            let _ = reply.send(fate);
+        }
+    }
+
+    /// Learns what the target has.
+    pub fn see(&mut self, seen: Seen) {
+        let reached = seen.is_some();
+        if std::mem::replace(&mut self.reached, reached) != reached {
+            let address = self.target.address;
+            info!(%address, reached, "the target takes requests, or none");
+            self.reduce(Event::Reached(reached));
+        }
+        let running = self.state.load().running as usize;
+        let unreserved = seen.unwrap_or_default().saturating_sub(running);
+        // What has just been given up here may still be there: it counts once it stays.
+        let lasting = unreserved.min(self.unreserved);
+        self.unreserved = unreserved;
+        self.reduce(Event::Unreserved(lasting));
+    }
+
+    /// Takes an event in of which nobody is told more than who waits.
+    pub fn reduce(&mut self, event: Event) {
+        self.effects(event);
+    }
+
+    fn effects(&mut self, event: Event) -> Vec<Effect> {
+        let effects = agent::reduce(&mut self.state, Instant::now(), event);
+        for effect in &effects {
+            match effect {
+                Effect::Grant { id, grant } => self.answer(*id, Ok(*grant)),
+                Effect::Deny { id, denial } => self.answer(*id, Err(*denial)),
+                _ => {}
+            }
+        }
+        effects
+    }
+
+    fn answer(&mut self, id: Id, granted: Granted) {
+        let Load { running, waiting, .. } = self.state.load();
+        let reason = granted.as_ref().err().map(|denial| format!("{:?}", denial.reason));
+        let (request, number, to) = (id.request, id.attempt, self.target.address);
+        info!(%request, number, %to, reason, running, waiting, granted = granted.is_ok(), "answered");
+        if let Some(reply) = self.granting.remove(&id) {
+            // Whoever waited may have gone; what was granted lapses.
+            let _ = reply.send(granted);
+        }
+    }
+}
--- a/components/agent/src/admission/service.rs
+++ b/components/agent/src/admission/service.rs
@@ -56,7 +56,7 @@
         self.control.reserve(ask, target).await.unwrap_or(Err(stopped))
     }
 
-    async fn hold(self, _: Context, id: Id) -> Fate {
-        self.control.hold(id).await
+    async fn hold(self, _: Context, id: Id, address: SocketAddr) -> Fate {
+        self.control.hold(id, address).await
     }
 }
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -37,6 +37,7 @@
 const TARGET: Target = Target {
     address: SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9),
     slots: 1,
+    beside: true,
 };
 
 struct Site {
@@ -103,7 +104,7 @@
     fn hold(&self, request: u128) -> JoinHandle<Fate> {
         let client = self.client.clone();
         tokio::spawn(async move {
-            client.hold(context(PATIENCE), id(request)).await.expect("it answers")
+            client.hold(context(PATIENCE), id(request), TARGET.address).await.expect("it answers")
         })
     }
 
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -62,7 +62,7 @@
                     metrics.reserved("granted");
                     report(Event::Granted { ticket, number, load });
                     // An agent that is gone keeps no room; the request runs all the same.
-                    let _ = client.hold(context(HOLD), id).await;
+                    let _ = client.hold(context(HOLD), id, reservation.address).await;
                 }
                 Err(lapse) => {
                     metrics.reserved(name(lapse));
@@ -103,7 +103,8 @@
         offset: 0,
         body: Body::default(),
     };
-    let target = admission::Target { address: reservation.address, slots: reservation.slots };
+    let Reservation { address, slots, beside, .. } = *reservation;
+    let target = admission::Target { address, slots, beside };
     let asked = Instant::now();
     match client.reserve(context(reservation.wait + GRACE), ask, target).await {
         Ok(Ok(grant)) => Ok((client, grant.load)),
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -1,8 +1,9 @@
 //! The targets, what runs at each, and which one a request goes to.
 //!
-//! A target with an agent beside it is reached by a reservation there. Of the others entry processes
-//! share the slots without asking each other first: each has a part of the slots that it may always
-//! use, and may use slots that the others' last rows show as free.
+//! A target with an agent beside it is reached by a reservation there, and one without by a reservation at
+//! the agent of another that all entry processes agree on. Where no agent answers, entry processes share
+//! the slots without asking each other first: each has a part of the slots that it may always use, and
+//! may use slots that the others' last rows show as free.
 
 mod agents;
 
@@ -54,6 +55,8 @@
 pub struct TargetState {
     /// As listed.
     pub target: Target,
+    /// Where the agent listens that admits requests to it; `None` where there is none.
+    pub agent: Option<SocketAddr>,
     /// Requests of this process that it has.
     pub own: u32,
     /// Requests of the others, by their last rows or by what its agent last said.
@@ -102,6 +105,7 @@
 impl TargetState {
     fn open(target: Target) -> TargetState {
         TargetState {
+            agent: target.agent,
             target,
             own: 0,
             others: 0,
@@ -149,7 +153,7 @@
 
     /// Whether requests reach it by way of its agent.
     fn is_reserved(&self, now: Instant) -> bool {
-        self.target.agent.is_some() && self.away_until.is_none_or(|until| until <= now)
+        self.agent.is_some() && self.away_until.is_none_or(|until| until <= now)
     }
 
     /// Tokens that are read before the first event of a request.
@@ -234,6 +238,7 @@
             self.places.insert(target.name.clone(), place);
             self.pools.entry(target.pool.clone()).or_default().push(place);
         }
+        self.lend_agents();
         restarted
     }
 
@@ -333,7 +338,7 @@
     /// How the targets of a pool are reached.
     pub fn ways(&self, now: Instant, pool: &str) -> Ways {
         self.pool(pool).fold(Ways::default(), |ways, state| Ways {
-            agents: ways.agents || state.target.agent.is_some(),
+            agents: ways.agents || state.agent.is_some(),
             rows: ways.rows || (state.is_up(now) && !state.is_reserved(now)),
         })
     }
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -2,10 +2,11 @@
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use model::reservation::Load;
+use model::{id::ZoneName, reservation::Load};
 
 use super::{Capacity, Demand, Reserved, Slot, Target, TargetState};
 
@@ -49,7 +50,38 @@
     }
 }
 
+/// The agent that admits requests to a target which has none beside it: the same for all processes that
+/// know the same targets, in the target's availability zone where there is any, and seldom another one
+/// where targets come and go.
+fn lend(target: &Target, agents: &[(&ZoneName, SocketAddr)]) -> Option<SocketAddr> {
+    let weight = |agent: &SocketAddr| {
+        let mut hasher = DefaultHasher::new();
+        (&target.name, agent).hash(&mut hasher);
+        hasher.finish()
+    };
+    let rank = |&(zone, agent): &(&ZoneName, SocketAddr)| (*zone == target.zone, weight(&agent));
+    agents.iter().copied().max_by_key(rank).map(|(_, agent)| agent)
+}
+
 impl Capacity {
+    /// Chooses an agent for each target that has none beside it.
+    pub(super) fn lend_agents(&mut self) {
+        let ready = self.states.iter().map(|state| &state.target).filter(|target| target.ready);
+        let agents: Vec<_> =
+            ready.filter_map(|target| Some((&target.zone, target.agent?))).collect();
+        let lent: Vec<Option<SocketAddr>> = self
+            .states
+            .iter()
+            .map(|state| state.target.agent.or_else(|| lend(&state.target, &agents)))
+            .collect();
+        for (state, agent) in self.states.iter_mut().zip(lent) {
+            if state.agent != agent {
+                state.away_until = None;
+            }
+            state.agent = agent;
+        }
+    }
+
     /// A target with an agent that a request isn't reserved at yet: first the one that should answer
     /// it first by what is known here, then any others, since that is little where many processes
     /// share the targets.
@@ -58,7 +90,7 @@
         now: Instant,
         demand: &Demand<'_>,
         reserved: &[Reserved],
-    ) -> Option<&Target> {
+    ) -> Option<&TargetState> {
         let usual = self.usual(demand.pool);
         let open = self.pool(demand.pool);
         let open = open.filter(|state| {
@@ -79,7 +111,7 @@
             (cost, state)
         });
         let (_, state) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
-        Some(&state.target)
+        Some(state)
     }
 
     /// Whether a request may still wait at a target's agent.
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -373,6 +373,8 @@
     pub address: SocketAddr,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Whether the agent stands beside it.
+    pub beside: bool,
     /// Its place among those that wait there, lowest first.
     pub rank: Rank,
     /// Time for which it waits at most.
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -77,9 +77,10 @@
         let reserved = u32::try_from(pending.reserved.len()).unwrap_or(u32::MAX);
         pending.next_reservation = now + STEP * 2_u32.saturating_pow(reserved);
         let chosen = capacity.choose(now, demand, &pending.reserved);
-        let Some((target, agent)) = chosen.and_then(|target| Some((target, target.agent?))) else {
+        let Some((state, agent)) = chosen.and_then(|state| Some((state, state.agent?))) else {
             break;
         };
+        let target = &state.target;
         pending.reservations += 1;
         let number = pending.reservations;
         let (name, incarnation) = (target.name.clone(), target.incarnation);
@@ -91,6 +92,7 @@
             target: target.name.clone(),
             address: target.address,
             slots: target.slots,
+            beside: target.agent == Some(agent),
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
             tokens: pending.tokens(),
--- a/components/wire/src/admission.rs
+++ b/components/wire/src/admission.rs
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Requests that it runs at once; at least 1.
     pub slots: u32,
+    /// Whether the agent stands beside it, and can ask it what it has.
+    pub beside: bool,
 }
 
 /// Calls to an agent that admits requests without carrying them.
@@ -25,9 +27,10 @@
 pub trait Admission {
     /// Waits for room at the target; dropping the call cancels the reservation.
     async fn reserve(ask: Ask, target: Target) -> Result<Grant, Denial>;
-    /// Keeps granted room until the call is dropped or its connection ends. It is answered only where
-    /// there is no room to keep, with what became of the reservation.
-    async fn hold(id: Id) -> Fate;
+    /// Keeps granted room at the target that listens at an address until the call is dropped or its
+    /// connection ends. It is answered only where there is no room to keep, with what became of the
+    /// reservation.
+    async fn hold(id: Id, address: SocketAddr) -> Fate;
 }
 
 /// Connects to an agent.
