--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -91,7 +91,7 @@
             agent,
             target: target.name.clone(),
             address: target.address,
-            slots: target.slots,
+            slots: if target.agent == Some(agent) { target.slots } else { target.slots * 3 / 2 },
             beside: target.agent == Some(agent),
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
