Lend an agent only where a target has fewer slots than there are entries

With fewer entries each has a slot of its own, and rows are about as young as a slot is held. All entries count the same number of entries, so that they agree; what differs for a moment costs a target as many calls more as it has slots. A reservation at an agent that admits there no more is given up.

On small sites nothing changes (6 slots, 3 to 5 entries).

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -148,7 +148,7 @@
                 // A desk is forgotten only where it holds no room.
                 match self.desks.get_mut(&address) {
                     Some(desk) => desk.hold(id, reply),
-                    None => drop(reply.send(Fate::Expired)),
+                    None => drop(reply.send(Fate::Unknown)),
                 }
             }
             Message::Ended(address, id) => {
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -40,6 +40,13 @@
     beside: true,
 };
 
+/// A target that has no agent beside it.
+const OTHER: Target = Target {
+    address: SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 10),
+    slots: 1,
+    beside: false,
+};
+
 struct Site {
     agent: Handle,
     /// Requests that the target says it has, or `DOWN`.
@@ -95,7 +102,11 @@
 impl Entry {
     /// Waits for room; gives why there is none.
     async fn reserve(&self, request: u128) -> Result<(), Reason> {
-        let call = self.client.reserve(context(PATIENCE), ask(request), TARGET);
+        self.reserve_at(TARGET, request).await
+    }
+
+    async fn reserve_at(&self, target: Target, request: u128) -> Result<(), Reason> {
+        let call = self.client.reserve(context(PATIENCE), ask(request), target);
         let granted = timeout(PATIENCE, call).await.expect("it answers in time");
         granted.expect("it answers").map(drop).map_err(|denial| denial.reason)
     }
@@ -206,3 +217,28 @@
     assert_eq!(reason, Err(Reason::Draining));
     stop.await.expect("it stops");
 }
+
+#[tokio::test]
+async fn targets_share_no_room() {
+    let site = site().await;
+    let entry = entry(&site).await;
+    entry.reserve(1).await.expect("there is room");
+    let _held = entry.hold(1);
+
+    let other = entry.reserve_at(OTHER, 2).await;
+
+    assert_eq!(other, Ok(()));
+}
+
+#[tokio::test]
+async fn only_the_target_beside_is_asked_what_it_has() {
+    let site = site().await;
+    site.has.store(DOWN, Ordering::Relaxed);
+    let entry = entry(&site).await;
+    entry.reserve_at(OTHER, 1).await.expect("there is room");
+    sleep(LAPSE).await;
+
+    let other = entry.reserve_at(OTHER, 2).await;
+
+    assert_eq!(other, Ok(()));
+}
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -16,6 +16,9 @@
 const AWAY_MAX: Duration = Duration::from_secs(4);
 /// Time after which half of what an agent said still counts: about as long as a slot is held.
 const TOLD_HALF: Duration = Duration::from_millis(500);
+/// Requests, as a part of its slots, that a target may have beyond them where no agent stands beside it:
+/// they keep its slots busy while the word of an end and that of room are on their way.
+const LENT_EXTRA: f64 = 0.5;
 /// Part of the time to a first event by which targets may differ and count as alike: else all processes
 /// would choose the same one.
 const ALIKE: f64 = 0.25;
@@ -35,6 +38,14 @@
         cost * (1.0 + ALIKE * self.chance(demand))
     }
 
+    /// Requests that its agent admits to it at once.
+    pub fn admits(&self) -> u32 {
+        let slots = self.target.slots;
+        let is_lent = self.agent != self.target.agent;
+        let extra = if is_lent { f64::from(slots) * LENT_EXTRA } else { 0.0 };
+        slots + extra.ceil() as u32
+    }
+
     /// A number between 0 and 1, not included, that differs by request and target only.
     fn chance(&self, demand: &Demand<'_>) -> f64 {
         let mut hasher = DefaultHasher::new();
@@ -64,7 +75,15 @@
 }
 
 impl Capacity {
-    /// Chooses an agent for each target that has none beside it.
+    /// Learns how many entry processes share the targets, this one included.
+    pub fn share(&mut self, among: u32) {
+        if std::mem::replace(&mut self.among, among) != among {
+            self.lend_agents();
+        }
+    }
+
+    /// Chooses an agent for each target that has none beside it, and of whose slots an entry process's
+    /// part is less than one: what rows tell is then older than the time for which a slot is held.
     pub(super) fn lend_agents(&mut self) {
         let ready = self.states.iter().map(|state| &state.target).filter(|target| target.ready);
         let agents: Vec<_> =
@@ -72,7 +91,10 @@
         let lent: Vec<Option<SocketAddr>> = self
             .states
             .iter()
-            .map(|state| state.target.agent.or_else(|| lend(&state.target, &agents)))
+            .map(|TargetState { target, .. }| {
+                let lent = || lend(target, &agents).filter(|_| target.slots < self.among);
+                target.agent.or_else(lent)
+            })
             .collect();
         for (state, agent) in self.states.iter_mut().zip(lent) {
             if state.agent != agent {
@@ -118,7 +140,9 @@
     pub fn keeps(&self, now: Instant, reserved: &Reserved) -> bool {
         let state = self.state(&reserved.target);
         let state = state.filter(|state| state.target.incarnation == reserved.incarnation);
-        state.is_some_and(|state| state.is_up(now) && state.is_reserved(now))
+        state.is_some_and(|state| {
+            state.agent == Some(reserved.agent) && state.is_up(now) && state.is_reserved(now)
+        })
     }
 
     /// Takes the slot that a target's agent granted; `None` where the target takes no more requests, or
@@ -149,7 +173,8 @@
     /// Leaves an agent that isn't reached alone: its target is used by what other processes tell.
     pub fn mark_away(&mut self, now: Instant, reserved: &Reserved) {
         let state = self.current(&reserved.target, reserved.incarnation);
-        if let Some(state) = state.filter(|state| state.is_reserved(now)) {
+        let asked = |state: &&mut TargetState| state.agent == Some(reserved.agent);
+        if let Some(state) = state.filter(asked).filter(|state| state.is_reserved(now)) {
             state.away_for = (state.away_for * 2).clamp(AWAY_MIN, AWAY_MAX);
             state.away_until = Some(now + state.away_for);
             state.others = 0;
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -371,7 +371,7 @@
     pub target: TargetName,
     /// Where that listens.
     pub address: SocketAddr,
-    /// Requests that it runs at once.
+    /// Requests that it may have at once.
     pub slots: u32,
     /// Whether the agent stands beside it.
     pub beside: bool,
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -1,6 +1,9 @@
 //! A request that hasn't ended.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::id::{AccountName, PoolName, TargetName, ZoneName};
 
@@ -45,6 +48,8 @@
     pub target: TargetName,
     /// Its start.
     pub incarnation: Incarnation,
+    /// Where the agent listens.
+    pub agent: SocketAddr,
 }
 
 /// Where a request is.
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -84,14 +84,14 @@
         pending.reservations += 1;
         let number = pending.reservations;
         let (name, incarnation) = (target.name.clone(), target.incarnation);
-        pending.reserved.push(Reserved { number, target: name, incarnation });
+        pending.reserved.push(Reserved { number, target: name, incarnation, agent });
         effects.push(Effect::Reserve(Reservation {
             ticket,
             number,
             agent,
             target: target.name.clone(),
             address: target.address,
-            slots: if target.agent == Some(agent) { target.slots } else { target.slots * 3 / 2 },
+            slots: state.admits(),
             beside: target.agent == Some(agent),
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
--- a/components/scheduler/tests/direct_agents.rs
+++ b/components/scheduler/tests/direct_agents.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use direct_support::{Process, limit, plan, process, request, route, start, starts, target};
+use direct_support::{Process, blank, limit, plan, process, request, route, start, starts, target};
 use model::reservation::Load;
 use scheduler::direct::{Effect, Event, Lapse, Outcome, Reservation, Target, Ticket, plan::Repeat};
 use test_case::test_case;
@@ -75,6 +75,70 @@
     assert!((4..=6).contains(&reserved), "{reserved}");
 }
 
+/// A plain target beside others that have agents, of two slots each.
+fn beside_agents() -> Vec<Target> {
+    let mut targets = agents(6);
+    targets.iter_mut().for_each(|target| target.pool = "models".into());
+    targets.push(target(9));
+    targets
+}
+
+/// Hears of so many other entry processes.
+fn meet(entry: &mut Process, others: u16) {
+    for number in 0..others {
+        let mut other = blank(50 + number);
+        other.now = entry.now;
+        let row = other.state.row(other.now.steady);
+        entry.send(Event::Heard(vec![row]));
+    }
+}
+
+#[test]
+fn many_entries_reserve_a_target_without_an_agent_at_the_same_other_one() {
+    let lent = |targets: Vec<Target>| {
+        let mut entry = entry(targets);
+        meet(&mut entry, 2);
+        reservations(&entry.arrive(request(1, "/never/"))).remove(0)
+    };
+    let mut reversed = beside_agents();
+    reversed.reverse();
+
+    let (one, other) = (lent(beside_agents()), lent(reversed));
+
+    assert_eq!((one.target.as_str(), one.beside), ("target-9", false));
+    assert_eq!(one.agent, other.agent);
+    assert!(one.slots > target(9).slots);
+}
+
+#[test]
+fn few_entries_share_a_target_without_an_agent() {
+    let mut entry = entry(beside_agents());
+    meet(&mut entry, 1);
+
+    let effects = entry.arrive(request(1, "/never/"));
+
+    assert_eq!(start(&effects).target, "target-9");
+    assert!(reservations(&effects).is_empty());
+}
+
+#[test]
+fn an_agent_whose_own_target_leaves_admits_to_no_other() {
+    let mut entry = entry(beside_agents());
+    meet(&mut entry, 2);
+    let before = reservations(&entry.arrive(request(1, "/never/"))).remove(0);
+    let leaves = |target: Target| Target {
+        ready: target.ready && target.agent != Some(before.agent),
+        ..target
+    };
+
+    let effects = entry.list(beside_agents().into_iter().map(leaves).collect());
+
+    assert_eq!(withdrawn(&effects), [before.number]);
+    let after = reservations(&effects).remove(0);
+    assert_eq!(after.target, before.target);
+    assert_ne!(after.agent, before.agent);
+}
+
 #[test]
 fn room_that_comes_too_late_is_given_back() {
     let mut entry = entry(agents(2));
--- a/components/wire/src/admission.rs
+++ b/components/wire/src/admission.rs
@@ -16,7 +16,7 @@
 pub struct Target {
     /// Where it listens.
     pub address: SocketAddr,
-    /// Requests that it runs at once; at least 1.
+    /// Requests that it may have at once; at least 1.
     pub slots: u32,
     /// Whether the agent stands beside it, and can ask it what it has.
     pub beside: bool,
