--- a/components/agent/src/admission/queue.rs
+++ b/components/agent/src/admission/queue.rs
@@ -29,10 +29,12 @@
 /// A target, who waits for it and who runs there.
 pub struct Queue {
     state: State,
+    /// Who waits for room.
     granting: HashMap<Id, oneshot::Sender<Granted>>,
     target: Target,
     /// What the target had beyond what is held here, when it was last asked.
     unreserved: usize,
+    /// Whether the target took connections when it was last asked.
     reached: bool,
     /// When room was last asked for.
     asked: Instant,
@@ -117,7 +119,7 @@
         self.reduce(Event::Unreserved(lasting));
     }
 
-    /// Takes an event in of which nobody is told more than who waits.
+    /// Takes an event in; whoever waits is told what follows.
     pub fn reduce(&mut self, event: Event) {
         self.effects(event);
     }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -426,8 +426,8 @@
     fn tell(&mut self) {
         let ready = self.state.is_ready();
         self.metrics.open.set(self.state.open_requests() as i64);
-        let list_age = self.state.list_age(Instant::now()).unwrap_or_default();
-        self.metrics.list_age.set(list_age.as_secs_f64());
+        let list_age = self.state.list_age(Instant::now());
+        self.metrics.list_age.set(list_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
         let lonely = self.state.is_lonely(Instant::now());
         let peers = || self.state.peers();
         let plan = self.state.plan_in_force();
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -57,7 +57,7 @@
     pub together: Gauge,
     /// Targets that take requests.
     pub targets: Gauge,
-    /// Seconds since the platform last answered a read of its list of targets.
+    /// Seconds since the platform last answered a read of its list of targets; infinite where it never did.
     pub list_age: Gauge<f64, AtomicU64>,
     /// Log lines that were left out.
     pub left_out: Gauge,
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -17,7 +17,7 @@
 /// Time after which half of what an agent said still counts: about as long as a slot is held.
 const TOLD_HALF: Duration = Duration::from_millis(500);
 /// Requests, as a part of its slots, that a target may have beyond them where no agent stands beside it:
-/// they keep its slots busy while the word of an end and that of room are on their way.
+/// they keep its slots busy while the news of an end and a grant are on their way.
 const ASSIGNED_EXTRA: f64 = 0.5;
 /// Part of the time to a first event by which targets may differ and count as alike: else all processes
 /// would choose the same one.
