--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -1,7 +1,7 @@
 //! Targets that are reached by way of their agents.
 
 use std::{
-    hash::{DefaultHasher, Hash, Hasher},
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -10,6 +10,8 @@
 
 use super::{Capacity, Demand, Reserved, Slot, Target, TargetState};
 
+/// Gives the same in all processes.
+const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
 /// Time for which an agent that isn't reached is left alone; doubles with each repeat.
 const AWAY_MIN: Duration = Duration::from_millis(250);
 /// Longest time for which it is left alone.
@@ -48,9 +50,8 @@
 
     /// A number between 0 and 1, not included, that differs by request and target only.
     fn chance(&self, demand: &Demand<'_>) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        (demand.draw, &self.target.name).hash(&mut hasher);
-        ((hasher.finish() >> 12) as f64 + 0.5) / (1_u64 << 52) as f64
+        let hash = HASHER.hash_one((demand.draw, &self.target.name));
+        ((hash >> 12) as f64 + 0.5) / (1_u64 << 52) as f64
     }
 
     /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
@@ -65,11 +66,7 @@
 /// know the same targets, in the target's availability zone where there is any, and seldom another one
 /// where targets come and go.
 fn assigned(target: &Target, agents: &[(&ZoneName, SocketAddr)]) -> Option<SocketAddr> {
-    let weight = |agent: &SocketAddr| {
-        let mut hasher = DefaultHasher::new();
-        (&target.name, agent).hash(&mut hasher);
-        hasher.finish()
-    };
+    let weight = |agent: &SocketAddr| HASHER.hash_one((&target.name, agent));
     let near = agents.iter().filter(|(zone, _)| **zone == target.zone).map(|(_, agent)| *agent);
     let all = agents.iter().map(|(_, agent)| *agent);
     near.max_by_key(weight).or_else(|| all.max_by_key(weight))
@@ -93,8 +90,8 @@
             let is_shared = target.slots < self.among;
             target.agent.or_else(|| is_shared.then(|| assigned(target, &agents)).flatten())
         };
-        let agents: Vec<_> = self.states.iter().map(|state| agent(&state.target)).collect();
-        for (state, agent) in self.states.iter_mut().zip(agents) {
+        let chosen: Vec<_> = self.states.iter().map(|state| agent(&state.target)).collect();
+        for (state, agent) in self.states.iter_mut().zip(chosen) {
             if state.agent != agent {
                 state.away_until = None;
             }
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -12,7 +12,7 @@
 //! take room from those that are.
 
 use std::{
-    hash::{DefaultHasher, Hash, Hasher},
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -204,9 +204,7 @@
     }
 
     fn affinity(&self, peer: SocketAddr) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (self.settings.address, peer).hash(&mut hasher);
-        hasher.finish()
+        BuildHasherDefault::<DefaultHasher>::default().hash_one((self.settings.address, peer))
     }
 
     /// Takes a list over that was read here, unless a newer one is known.
--- a/components/source/src/hosts.rs
+++ b/components/source/src/hosts.rs
@@ -1,14 +1,11 @@
 //! Client of the platform's lagging list of hosts.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use model::{Host, id::HostName};
 use serde::{Deserialize, Serialize};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest silence before an answer and within it. With the pause before the next read it must fit into
-/// the time in which a host that leaves must get no more work.
-const SILENCE: Duration = Duration::from_secs(2);
+use crate::{CONNECT_TIMEOUT, SILENCE};
 
 /// Names one state of the list; the platform chooses it.
 pub type Version = String;
--- a/components/source/src/log.rs
+++ b/components/source/src/log.rs
@@ -9,12 +9,9 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+use crate::{CONNECT_TIMEOUT, SILENCE};
+
 const APPEND_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest silence within the answer to a read, and before it beyond the wait that was asked for. A
-/// read that hangs and the one after it must both fit into the time in which a configuration must be
-/// in force.
-const SILENCE: Duration = Duration::from_secs(2);
 
 /// One record of a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
