Log the rate limits that targets name in their answers

The header is read now; a change is a line and a gauge, and each dispatched line has the target's limit and the age of that. Nothing is decided by it yet. A limit that can't be read leaves a line, and neither names nor lifts one; an answer without one lifts it only if it was asked for a second after the last that named one, since answers cross.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -201,7 +201,10 @@
 
     async fn send(&self, start: &Start) -> Result<Opened, Outcome> {
         let Context { targets, dialect, .. } = &*self.context;
-        dispatch::send(targets, dialect, &self.call, start, self.last.as_deref()).await
+        let limited = |per_second| {
+            self.context.control.send(Event::Limited { ticket: self.ticket, per_second });
+        };
+        dispatch::send(targets, dialect, &self.call, start, self.last.as_deref(), limited).await
     }
 
     fn began(&self) {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -15,6 +15,7 @@
 };
 use scheduler::direct::{Outcome, Start};
 use tokio::time::{Instant, timeout_at};
+use tracing::warn;
 
 use crate::{
     Call, Dialect, Verdict,
@@ -75,13 +76,15 @@
     ended: bool,
 }
 
-/// Sends a request and reads its answer, or the head of it where that is a stream.
+/// Sends a request and reads its answer, or the head of it where that is a stream. Tells at once the rate
+/// limit, in requests a second, that the answer names.
 pub async fn send(
     targets: &Targets,
     dialect: &Dialect,
     call: &Call,
     start: &Start,
     last_event: Option<&str>,
+    limited: impl Fn(f64),
 ) -> Result<Opened, Outcome> {
     let until = Instant::from_std(start.until) + WORD;
     let remaining = start.until.saturating_duration_since(std::time::Instant::now());
@@ -95,6 +98,13 @@
     let answer = answer.map_err(|error| lost(&error))?;
     let (mut head, body) = answer.into_parts();
     let verdict = (dialect.judge)(&head, call);
+    // Any other verdict says that this isn't the target's answer.
+    if matches!(verdict, Verdict::Answer | Verdict::Failure | Verdict::NotRun) {
+        match (dialect.limit)(&head) {
+            Ok(per_second) => per_second.into_iter().for_each(limited),
+            Err(message) => warn!(to = start.target, message, "a rate limit can't be read"),
+        }
+    }
     (dialect.strip)(&mut head);
     match verdict {
         Verdict::NotRun => Err(Outcome::Rejected),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -127,6 +127,9 @@
     pub forward: Forward,
     /// Judges the head of a target's answer.
     pub judge: fn(&response::Parts, &Call) -> Verdict,
+    /// Reads the rate limit, in requests a second, that a target's answer names; an error says what is
+    /// wrong with it.
+    pub limit: fn(&response::Parts) -> Result<Option<f64>, String>,
     /// Takes the headers out of a target's answer that concern its connection only.
     pub strip: fn(&mut response::Parts),
     /// Makes an answer of our own.
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -31,6 +31,8 @@
                 waited_ms = view.waited.as_millis() as u64,
                 running = view.running,
                 elsewhere = view.elsewhere,
+                limit = view.limit.map(|(per_second, _)| per_second),
+                limit_age_ms = view.limit.map(|(_, age)| millis(age)),
                 plan = view.plan,
                 list_age_ms = view.list_age.map(millis),
                 units = view.units,
@@ -70,7 +72,9 @@
         }
         Effect::Note(Note::Targets { ready, .. }) => {
             metrics.targets.set(i64::try_from(*ready).unwrap_or(i64::MAX));
+            limited(state, metrics);
         }
+        Effect::Note(Note::Limited { .. }) => limited(state, metrics),
         Effect::Note(Note::Quarantined(_) | Note::Restarted(_) | Note::Rollout(_))
         | Effect::Fetch { .. }
         | Effect::Pass { .. }
@@ -80,6 +84,10 @@
     }
 }
 
+fn limited(state: &State, metrics: &Gateway) {
+    metrics.limited.set(i64::try_from(state.limited_targets()).unwrap_or(i64::MAX));
+}
+
 /// Logs the end of a dispatch.
 pub fn ended(view: &View<'_>, outcome: Outcome, begun: bool, events: u32) {
     info!(
@@ -221,6 +229,12 @@
             info!(heard, expected, together, "entry processes that are heard changed");
         }
         Note::Restarted(target) => info!(to = target, "a target started again under its name"),
+        Note::Limited { target, per_second: Some(per_second) } => {
+            info!(to = target, per_second, "a target names a rate limit");
+        }
+        Note::Limited { target, per_second: None } => {
+            info!(to = target, "a target names no rate limit any more");
+        }
         Note::Rollout(step) => stepped(step),
         Note::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -57,6 +57,8 @@
     pub together: Gauge,
     /// Targets that take requests.
     pub targets: Gauge,
+    /// Targets that name a rate limit.
+    pub limited: Gauge,
     /// Seconds since the platform last answered a read of its list of targets; infinite where it never did.
     pub list_age: Gauge<f64, AtomicU64>,
     /// Log lines that were left out.
@@ -83,6 +85,7 @@
         fresh: Gauge::default(),
         together: Gauge::default(),
         targets: Gauge::default(),
+        limited: Gauge::default(),
         list_age: Gauge::default(),
         left_out: Gauge::default(),
     };
@@ -105,6 +108,7 @@
         ("config_current", "1 where the configuration is known to be current", &metrics.fresh),
         ("entries_together", "Entry processes that share limits", &metrics.together),
         ("targets_ready", "Targets that take requests", &metrics.targets),
+        ("targets_limited", "Targets that name a rate limit", &metrics.limited),
         ("log_lines_left_out", "Log lines that found no room", &metrics.left_out),
     ];
     for (name, help, gauge) in gauges {
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -7,6 +7,7 @@
 //! rows show as free.
 
 mod agents;
+mod limits;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -19,6 +20,8 @@
     reservation::Load,
 };
 
+use crate::rate::News;
+
 use super::{
     event::{Incarnation, Target},
     peers::Busy,
@@ -83,6 +86,8 @@
     pace: Option<f64>,
     /// Part of the requests that failed or were lost.
     failing: f64,
+    /// What was last heard of its rate limit; `None` where it never named one.
+    limit: Option<News>,
 }
 
 /// Which of the entry processes this is.
@@ -124,6 +129,7 @@
             first: None,
             pace: None,
             failing: 0.0,
+            limit: None,
         }
     }
 
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -175,6 +175,13 @@
         /// The request.
         ticket: Ticket,
     },
+    /// An answer names its target's rate limit.
+    Limited {
+        /// The request.
+        ticket: Ticket,
+        /// Requests a second that the target takes from all processes together; not negative.
+        per_second: f64,
+    },
     /// A dispatch ended.
     Ended {
         /// The request.
@@ -459,6 +466,13 @@
     },
     /// A target started again under its name: what was known of it is forgotten.
     Restarted(TargetName),
+    /// A target names another rate limit than before.
+    Limited {
+        /// The target.
+        target: TargetName,
+        /// Requests a second; `None` where it names none any more.
+        per_second: Option<f64>,
+    },
     /// A body is refused from now on.
     Quarantined(Fingerprint),
     /// A roll-out goes on.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -184,6 +184,9 @@
     pub running: u32,
     /// Requests of the others that it has, by their last rows.
     pub elsewhere: u32,
+    /// Requests a second that the target was last heard to take, and the age of that; `None` where it
+    /// names no limit.
+    pub limit: Option<(f64, Duration)>,
     /// Version of the configuration.
     pub plan: u64,
     /// Time since the platform last answered a read of its list of targets; `None` where it never did.
@@ -267,7 +270,10 @@
             state.granted(now.steady, ticket, number, load, &mut effects);
         }
         Event::Denied { ticket, number, lapse } => state.denied(now.steady, ticket, number, lapse),
-        Event::Began { ticket } => state.began(now.steady, ticket),
+        Event::Began { ticket } => state.began(now.steady, ticket, &mut effects),
+        Event::Limited { ticket, per_second } => {
+            state.limited(now.steady, ticket, per_second, &mut effects);
+        }
         Event::Ended { ticket, outcome, begun, events } => {
             state.ended(now, ticket, outcome, (begun, events), &mut effects);
         }
@@ -333,6 +339,11 @@
 }
 
 impl State {
+    /// Targets that name a rate limit.
+    pub fn limited_targets(&self) -> usize {
+        self.capacity.limited()
+    }
+
     /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
         self.plan.is_some() && self.fresh && self.draining.is_none()
@@ -362,6 +373,7 @@
             waited: now.saturating_duration_since(pending.arrived),
             running: state.map_or(0, |state| state.own),
             elsewhere: state.map_or(0, |state| state.others),
+            limit: state.and_then(|state| state.limit(now)),
             plan: self.plan.as_ref().map_or(0, |plan| plan.version),
             list_age: self.list_age(now),
             units: pending.units,
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -35,6 +35,8 @@
     pub since: Instant,
     /// Time to its first event, once that came.
     pub first: Option<Duration>,
+    /// Whether its answer names a rate limit of the target.
+    pub limited: bool,
     /// The reservation that its slot was granted to, where the target has an agent.
     pub reservation: Option<u32>,
 }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -174,6 +174,7 @@
         stream: pending.stream,
         attempt: pending.dispatches,
     };
-    pending.stage = Stage::Running(Running { slot, since: now, first: None, reservation });
+    pending.stage =
+        Stage::Running(Running { slot, since: now, first: None, limited: false, reservation });
     start
 }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -4,6 +4,8 @@
 
 use model::id::{Fingerprint, PoolName, TargetName};
 
+use crate::rate::{self, News};
+
 use super::{
     CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
@@ -11,14 +13,48 @@
 };
 
 impl State {
-    pub(super) fn began(&mut self, now: Instant, ticket: Ticket) {
-        let Some(pending) = self.requests.get_mut(&ticket) else {
+    pub(super) fn began(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(running) = self.running(ticket) else {
+            return;
+        };
+        let first = now.saturating_duration_since(running.since);
+        running.first = Some(first);
+        let Running { mut slot, since, limited, .. } = running.clone();
+        self.capacity.learn(&mut slot, first);
+        if !limited && self.capacity.lift_limit(now, &slot, since) {
+            let target = slot.target.clone();
+            effects.push(Effect::Note(Note::Limited { target, per_second: None }));
+        }
+        if let Some(running) = self.running(ticket) {
+            running.slot = slot;
+        }
+    }
+
+    /// An answer names its target's rate limit.
+    pub(super) fn limited(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        per_second: f64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(running) = self.running(ticket) else {
             return;
         };
-        if let Stage::Running(running) = &mut pending.stage {
-            let first = now.saturating_duration_since(running.since);
-            running.first = Some(first);
-            self.capacity.learn(&mut running.slot, first);
+        running.limited = true;
+        let (name, incarnation) = (running.slot.target.clone(), running.slot.incarnation);
+        let news = News { interval: Some(rate::interval(per_second)), at: now };
+        if self.capacity.hear_limit(&name, incarnation, news) {
+            effects
+                .push(Effect::Note(Note::Limited { target: name, per_second: Some(per_second) }));
+        }
+    }
+
+    /// The dispatch of a request that hasn't ended.
+    fn running(&mut self, ticket: Ticket) -> Option<&mut Running> {
+        match &mut self.requests.get_mut(&ticket)?.stage {
+            Stage::Running(running) => Some(running),
+            _ => None,
         }
     }
 
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod order;
 pub mod placement;
 pub mod presence;
+pub mod rate;
 pub mod suspect;
