Keep to the rate limits that targets name, over all entry processes

What callers saw: nothing. A target in need that named 2.1 requests a second got 37 in 4 s (18 allowed) from entries that had passed its limit on, and would have been pushed over.

Cause: a limit that is named in answers was read by nobody; room was slots only.

The fix counts where all is seen. An agent spaces its grants by the limit (a cell rate algorithm that starts as used up, so that a killed agent adds nothing); the entries bring what they heard with each reservation, and reserve anew where the agent doesn't know yet. Where no agent is reached one entry, which all agree on, sends what the limit allows, half of it where others may still reach the agent; it changes after 5 s without an answer. Entries tell each other in their rows, with the age; the newest word counts, and ends with the target's start. A target whose agent admits late costs that time where a target is chosen, so that work goes elsewhere.

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use model::reservation::{Ask, Fate, Id};
+use model::reservation::{Ask, Fate, Id, Limit};
 use scheduler::agent::Event;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -28,7 +28,7 @@
 const LOOK_WAIT: Duration = Duration::from_millis(300);
 
 enum Message {
-    Reserve { ask: Ask, target: Target, reply: oneshot::Sender<Granted> },
+    Reserve { ask: Ask, target: Target, limit: Option<Limit>, reply: oneshot::Sender<Granted> },
     Cancel(SocketAddr, Id),
     Hold { id: Id, address: SocketAddr, reply: oneshot::Sender<Fate> },
     Ended(SocketAddr, Id),
@@ -68,10 +68,10 @@
 
 impl Handle {
     /// Waits for room; dropping the future cancels the reservation. `None` where the task ended.
-    pub async fn reserve(&self, ask: Ask, target: Target) -> Option<Granted> {
+    pub async fn reserve(&self, ask: Ask, target: Target, limit: Option<Limit>) -> Option<Granted> {
         let mut guard = self.guard(Message::Cancel(target.address, ask.id));
         let (reply, answer) = oneshot::channel();
-        self.send(Message::Reserve { ask, target, reply });
+        self.send(Message::Reserve { ask, target, limit, reply });
         let granted = answer.await.ok();
         // Granted room lapses unless it is held.
         guard.message = None;
@@ -132,13 +132,14 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Reserve { ask, target, reply } => {
+            Message::Reserve { ask, target, limit, reply } => {
                 let (known, draining) = (self.queues.contains_key(&target.address), self.draining);
                 let queue =
                     self.queues.entry(target.address).or_insert_with(|| queue::open(target));
                 if !known && draining {
                     queue.reduce(Event::Drain);
                 }
+                limit.into_iter().for_each(|limit| queue.limit(limit));
                 queue.reserve(ask, target, reply);
                 if !known && target.beside {
                     self.look(target.address);
--- a/components/agent/src/admission/queue.rs
+++ b/components/agent/src/admission/queue.rs
@@ -6,8 +6,11 @@
     time::{Duration, Instant},
 };
 
-use model::reservation::{Ask, Denial, Fate, Grant, Id, Load};
-use scheduler::agent::{self, Effect, Event, Policy, Room, State};
+use model::reservation::{Ask, Denial, Fate, Grant, Id, Limit, Load};
+use scheduler::{
+    agent::{self, Effect, Event, Policy, Room, State},
+    rate,
+};
 use tokio::sync::oneshot;
 use tracing::info;
 use wire::admission::Target;
@@ -73,6 +76,17 @@
         running + waiting == 0 && now.saturating_duration_since(self.asked) > KEEP
     }
 
+    /// Learns what an entry process heard of the target's rate limit.
+    pub fn limit(&mut self, limit: Limit) {
+        let before = self.state.limit();
+        self.reduce(Event::Limited(limit));
+        let interval = self.state.limit();
+        if before != interval {
+            let (address, per_second) = (self.target.address, interval.map(rate::per_second));
+            info!(%address, per_second, age_ms = limit.age.as_millis() as u64, "the rate limit changed");
+        }
+    }
+
     /// Takes a reservation in; it is answered once there is room, or surely none.
     pub fn reserve(&mut self, ask: Ask, target: Target, reply: oneshot::Sender<Granted>) {
         self.asked = Instant::now();
--- a/components/agent/src/admission/service.rs
+++ b/components/agent/src/admission/service.rs
@@ -5,7 +5,7 @@
 use futures::{StreamExt, future};
 use model::{
     refusal::Reason,
-    reservation::{Ask, Denial, Fate, Grant, Id, Load},
+    reservation::{Ask, Denial, Fate, Grant, Id, Limit, Load},
 };
 use tarpc::{
     context::Context,
@@ -50,10 +50,16 @@
 }
 
 impl Admission for Server {
-    async fn reserve(self, _: Context, ask: Ask, target: Target) -> Result<Grant, Denial> {
+    async fn reserve(
+        self,
+        _: Context,
+        ask: Ask,
+        target: Target,
+        limit: Option<Limit>,
+    ) -> Result<Grant, Denial> {
         let stopped =
             Denial { reason: Reason::Draining, retry_after: Duration::ZERO, load: Load::default() };
-        self.control.reserve(ask, target).await.unwrap_or(Err(stopped))
+        self.control.reserve(ask, target, limit).await.unwrap_or(Err(stopped))
     }
 
     async fn hold(self, _: Context, id: Id, address: SocketAddr) -> Fate {
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -106,7 +106,7 @@
     }
 
     async fn reserve_at(&self, target: Target, request: u128) -> Result<(), Reason> {
-        let call = self.client.reserve(context(PATIENCE), ask(request), target);
+        let call = self.client.reserve(context(PATIENCE), ask(request), target, None);
         let granted = timeout(PATIENCE, call).await.expect("it answers in time");
         granted.expect("it answers").map(drop).map_err(|denial| denial.reason)
     }
@@ -123,7 +123,7 @@
     fn wait(&self, request: u128) -> JoinHandle<bool> {
         let client = self.client.clone();
         tokio::spawn(async move {
-            matches!(client.reserve(context(PATIENCE), ask(request), TARGET).await, Ok(Ok(_)))
+            matches!(client.reserve(context(PATIENCE), ask(request), TARGET, None).await, Ok(Ok(_)))
         })
     }
 }
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -103,10 +103,10 @@
         offset: 0,
         body: Body::default(),
     };
-    let Reservation { address, slots, beside, .. } = *reservation;
+    let Reservation { address, slots, beside, limit, .. } = *reservation;
     let target = admission::Target { address, slots, beside };
     let asked = Instant::now();
-    match client.reserve(context(reservation.wait + GRACE), ask, target).await {
+    match client.reserve(context(reservation.wait + GRACE), ask, target, limit).await {
         Ok(Ok(grant)) => Ok((client, grant.load)),
         Ok(Err(denial)) if denial.reason == Reason::NoTarget => Err(Lapse::Unreached),
         Ok(Err(denial)) if denial.reason == Reason::Draining => Err(Lapse::Away),
--- a/components/model/src/reservation.rs
+++ b/components/model/src/reservation.rs
@@ -43,6 +43,15 @@
     pub body: Body,
 }
 
+/// What an entry last heard of a target's rate limit.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Limit {
+    /// Mean time between two requests of all processes together; `None` where the limit is gone.
+    pub interval: Option<Duration>,
+    /// Time since it was heard.
+    pub age: Duration,
+}
+
 /// What became of a reservation; all but the first two are final.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Fate {
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -2,7 +2,7 @@
 
 use model::{
     id::{Fingerprint, Offset},
-    reservation::{Ask, Denial, Fate, Grant, Id},
+    reservation::{Ask, Denial, Fate, Grant, Id, Limit},
 };
 
 /// What happened.
@@ -32,6 +32,8 @@
     Sized(usize),
     /// Whether the target takes requests: while it takes none, no room is granted.
     Reached(bool),
+    /// An entry heard of the target's rate limit.
+    Limited(Limit),
     /// The target has so many requests that hold no room here.
     Unreserved(usize),
     /// The process is asked to leave.
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -16,9 +16,11 @@
 use model::{
     id::{Offset, Rank},
     refusal::Reason,
-    reservation::{Ask, Denial, Fate, Grant, Id, Load},
+    reservation::{Ask, Denial, Fate, Grant, Id, Limit, Load},
 };
 
+use crate::rate::{News, Pacer};
+
 pub use estimate::Policy;
 pub use event::{Effect, Event};
 use pace::Pace;
@@ -61,6 +63,8 @@
     tokens: u64,
     /// In the units of the pace.
     work: u64,
+    /// Whether it counts for the target's rate limit.
+    limited: bool,
 }
 
 /// When a grant runs out.
@@ -110,6 +114,12 @@
     unreached: bool,
     /// Requests at the target that hold no room here.
     unreserved: usize,
+    /// What was last heard of the target's rate limit.
+    limit: Option<News>,
+    /// Spaces grants by it; `Some` just where `limit` names an interval.
+    pacer: Option<Pacer>,
+    /// When it lets the next grant through, where nothing else holds that up.
+    next_grant: Option<Instant>,
     suspects: Suspects,
 }
 
@@ -138,6 +148,9 @@
         draining: false,
         unreached: false,
         unreserved: 0,
+        limit: None,
+        pacer: None,
+        next_grant: None,
         suspects: Suspects::default(),
     }
 }
@@ -158,6 +171,7 @@
         Event::Heard(offset) => state.heard = state.heard.max(offset),
         Event::Sized(slots) => state.room.slots = slots.max(1),
         Event::Reached(reached) => state.reached(now, reached, &mut effects),
+        Event::Limited(limit) => state.limited(now, limit),
         Event::Unreserved(unreserved) => state.unreserved = unreserved,
         Event::Drain => state.drain(now, &mut effects),
         Event::Tick => {}
@@ -172,7 +186,7 @@
 /// When the next `Event::Tick` is due, if nothing else happens before.
 pub fn next_wake(state: &State) -> Option<Instant> {
     let lapse = state.lapses.first().map(|lapse| lapse.at);
-    lapse.into_iter().chain(state.queue.next_deadline()).min()
+    lapse.into_iter().chain(state.queue.next_deadline()).chain(state.next_grant).min()
 }
 
 impl State {
@@ -189,11 +203,32 @@
         self.queue.last().map(|waiting| waiting.rank)
     }
 
+    /// Mean time between two requests that the target's rate limit allows; `None` where it has none.
+    pub fn limit(&self) -> Option<Duration> {
+        self.limit?.interval
+    }
+
     /// Whether no new reservations are taken.
     pub fn is_draining(&self) -> bool {
         self.draining
     }
 
+    /// The newest word counts, whoever brings it.
+    fn limited(&mut self, now: Instant, limit: Limit) {
+        let Limit { interval, age } = limit;
+        let at = now.checked_sub(age).unwrap_or(now);
+        if self.limit.is_some_and(|known| known.at >= at) {
+            return;
+        }
+        self.limit = Some(News { interval, at });
+        match (interval, &mut self.pacer) {
+            (Some(interval), Some(pacer)) => pacer.set(interval),
+            (interval, _) => {
+                self.pacer = interval.map(|interval| Pacer::open(now, interval));
+            }
+        }
+    }
+
     fn reserve(&mut self, now: Instant, ask: Ask, effects: &mut Vec<Effect>) {
         self.heard = self.heard.max(ask.offset);
         if self.live.contains_key(&ask.id) {
@@ -250,6 +285,7 @@
             Some(Stage::Granted { until, hold }) => {
                 self.lapses.remove(&Lapse { at: until, id });
                 self.free(hold);
+                self.unspend(hold);
                 self.live.remove(&id);
                 self.remember(now, id, Fate::Cancelled);
             }
@@ -311,6 +347,7 @@
 
     /// Grants room to those who wait; who comes next is never passed over for a smaller.
     fn fill(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.next_grant = None;
         while let Some(next) = self.next() {
             let (id, order) = (next.id, next.order);
             let fits = self.held_tokens + next.tokens <= self.room.tokens || self.held == 0;
@@ -323,16 +360,24 @@
             if self.held + self.unreserved >= self.slots() || !fits || !may {
                 return;
             }
+            self.next_grant = self.pacer.map(|pacer| pacer.next()).filter(|&next| next > now);
+            if self.next_grant.is_some() {
+                return;
+            }
             let Some(waiting) = self.queue.remove(&order) else {
                 return;
             };
+            if let Some(pacer) = &mut self.pacer {
+                pacer.take(now);
+            }
             self.held += 1;
             self.held_tokens += waiting.tokens;
             self.prefixes.insert(&waiting.prefix);
             self.shares.grant(waiting.rank, waiting.work);
             self.suspects.grant(waiting.id);
             let until = now + self.room.grant;
-            let hold = Hold { tokens: waiting.tokens, work: waiting.work };
+            let limited = self.pacer.is_some();
+            let hold = Hold { tokens: waiting.tokens, work: waiting.work, limited };
             self.live.insert(waiting.id, Stage::Granted { until, hold });
             self.lapses.insert(Lapse { at: until, id: waiting.id });
             let grant = Grant { life: self.room.grant, load: self.load() };
@@ -355,6 +400,7 @@
             self.lapses.pop_first();
             if let Some(Stage::Granted { hold, .. }) = self.live.remove(&lapse.id) {
                 self.free(hold);
+                self.unspend(hold);
                 self.remember(now, lapse.id, Fate::Expired);
             }
         }
@@ -417,6 +463,13 @@
         self.held_tokens -= hold.tokens;
     }
 
+    /// A grant that wasn't used leaves its part of the rate limit to others.
+    fn unspend(&mut self, hold: Hold) {
+        if let Some(pacer) = self.pacer.as_mut().filter(|_| hold.limited) {
+            pacer.give_back();
+        }
+    }
+
     fn remember(&mut self, now: Instant, id: Id, fate: Fate) {
         self.suspects.remove(id);
         self.ended.insert(id, fate);
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -20,7 +20,7 @@
     reservation::Load,
 };
 
-use crate::rate::News;
+use crate::rate::{News, Pacer};
 
 use super::{
     event::{Incarnation, Target},
@@ -88,6 +88,10 @@
     failing: f64,
     /// What was last heard of its rate limit; `None` where it never named one.
     limit: Option<News>,
+    /// Spaces what goes there without an agent's grant; `Some` just where `limit` names an interval.
+    pacer: Option<Pacer>,
+    /// When its agent may admit the next request, as far as is known; counts only while it is limited.
+    next_grant: Option<Instant>,
 }
 
 /// Which of the entry processes this is.
@@ -130,6 +134,8 @@
             pace: None,
             failing: 0.0,
             limit: None,
+            pacer: None,
+            next_grant: None,
         }
     }
 
@@ -137,13 +143,17 @@
     /// don't come out even; who gets more differs by target.
     fn part(&self, place: Place) -> u32 {
         let slots = self.target.slots;
+        slots / place.among + u32::from(self.position(place) < slots % place.among)
+    }
+
+    /// The place of a process among those that share the target; it differs by target.
+    fn position(&self, place: Place) -> u32 {
         let turn = self
             .target
             .name
             .bytes()
             .fold(0_u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
-        let position = (place.index + turn % place.among) % place.among;
-        slots / place.among + u32::from(position < slots % place.among)
+        (place.index + turn % place.among) % place.among
     }
 
     fn has_room(&self, place: Place, demand: &Demand<'_>) -> bool {
@@ -305,6 +315,7 @@
                 && state.is_up(now)
                 && !state.is_reserved(now)
                 && state.has_room(place, demand)
+                && state.is_due(now, place)
                 && !state.reads(usual)
         });
         let open = open.filter(|state| !demand.tried.contains(&state.target.name));
@@ -312,6 +323,9 @@
         let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let place = *self.places.get(&best.target.name)?;
         let state = self.states.get_mut(place)?;
+        if let Some(pacer) = &mut state.pacer {
+            pacer.take(now);
+        }
         Some(state.occupy(demand.tokens, usual))
     }
 
@@ -404,7 +418,9 @@
 
     /// When a target may be asked again, if one is left alone.
     pub fn next_up(&self, now: Instant) -> Option<Instant> {
-        let times = self.states.iter().flat_map(|state| [state.down_until, state.away_until]);
+        let due = |state: &TargetState| state.pacer.map(|pacer| pacer.next());
+        let times =
+            self.states.iter().flat_map(|state| [state.down_until, state.away_until, due(state)]);
         times.flatten().filter(|&at| at > now).min()
     }
 
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -37,7 +37,7 @@
         });
         let busy = told.max(f64::from(self.own)) / f64::from(self.target.slots.max(1));
         let cost = self.cost(demand.tokens, demand.zone, usual) * (1.0 + busy);
-        cost * (1.0 + ALIKE * self.chance(demand))
+        cost * (1.0 + ALIKE * self.chance(demand)) + self.limit_wait(now)
     }
 
     /// Requests that its agent admits to it at once.
@@ -56,9 +56,10 @@
 
     /// Draws a target with a likelihood that falls with its cost: the lowest draw wins. All draws of a
     /// request differ by target only, so that it finds the same targets again.
-    fn draw(&self, demand: &Demand<'_>, usual: f64) -> f64 {
+    fn draw(&self, now: Instant, demand: &Demand<'_>, usual: f64) -> f64 {
         let far = if self.target.zone == *demand.zone { 1.0 } else { FAR_COST };
-        -self.chance(demand).ln() * far * self.cost(demand.tokens, demand.zone, usual)
+        let cost = self.cost(demand.tokens, demand.zone, usual) + self.limit_wait(now);
+        -self.chance(demand).ln() * far * cost
     }
 }
 
@@ -123,7 +124,7 @@
             let cost = if reserved.is_empty() {
                 state.expected(now, demand, usual)
             } else {
-                state.draw(demand, usual)
+                state.draw(now, demand, usual)
             };
             (cost, state)
         });
@@ -136,7 +137,9 @@
         let state = self.state(&reserved.target);
         let state = state.filter(|state| state.target.incarnation == reserved.incarnation);
         state.is_some_and(|state| {
-            state.agent == Some(reserved.agent) && state.is_up(now) && state.is_reserved(now)
+            let open = state.is_up(now) && state.is_reserved(now);
+            // An agent that doesn't know of the limit is told by a new reservation.
+            open && state.agent == Some(reserved.agent) && state.is_limited() == reserved.limited
         })
     }
 
@@ -162,6 +165,7 @@
             state.told = Some((now, load));
             state.pace = load.step.map(|step| step.as_secs_f64() * 1_000.0);
             state.away_for = Duration::ZERO;
+            state.expect_grant(now, load.waiting);
         }
     }
 
@@ -170,6 +174,9 @@
         let state = self.current(&reserved.target, reserved.incarnation);
         let asked = |state: &&mut TargetState| state.agent == Some(reserved.agent);
         if let Some(state) = state.filter(asked).filter(|state| state.is_reserved(now)) {
+            if state.away_for.is_zero() {
+                state.reset_pacer(now);
+            }
             state.away_for = (state.away_for * 2).clamp(AWAY_MIN, AWAY_MAX);
             state.away_until = Some(now + state.away_for);
             state.others = 0;
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -8,7 +8,7 @@
 
 use model::{
     id::{AccountName, Fingerprint, PoolName, Rank, TargetName, ZoneName},
-    reservation::Load,
+    reservation::{Limit, Load},
 };
 
 use serde::{Deserialize, Serialize};
@@ -382,6 +382,8 @@
     pub slots: u32,
     /// Whether the agent stands beside it.
     pub beside: bool,
+    /// What was last heard of its rate limit; `None` where it never named one.
+    pub limit: Option<Limit>,
     /// Its place among those that wait there, lowest first.
     pub rank: Rank,
     /// Time for which it waits at most.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -30,17 +30,20 @@
     time::{Duration, Instant},
 };
 
-use model::id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName};
+use model::{
+    id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName},
+    reservation::Limit,
+};
 
 use allowance::Allowance;
 use budget::Budget;
-use capacity::{Capacity, Place};
+use capacity::{Capacity, Place, TargetState};
 pub use event::{
     Effect, Event, Grounds, Incarnation, Introduction, Lack, Lapse, Note, Now, Outcome, Reason,
     Refusal, Request, Reservation, Start, Target, Ticket, Tokens,
 };
 use holds::Holds;
-use peers::{Peers, Row, Use};
+use peers::{Limited, Peers, Row, Use};
 use pending::{Order, Pending, Stage};
 use plan::Plan;
 use relay::{Era, Known, Listing, Topic};
@@ -441,6 +444,7 @@
             uptime: now.saturating_duration_since(self.opened),
             accounts: self.accounts.iter().map(used).collect(),
             running: self.capacity.running(now),
+            limits: self.capacity.limits(now).map(limited).collect(),
             crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
             rollouts: self.shares(now),
         }
@@ -456,6 +460,11 @@
     Use { account: account.clone(), spent: usage.spent, left: usage.left() }
 }
 
+fn limited((state, limit): (&TargetState, Limit)) -> Limited {
+    let Target { name, incarnation, .. } = &state.target;
+    Limited { target: name.clone(), incarnation: *incarnation, limit }
+}
+
 fn refuse(reason: Reason) -> Refusal {
     Refusal { reason, not_run: true, retry_after: None, lack: None }
 }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use model::id::{AccountName, Fingerprint, TargetName};
+use model::{
+    id::{AccountName, Fingerprint, TargetName},
+    reservation::Limit,
+};
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -52,6 +55,17 @@
     pub unread: u32,
 }
 
+/// What one entry process last heard of a target's rate limit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Limited {
+    /// The target.
+    pub target: TargetName,
+    /// Its start, as the process knows it.
+    pub incarnation: Incarnation,
+    /// What it named, and how long before the row was made.
+    pub limit: Limit,
+}
+
 /// What one entry process knows of an account's use.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Use {
@@ -84,6 +98,9 @@
     pub accounts: Vec<Use>,
     /// What it has at each target.
     pub running: Vec<Busy>,
+    /// What it last heard of the limits of targets that ever named one.
+    #[serde(default)]
+    pub limits: Vec<Limited>,
     /// Bodies that ran when a target crashed there, and how often.
     pub crashes: Vec<(Fingerprint, u32)>,
     /// What it knows of each roll-out.
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -52,6 +52,8 @@
     pub incarnation: Incarnation,
     /// Where the agent listens.
     pub agent: SocketAddr,
+    /// Whether the agent was told that the target names a rate limit.
+    pub limited: bool,
 }
 
 /// Where a request is.
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -137,7 +137,8 @@
                 }
                 // What waits at a target that is gone is given up too.
                 if ways.agents || !pending.reserved.is_empty() {
-                    let next = reserve::seek(&self.capacity, now.steady, &demand, pending, effects);
+                    let next =
+                        reserve::seek(&mut self.capacity, now.steady, &demand, pending, effects);
                     self.reserve_at.extend(next);
                 } else if !fits {
                     break;
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -60,7 +60,7 @@
 /// Reserves a request at agents of its pool, and gives up what it has at targets that take no more
 /// requests. Gives when it is to be reserved at one more.
 pub(super) fn seek(
-    capacity: &Capacity,
+    capacity: &mut Capacity,
     now: Instant,
     demand: &Demand<'_>,
     pending: &mut Pending,
@@ -80,19 +80,22 @@
         let Some((state, agent)) = chosen.and_then(|state| Some((state, state.agent?))) else {
             break;
         };
-        let target = &state.target;
+        let (target, limited) = (state.target.clone(), state.is_limited());
+        let (slots, limit) = (state.admits(), state.last_limit(now));
         pending.reservations += 1;
         let number = pending.reservations;
         let (name, incarnation) = (target.name.clone(), target.incarnation);
-        pending.reserved.push(Reserved { number, target: name, incarnation, agent });
+        pending.reserved.push(Reserved { number, target: name, incarnation, agent, limited });
+        capacity.queue_at(now, &target.name);
         effects.push(Effect::Reserve(Reservation {
             ticket,
             number,
             agent,
-            target: target.name.clone(),
+            target: target.name,
             address: target.address,
-            slots: state.admits(),
+            slots,
             beside: target.agent == Some(agent),
+            limit,
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
             tokens: pending.tokens(),
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -1,6 +1,6 @@
 //! What follows from the end of a dispatch, and how a request ends.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id::{Fingerprint, PoolName, TargetName};
 
@@ -9,6 +9,7 @@
 use super::{
     CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
+    peers::Limited,
     pending::{Pending, Running, Stage},
 };
 
@@ -44,12 +45,30 @@
         running.limited = true;
         let (name, incarnation) = (running.slot.target.clone(), running.slot.incarnation);
         let news = News { interval: Some(rate::interval(per_second)), at: now };
-        if self.capacity.hear_limit(&name, incarnation, news) {
+        if self.capacity.hear_limit(now, &name, incarnation, news) {
             effects
                 .push(Effect::Note(Note::Limited { target: name, per_second: Some(per_second) }));
         }
     }
 
+    /// Learns what another process heard of limits before it made a row that is as old as given.
+    pub(super) fn hear_limits(
+        &mut self,
+        now: Instant,
+        age: Duration,
+        limits: &[Limited],
+        effects: &mut Vec<Effect>,
+    ) {
+        for Limited { target, incarnation, limit } in limits {
+            let at = now.checked_sub(age + limit.age).unwrap_or(now);
+            let news = News { interval: limit.interval, at };
+            if self.capacity.hear_limit(now, target, *incarnation, news) {
+                let per_second = limit.interval.map(rate::per_second);
+                effects.push(Effect::Note(Note::Limited { target: target.clone(), per_second }));
+            }
+        }
+    }
+
     /// The dispatch of a request that hasn't ended.
     fn running(&mut self, ticket: Ticket) -> Option<&mut Running> {
         match &mut self.requests.get_mut(&ticket)?.stage {
--- a/components/scheduler/src/rate.rs
+++ b/components/scheduler/src/rate.rs
@@ -12,6 +12,9 @@
 /// its answer may have crossed others.
 const SETTLED: Duration = Duration::from_secs(1);
 
+/// Time whose requests may come at once: they come in clumps.
+const BURST: Duration = Duration::from_millis(250);
+
 /// What was last heard of a target's limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct News {
@@ -38,3 +41,43 @@
         self.interval.is_some() && dispatched >= self.at + SETTLED
     }
 }
+
+/// Spaces requests by a mean interval (the generic cell rate algorithm).
+#[derive(Clone, Copy, Debug)]
+pub struct Pacer {
+    interval: Duration,
+    /// When all that was let through would have come at the mean interval.
+    due: Instant,
+}
+
+impl Pacer {
+    /// One that has let through all that it may: what came before isn't known.
+    pub fn open(now: Instant, interval: Duration) -> Pacer {
+        let pacer = Pacer { interval, due: now };
+        Pacer { due: now + interval + pacer.slack(), ..pacer }
+    }
+
+    /// Spaces the next requests by another interval.
+    pub fn set(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
+    /// When the next request may come.
+    pub fn next(&self) -> Instant {
+        self.due.checked_sub(self.slack()).unwrap_or(self.due)
+    }
+
+    /// Lets a request through.
+    pub fn take(&mut self, now: Instant) {
+        self.due = self.due.max(now) + self.interval;
+    }
+
+    /// Gives back what a request that didn't come took.
+    pub fn give_back(&mut self) {
+        self.due = self.due.checked_sub(self.interval).unwrap_or(self.due);
+    }
+
+    fn slack(&self) -> Duration {
+        BURST.saturating_sub(self.interval)
+    }
+}
--- a/components/scheduler/tests/direct_target_limits.rs
+++ b/components/scheduler/tests/direct_target_limits.rs
@@ -15,7 +15,7 @@
 use direct_support::{Process, address, blank, plan, refusals, request, route, starts, target};
 use model::{
     id::TargetName,
-    reservation::{Ask, Id},
+    reservation::{Ask, Id, Load},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use scheduler::{
@@ -92,10 +92,15 @@
 const ALONE: Site = Site { agents: Agents::Nowhere, ..PLAIN };
 const ALONE_LARGE: Site = Site { agents: Agents::Nowhere, ..PLAIN_LARGE };
 
+/// A reservation of an entry process.
+type Key = (usize, Ticket, u32);
+
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Arrived { to: u16, from: usize, life: u32, ticket: Ticket },
     Answered { to: u16, from: usize, life: u32, ticket: Ticket },
+    Granted { key: Key, load: Load },
+    Away { key: Key, life: u32 },
 }
 
 /// A request at a target, and whether its sender had passed a limit on before.
@@ -106,9 +111,6 @@
     told: bool,
 }
 
-/// A reservation of an entry process.
-type Key = (usize, Ticket, u32);
-
 struct World {
     site: Site,
     fault: Fault,
@@ -237,10 +239,10 @@
 
     fn reserve(&mut self, index: usize, reservation: &Reservation) {
         let Reservation { ticket, number, rank, slots, agent, address, .. } = *reservation;
+        let key = (index, ticket, number);
         if !self.reaches_agents(index) {
-            return self.send(index, Event::Denied { ticket, number, lapse: Lapse::Away });
+            return self.after(WAY, Due::Away { key, life: self.lives[index] });
         }
-        let key = (index, ticket, number);
         self.open.insert(key, (agent, address));
         self.waiting.insert(key);
         let ask = Ask {
@@ -255,6 +257,9 @@
         };
         self.queues.entry((agent, address)).or_insert_with(queue);
         self.feed((agent, address), agent::Event::Sized(slots as usize));
+        if let Some(limit) = reservation.limit {
+            self.feed((agent, address), agent::Event::Limited(limit));
+        }
         self.feed((agent, address), agent::Event::Reserve(ask));
     }
 
@@ -276,15 +281,22 @@
                 continue;
             };
             let (index, ticket) = id.request.as_u64_pair();
-            let (index, number) = (index as usize, id.attempt);
-            if self.waiting.remove(&(index, ticket, number)) {
-                let load = self.queues[&queue].load();
-                self.feed(queue, agent::Event::Start(id));
-                self.send(index, Event::Granted { ticket, number, load });
-            }
+            let key = (index as usize, ticket, id.attempt);
+            let load = self.queues[&queue].load();
+            self.after(WAY, Due::Granted { key, load });
         }
     }
 
+    /// A grant arrives; one whose reservation was withdrawn lapses.
+    fn granted(&mut self, key: Key, load: Load) {
+        if !self.waiting.remove(&key) {
+            return;
+        }
+        let (index, ticket, number) = key;
+        self.feed(self.open[&key], agent::Event::Start(id(key)));
+        self.send(index, Event::Granted { ticket, number, load });
+    }
+
     fn after(&mut self, time: u64, due: Due) {
         self.due.entry(self.at + time).or_default().push(due);
     }
@@ -307,7 +319,11 @@
                 let outcome = Outcome::Done;
                 self.send(from, Event::Ended { ticket, outcome, begun: true, events: 0 });
             }
-            Due::Answered { .. } => {}
+            Due::Granted { key, load } => self.granted(key, load),
+            Due::Away { key: (index, ticket, number), life } if self.lives[index] == life => {
+                self.send(index, Event::Denied { ticket, number, lapse: Lapse::Away });
+            }
+            Due::Answered { .. } | Due::Away { .. } => {}
         }
     }
 
@@ -353,8 +369,8 @@
         self.agents_back = self.at + AWAY;
         self.queues.clear();
         self.open.clear();
-        for (index, ticket, number) in std::mem::take(&mut self.waiting) {
-            self.send(index, Event::Denied { ticket, number, lapse: Lapse::Away });
+        for key in std::mem::take(&mut self.waiting) {
+            self.after(WAY, Due::Away { key, life: self.lives[key.0] });
         }
     }
 
@@ -497,3 +513,36 @@
 
     assert_eq!((limited, entry.state.limited_targets()), (1, 0));
 }
+
+/// Guards against a limited target that only a process without requests may send to.
+#[test]
+fn each_process_has_its_turn_where_others_send_nothing() {
+    let site = Site { entries: 2, targets: 1, ..ALONE };
+    let now = blank(1).now;
+    let mut turns = Vec::new();
+    for number in 0..2 {
+        let mut entry = entry(number, 0, site, now);
+        let mut other = self::entry(1 - number, 0, site, now);
+        entry.arrive(request(1, "/call/"));
+        entry.send(Event::Limited { ticket: 1, per_second: 10.0 });
+        for second in 1..=10 {
+            entry.pass(Duration::from_secs(1));
+            other.pass(Duration::from_secs(1));
+            other.confirm();
+            entry.confirm();
+            entry.send(Event::Heard(vec![other.state.row(other.now.steady)]));
+            let effects = entry.arrive(request(1 + second, "/call/"));
+            if !starts(&effects).is_empty() {
+                turns.push((number, second));
+                entry.end(1 + second, Outcome::Lost { crashed: false });
+            }
+        }
+    }
+
+    let of = |number| turns.iter().filter(move |turn| turn.0 == number).count();
+    assert!(of(0) > 0 && of(1) > 0, "{turns:?}");
+    assert!(
+        turns.iter().all(|&(number, second)| !turns.contains(&(1 - number, second))),
+        "{turns:?}"
+    );
+}
--- a/components/wire/src/admission.rs
+++ b/components/wire/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::reservation::{Ask, Denial, Fate, Grant, Id};
+use model::reservation::{Ask, Denial, Fate, Grant, Id, Limit};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client::{self, NewClient},
@@ -25,8 +25,9 @@
 /// Calls to an agent that admits requests without carrying them.
 #[tarpc::service]
 pub trait Admission {
-    /// Waits for room at the target; dropping the call cancels the reservation.
-    async fn reserve(ask: Ask, target: Target) -> Result<Grant, Denial>;
+    /// Waits for room at the target, whose rate limit is as given where the process heard of one; dropping
+    /// the call cancels the reservation.
+    async fn reserve(ask: Ask, target: Target, limit: Option<Limit>) -> Result<Grant, Denial>;
     /// Keeps granted room at the target that listens at an address until the call is dropped or its
     /// connection ends. It is answered only where there is no room to keep, with what became of the
     /// reservation.
