Let each start of a process earn its repeats, over all starts of a window

Cause: requests and repeats were counted by process; a start began with nothing used, with its part of the slack and its ratio anew.

Now each process has a token bucket that begins empty. Ruled out: telling the counts to the others (a kill of all leaves nobody who knows them).

The test of the budget of one process keeps its bounds; its process has run for a while first, since one that just started has earned less. The world of the tests of limits moved to a fixture of both.

--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -57,7 +57,7 @@
             let usage = self.accounts.entry(name.clone());
             usage.or_insert_with(|| allowance::open(opened)).ask(claim);
         }
-        self.budgets.entry(pool.clone()).or_default().asked(now.steady, &self.settings.repeats);
+        self.earn(now.steady, &pool);
         let wait = patience.min(WAIT_MIN.max(route.aim.mul_f64(WAIT_PART)));
         Ok(Pending {
             account_rank: held.map_or(0, |account| account.rank),
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -8,6 +8,7 @@
 
 use super::{
     CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
+    budget::{self, Budget},
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
     peers::Limited,
     pending::{Pending, Running, Stage},
@@ -186,9 +187,21 @@
         self.refuse(now.steady, ticket, Reason::Lost, true, effects);
     }
 
+    /// Counts a request for the repeats that its pool may get.
+    pub(super) fn earn(&mut self, now: Instant, pool: &PoolName) {
+        let (rule, among) = (self.settings.repeats, self.place.among);
+        self.budget(pool).asked(now, &rule, among);
+    }
+
+    /// Takes a repeat for a pool; `false` where none is left.
     pub(super) fn pay(&mut self, now: Instant, pool: &PoolName) -> bool {
-        let budget = self.budgets.entry(pool.clone()).or_default();
-        budget.repeat(now, &self.settings.repeats, self.place.among)
+        let (rule, among) = (self.settings.repeats, self.place.among);
+        self.budget(pool).repeat(now, &rule, among)
+    }
+
+    fn budget(&mut self, pool: &PoolName) -> &mut Budget {
+        let opened = self.opened;
+        self.budgets.entry(pool.clone()).or_insert_with(|| budget::open(opened))
     }
 
     /// Asks whether a target still takes connections, one question at a time.
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -290,6 +290,9 @@
 #[test]
 fn repeats_stay_within_the_budget() {
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(5));
+    // What was used before its start may have been all that is allowed: it earns that over a few windows.
+    process.pass(Duration::from_secs(30));
+    process.confirm();
 
     let repeats = (0..100_u64).filter(|&ticket| {
         process.arrive(request(ticket, "/a/"));
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures for direct dispatch.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod site;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
