--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -79,6 +79,7 @@
             ran: false,
             begun: false,
             tried: Vec::new(),
+            rejected: Vec::new(),
             reserved: Vec::new(),
             reservations: 0,
             next_reservation: now.steady,
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -10,6 +10,7 @@
 mod limits;
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
@@ -319,8 +320,10 @@
                 && !state.reads(usual)
         });
         let open = open.filter(|state| !demand.tried.contains(&state.target.name));
-        let cost = |state: &TargetState| state.cost(demand.tokens, demand.zone, usual);
-        let best = open.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let cost = |state: &TargetState| {
+            (demand.is_rejected(state), state.cost(demand.tokens, demand.zone, usual))
+        };
+        let best = open.min_by(|a, b| cheaper(cost(a), cost(b)))?;
         let place = *self.places.get(&best.target.name)?;
         let state = self.states.get_mut(place)?;
         if let Some(pacer) = &mut state.pacer {
@@ -492,8 +495,10 @@
     pub output: f64,
     /// Time that is left for the answer.
     pub left: Duration,
-    /// Targets that it was dispatched to.
+    /// Targets that may have run it: it goes to none of them again.
     pub tried: &'a [TargetName],
+    /// Targets that rejected it: it goes to any other first.
+    pub rejected: &'a [TargetName],
     /// Which targets it may go to.
     pub lane: Lane,
     /// Whether it is of the pool's lowest tier, whose requests hold their slots for longest, and so
@@ -501,6 +506,17 @@
     pub lowest: bool,
 }
 
+impl Demand<'_> {
+    fn is_rejected(&self, state: &TargetState) -> bool {
+        self.rejected.contains(&state.target.name)
+    }
+}
+
+/// Compares targets by whether they rejected a request, then by their cost for it.
+fn cheaper(a: (bool, f64), b: (bool, f64)) -> Ordering {
+    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+}
+
 /// How the targets of a pool are reached.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Ways {
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -8,7 +8,7 @@
 
 use model::{id::ZoneName, reservation::Load};
 
-use super::{Capacity, Demand, Reserved, Slot, Target, TargetState};
+use super::{Capacity, Demand, Reserved, Slot, Target, TargetState, cheaper};
 
 /// Gives the same in all processes.
 const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
@@ -126,9 +126,9 @@
             } else {
                 state.draw(now, demand, usual)
             };
-            (cost, state)
+            ((demand.is_rejected(state), cost), state)
         });
-        let (_, state) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let (_, state) = costs.min_by(|(a, _), (b, _)| cheaper(*a, *b))?;
         Some(state)
     }
 
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -110,6 +110,8 @@
     pub begun: bool,
     /// Targets that may have run it.
     pub tried: Vec<TargetName>,
+    /// Targets that rejected it: it goes to another first.
+    pub rejected: Vec<TargetName>,
     /// Its places at agents; none unless it waits.
     pub reserved: Vec<Reserved>,
     /// Reservations so far.
@@ -168,7 +170,7 @@
         now: Instant,
         pool: &'a PoolName,
         zone: &'a ZoneName,
-        tried: &'a [TargetName],
+        (tried, rejected): (&'a [TargetName], &'a [TargetName]),
     ) -> Demand<'a> {
         Demand {
             pool,
@@ -178,6 +180,7 @@
             output: self.request.expected.map_or(0.0, f64::from),
             left: self.until.saturating_duration_since(now),
             tried,
+            rejected,
             lane: Lane::Base,
             lowest: false,
         }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -108,11 +108,11 @@
                     self.rollouts.choose(now.steady, asked, draw, allowed, alone)
                 });
                 let lane = self.rollouts.lane(now.steady, pool, chosen);
-                let tried = pending.tried.clone();
+                let (tried, rejected) = (pending.tried.clone(), pending.rejected.clone());
                 let demand = Demand {
                     lane,
                     lowest,
-                    ..pending.demand(now.steady, pool, &self.settings.zone, &tried)
+                    ..pending.demand(now.steady, pool, &self.settings.zone, (&tried, &rejected))
                 };
                 let open = fits || lane == Lane::Ordered;
                 if open && (!lowest || lowest_fits) {
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -136,7 +136,8 @@
         let reserved = pending.take_reserved(number)?;
         self.capacity.hear_load(now, &reserved, load);
         let lane = self.rollouts.lane(now, &pending.pool, pending.chosen == Some(true));
-        let demand = pending.demand(now, &pending.pool, &self.settings.zone, &pending.tried);
+        let seen = (&*pending.tried, &*pending.rejected);
+        let demand = pending.demand(now, &pending.pool, &self.settings.zone, seen);
         self.capacity.occupy(now, &reserved, &Demand { lane, ..demand })
     }
 
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -112,6 +112,9 @@
             }
             Outcome::Rejected => {
                 self.capacity.mark_full(now.steady, &slot);
+                if let Some(pending) = self.requests.get_mut(&ticket) {
+                    pending.rejected.push(target);
+                }
                 self.again(now, ticket, true, effects);
             }
             Outcome::Replaced => {
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -305,6 +305,25 @@
     assert!((40..=70).contains(&repeats.count()));
 }
 
+#[test]
+fn a_rejected_request_goes_to_an_untried_target_first() {
+    let mut process = process(plan(1, vec![route("/a/", Repeat::Never)], None), targets(3));
+    process.pass(Duration::from_secs(30));
+    process.confirm();
+    let mut seen = vec![start(&process.arrive(request(1, "/a/"))).target];
+
+    for _ in 0..2 {
+        // Longer than a target that rejected a request is left alone.
+        let mut effects = process.end(1, Outcome::Rejected);
+        effects.extend(process.pass(Duration::from_millis(100)));
+        seen.push(start(&effects).target);
+    }
+
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen.len(), 3);
+}
+
 #[test]
 fn a_body_that_crashed_two_targets_is_refused() {
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(9));
