Let targets that reject requests seem slower, so that they get fewer

What is rejected now counts like a failure in the moving average by which targets are chosen: client-side throttling by what a target accepts.

--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -100,7 +100,10 @@
         self.learn_version(now.steady, ticket, &running, (outcome, events));
         self.release(ticket, &running, effects);
         let Running { slot, since, .. } = running;
-        let failed = matches!(outcome, Outcome::Failed | Outcome::Lost { .. } | Outcome::Silent);
+        let failed = matches!(
+            outcome,
+            Outcome::Failed | Outcome::Lost { .. } | Outcome::Rejected | Outcome::Silent
+        );
         if failed || outcome == Outcome::Done {
             self.capacity.judge(&slot, failed);
         }
--- a/components/scheduler/tests/direct_repeats.rs
+++ b/components/scheduler/tests/direct_repeats.rs
@@ -9,7 +9,7 @@
 
 use direct_support::{
     settings,
-    site::{Agents, END, Fault, Shedding, Site, World, world},
+    site::{Agents, Arrival, END, Fault, Shedding, Site, World, world},
 };
 use test_case::test_case;
 
@@ -59,3 +59,19 @@
     let (again, allowed) = worst(&world);
     assert!(again <= allowed, "{again} of {allowed}");
 }
+
+/// Guards against targets that reject most of what they get and get as much as those that serve.
+#[test_case(SMALL; "engines")]
+#[test_case(PLAIN; "plain services")]
+fn targets_that_reject_get_less(site: Site) {
+    let world = play(site, Fault::Nothing);
+
+    let shedding = site.targets * 6 / 10;
+    let settled = world.arrivals.iter().filter(|arrival| arrival.at > END / 2);
+    let (to, others): (Vec<&Arrival>, Vec<&Arrival>) =
+        settled.partition(|arrival| arrival.to < shedding);
+    let each = |arrivals: usize, targets: u16| arrivals as f64 / f64::from(targets);
+    let (rejecting, serving) =
+        (each(to.len(), shedding), each(others.len(), site.targets - shedding));
+    assert!(rejecting < 0.5 * serving, "{rejecting} against {serving}");
+}
