Let rows decide where each entry process has more than a slot of a target

Three entries before targets of four slots know nearly all by rows, which come each 50 ms; an agent only costs the way to it. Agents are asked now where a part is a slot or less, by the entries that are known to the platform or were heard in the last minute, so that one that hears few of many doesn't decide by rows that are missing; one that knows of no others asks agents.

What is less than a slot keeps agents as before. Tests: direct_agents.rs, agents_are_asked_where_..., and direct_target_limits.rs and direct_repeats.rs play both ways; the worlds of five entries take the place of those of three, which decide by rows now and are played besides.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -1,10 +1,9 @@
 //! The targets, what runs at each, and which one a request goes to.
 //!
-//! A target with an agent beside it is reached by a reservation there. One without is, where it has fewer
-//! slots than there are entry processes, by a reservation at the agent of another target that all of them
-//! agree on. Else, and where no agent answers, entry processes share the slots without asking each other
-//! first: each has a part of the slots that it may always use, and may use slots that the others' last
-//! rows show as free.
+//! A target with no more slots than there are entry processes is reached by a reservation at the agent
+//! beside it; one without, where it has fewer, at the agent of another target that all of them agree on. Else, and where no
+//! agent answers, entry processes share the slots without asking each other first: each has a part of the
+//! slots that it may always use, and may use slots that the others' last rows show as free.
 
 mod agents;
 mod limits;
@@ -60,7 +59,7 @@
 pub struct TargetState {
     /// As listed.
     pub target: Target,
-    /// Where the agent listens that admits requests to it; `None` where none does.
+    /// Where the agent listens that admits requests to it; `None` where rows decide.
     pub agent: Option<SocketAddr>,
     /// Requests of this process that it has.
     pub own: u32,
@@ -111,8 +110,8 @@
     states: Vec<TargetState>,
     places: HashMap<TargetName, usize>,
     pools: HashMap<PoolName, Vec<usize>>,
-    /// Entry processes that share the targets, this one included.
-    among: u32,
+    /// Other entry processes that may share the targets.
+    others: usize,
 }
 
 impl TargetState {
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -74,22 +74,26 @@
 }
 
 impl Capacity {
-    /// Learns how many entry processes share the targets, this one included.
-    pub fn share(&mut self, among: u32) {
-        if std::mem::replace(&mut self.among, among) != among {
+    /// Learns how many other entry processes may share the targets: all that are known of, since some of
+    /// them may not be heard yet, or just now.
+    pub fn share(&mut self, others: usize) {
+        if std::mem::replace(&mut self.others, others) != others {
             self.assign_agents();
         }
     }
 
-    /// Chooses an agent for each target that has none beside it, and of whose slots an entry process's
-    /// part is less than one: what rows tell is then older than the time for which a slot is held.
+    /// Chooses an agent for each target of which an entry process's part is a slot or less: what rows tell
+    /// is then older than the time for which a slot is held. The agent of another target is asked only where
+    /// it is less than one. A process that knows of no others may not have heard of them yet, and asks
+    /// the agents that there are.
     pub(super) fn assign_agents(&mut self) {
         let ready = self.states.iter().map(|state| &state.target).filter(|target| target.ready);
         let agents: Vec<_> =
             ready.filter_map(|target| Some((&target.zone, target.agent?))).collect();
         let agent = |target: &Target| {
-            let is_shared = target.slots < self.among;
-            target.agent.or_else(|| is_shared.then(|| assigned(target, &agents)).flatten())
+            let (slots, entries) = (target.slots as usize, self.others + 1);
+            let beside = target.agent.filter(|_| entries == 1 || slots <= entries);
+            beside.or_else(|| (slots < entries).then(|| assigned(target, &agents)).flatten())
         };
         let chosen: Vec<_> = self.states.iter().map(|state| agent(&state.target)).collect();
         for (state, agent) in self.states.iter_mut().zip(chosen) {
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -137,7 +137,7 @@
         addresses.sort_unstable();
         let index = addresses.iter().position(|&address| address == own).unwrap_or_default();
         self.place = Place { index: index as u32, among: addresses.len() as u32 };
-        self.capacity.share(self.place.among);
+        self.capacity.share(self.peers.addresses().count());
         let together = self.peers.together(now, gone);
         if together != self.together {
             self.together = together;
--- a/components/scheduler/tests/direct_agents.rs
+++ b/components/scheduler/tests/direct_agents.rs
@@ -121,6 +121,23 @@
     assert!(reservations(&effects).is_empty());
 }
 
+/// Pattern: few entry processes, each of which has more than a slot of every target: rows are younger than
+/// the time for which a slot is held, and an agent only costs the way to it.
+#[test_case(0, 3 => 2; "a process that knows of no others yet")]
+#[test_case(1, 3 => 0; "two before targets of three slots")]
+#[test_case(2, 3 => 2; "as many as slots")]
+#[test_case(5, 3 => 2; "more than slots")]
+fn agents_are_asked_where_a_process_has_a_slot_or_less(others: u16, slots: u32) -> usize {
+    let targets = agents(4).into_iter().map(|target| Target { slots, ..target });
+    let mut entry = entry(targets.collect());
+    meet(&mut entry, others);
+
+    let effects = entry.arrive(request(1, "/never/"));
+
+    assert_eq!(starts(&effects).len(), usize::from(reservations(&effects).is_empty()));
+    reservations(&effects).len()
+}
+
 #[test]
 fn an_agent_whose_own_target_leaves_admits_to_no_other() {
     let mut entry = entry(beside_agents());
--- a/components/scheduler/tests/direct_repeats.rs
+++ b/components/scheduler/tests/direct_repeats.rs
@@ -14,7 +14,8 @@
 use test_case::test_case;
 
 const SMALL: Site =
-    Site { entries: 3, targets: 10, slots: 4, held: 250, load: 70.0, agents: Agents::Beside };
+    Site { entries: 5, targets: 10, slots: 4, held: 250, load: 70.0, agents: Agents::Beside };
+const FEW: Site = Site { entries: 3, ..SMALL };
 const PLAIN: Site =
     Site { entries: 5, targets: 5, slots: 6, held: 60, load: 50.0, agents: Agents::Nowhere };
 const LARGE: Site =
@@ -49,6 +50,7 @@
 #[test_case(SMALL, Fault::Nothing; "no kills")]
 #[test_case(SMALL, Fault::AllKilled; "kills of all in series")]
 #[test_case(SMALL, Fault::EntriesKilled; "kills of one after the other")]
+#[test_case(FEW, Fault::AllKilled; "few processes and kills of all in series")]
 #[test_case(PLAIN, Fault::AllKilled; "plain services and kills of all in series")]
 #[test_case(PLAIN, Fault::EntriesKilled; "plain services and kills of one after the other")]
 #[test_case(LARGE, Fault::AllKilled; "many processes and kills of all in series")]
--- a/components/scheduler/tests/direct_target_limits.rs
+++ b/components/scheduler/tests/direct_target_limits.rs
@@ -18,9 +18,11 @@
 use test_case::test_case;
 
 const SMALL: Site =
-    Site { entries: 3, targets: 9, slots: 4, held: 250, load: 60.0, agents: Agents::Beside };
+    Site { entries: 5, targets: 9, slots: 4, held: 250, load: 60.0, agents: Agents::Beside };
 const LARGE: Site =
     Site { entries: 31, targets: 40, slots: 5, held: 250, load: 400.0, agents: Agents::Beside };
+/// So few processes that rows decide, beside agents that aren't asked.
+const FEW: Site = Site { entries: 3, ..SMALL };
 const PLAIN: Site =
     Site { entries: 3, targets: 3, slots: 6, held: 60, load: 40.0, agents: Agents::Others };
 const PLAIN_LARGE: Site =
@@ -49,6 +51,8 @@
 /// Guards against targets that get many times the rate which they named, from all processes together.
 #[test_case(SMALL, Fault::Nothing, 1.0; "engines")]
 #[test_case(SMALL, Fault::Nothing, 2.1; "engines that take twice as much")]
+#[test_case(FEW, Fault::Nothing, 2.0; "engines at few processes")]
+#[test_case(FEW, Fault::EntriesKilled, 2.0; "few processes that are killed in series")]
 #[test_case(LARGE, Fault::Nothing, 2.0; "engines at many processes")]
 #[test_case(PLAIN, Fault::Nothing, 3.0; "plain services")]
 #[test_case(PLAIN_LARGE, Fault::Nothing, 3.0; "plain services at many processes")]
@@ -90,6 +94,7 @@
 
 /// Guards against limits that stay: a target that names none any more gets its part again.
 #[test_case(SMALL, 2.0; "engines")]
+#[test_case(FEW, 2.0; "engines at few processes")]
 #[test_case(LARGE, 1.0; "engines at many processes")]
 #[test_case(PLAIN, 3.0; "plain services")]
 #[test_case(ALONE, 3.0; "plain services without any agent")]
