Let what a start may use beyond an account's limit come with time

The fourth start within a window passed the limit: each start had a tenth of the tolerance at once, provided for three.

The test kills three, six and twelve times; it begins with full buckets and kills one second later now, which is more than it let through before.

Ruled out: half of it at once, which any number of kills passes again.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -21,8 +21,8 @@
     /// Units of the largest request of late; small ones wait for as much as it does.
     largest: f64,
     refilled: Instant,
-    /// Whether it has got what a process starts with.
-    stocked: bool,
+    /// Part of what a process gets besides after its start that is still to come, from 0 to 1.
+    stock: f64,
     /// Whether it has taken over what another process has left.
     adopted: bool,
 }
@@ -42,10 +42,11 @@
 /// requests come in clumps. The rest is left for what processes let through before they hear of
 /// each other, and for the parts that come on top when one is cut off.
 const GIVEN: f64 = 0.7;
-/// Part of the tolerance that a process starts with. What was let through before a start isn't known,
-/// and may have been all that the limit allows; this much may come on top all the same, also three
-/// times in a window.
+/// Part of the tolerance that a process gets besides after its start. What was let through before isn't
+/// known, and may have been all that the limit allows; this much may come on top all the same.
 const STOCK: f64 = 0.1;
+/// Part of the tolerance that comes so over a window, to all starts in it together.
+const STOCKS: f64 = 0.3;
 /// Part of the bucket that is kept for each higher rank, so that lower ones are refused before them.
 const RESERVE: f64 = 0.15;
 /// Ranks that are told apart.
@@ -85,8 +86,8 @@
     pub tolerance: Tolerance,
 }
 
-/// An account that hasn't been used. Its buckets are empty until they are first refilled, which adds
-/// what a process starts with: one that was started again doesn't know what it let through before.
+/// An account that hasn't been used. Its buckets are empty: a process that was started again doesn't know
+/// what it let through before.
 pub fn open(started: Instant) -> Allowance {
     Allowance {
         spent: 0,
@@ -94,7 +95,7 @@
         part: 0.0,
         largest: 0.0,
         refilled: started,
-        stocked: false,
+        stock: 1.0,
         adopted: false,
     }
 }
@@ -160,7 +161,7 @@
         let left = left as f64 - self.spent as f64;
         self.whole = if self.adopted { self.whole.max(left) } else { left };
         self.adopted = true;
-        self.stocked = true;
+        self.stock = 0.0;
         self.refilled = now;
     }
 
@@ -173,11 +174,12 @@
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         let among = f64::from(share.among);
-        if !std::mem::replace(&mut self.stocked, true) {
-            let stock = share.tolerance.part(STOCK, limit);
-            self.whole += stock;
-            self.part += stock / among;
-        }
+        let time = share.tolerance.window.mul_f64(STOCK / STOCKS);
+        let comes = passed.min(self.stock * time.as_secs_f64()) / time.as_secs_f64();
+        self.stock -= comes;
+        let stock = comes * share.tolerance.part(STOCK, limit);
+        self.whole += stock;
+        self.part += stock / among;
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -21,6 +21,7 @@
     self, Effect, Event, Introduction, Now, Outcome, Ticket, Tokens, allowance::Tolerance,
     plan::Repeat,
 };
+use test_case::test_case;
 
 const CASES: u32 = 40;
 const PROCESSES: u16 = 4;
@@ -408,13 +409,17 @@
     assert!(served >= 36, "{served} of 40");
 }
 
-#[test]
-fn kills_of_all_in_a_row_let_no_more_through_than_the_limit_allows() {
+#[test_case(3; "three")]
+#[test_case(6; "six")]
+#[test_case(12; "twelve")]
+fn kills_of_all_in_a_row_let_no_more_through_than_the_limit_allows(times: u64) {
     let mut fleet = hot_fleet();
+    // What is left is as much as can be.
+    (0..400).for_each(|step| fleet.pass(step));
 
     for step in 0..400_u64 {
-        // Three within one window, without any time in which nothing runs.
-        if step.is_multiple_of(100) && step < 300 {
+        // Within one window, without any time in which nothing runs.
+        if step >= 40 && (step - 40).is_multiple_of(260 / times) && step < 300 {
             fleet.strike(Fault::RestartAll);
         }
         fleet.step(step, 0);
