--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -16,6 +16,7 @@
 mod pending;
 pub mod plan;
 mod queue;
+mod rates;
 pub mod relay;
 mod reserve;
 pub mod rollout;
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -1,16 +1,13 @@
 //! What follows from the end of a dispatch, and how a request ends.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use model::id::{Fingerprint, PoolName, TargetName};
 
-use crate::rate::{self, News};
-
 use super::{
     CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     budget::{self, Budget},
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
-    peers::Limited,
     pending::{Pending, Running, Stage},
 };
 
@@ -23,55 +20,16 @@
         running.first = Some(first);
         let Running { mut slot, since, limited, .. } = running.clone();
         self.capacity.learn(&mut slot, first);
-        if !limited && self.capacity.lift_limit(now, &slot, since) {
-            let target = slot.target.clone();
-            effects.push(Effect::Note(Note::Limited { target, per_second: None }));
+        if !limited {
+            self.unlimited(now, &slot, since, effects);
         }
         if let Some(running) = self.running(ticket) {
             running.slot = slot;
         }
     }
 
-    /// An answer names its target's rate limit.
-    pub(super) fn limited(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        per_second: f64,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(running) = self.running(ticket) else {
-            return;
-        };
-        running.limited = true;
-        let (name, incarnation) = (running.slot.target.clone(), running.slot.incarnation);
-        let news = News { interval: Some(rate::interval(per_second)), at: now };
-        if self.capacity.hear_limit(now, &name, incarnation, news) {
-            effects
-                .push(Effect::Note(Note::Limited { target: name, per_second: Some(per_second) }));
-        }
-    }
-
-    /// Learns what another process heard of limits before it made a row that is as old as given.
-    pub(super) fn hear_limits(
-        &mut self,
-        now: Instant,
-        age: Duration,
-        limits: &[Limited],
-        effects: &mut Vec<Effect>,
-    ) {
-        for Limited { target, incarnation, limit } in limits {
-            let at = now.checked_sub(age + limit.age).unwrap_or(now);
-            let news = News { interval: limit.interval, at };
-            if self.capacity.hear_limit(now, target, *incarnation, news) {
-                let per_second = limit.interval.map(rate::per_second);
-                effects.push(Effect::Note(Note::Limited { target: target.clone(), per_second }));
-            }
-        }
-    }
-
     /// The dispatch of a request that hasn't ended.
-    fn running(&mut self, ticket: Ticket) -> Option<&mut Running> {
+    pub(super) fn running(&mut self, ticket: Ticket) -> Option<&mut Running> {
         match &mut self.requests.get_mut(&ticket)?.stage {
             Stage::Running(running) => Some(running),
             _ => None,
