Remember bodies that crashed targets when the process that counted is killed

Each row told what its own process counted, and the row of its next start replaced it, so that one kill made all processes forget, and the body crashed two targets more. Counts are told by who counted and at which start now, and passed on by all that heard them; they only grow, so that rows that come twice or late change nothing.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -1,9 +1,10 @@
 //! The targets, what runs at each, and which one a request goes to.
 //!
 //! A target with no more slots than there are entry processes is reached by a reservation at the agent
-//! beside it; one without, where it has fewer, at the agent of another target that all of them agree on. Else, and where no
-//! agent answers, entry processes share the slots without asking each other first: each has a part of the
-//! slots that it may always use, and may use slots that the others' last rows show as free.
+//! beside it; one without, where it has fewer, at the agent of another target that all of them agree on.
+//! Else, and where no agent answers, entry processes share the slots without asking each other first: each
+//! has a part of the slots that it may always use, and may use slots that the others' last rows show as
+//! free.
 
 mod agents;
 mod limits;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod capacity;
+pub mod crashes;
 mod era;
 pub mod event;
 mod holds;
@@ -39,6 +40,7 @@
 use allowance::Allowance;
 use budget::Budget;
 use capacity::{Capacity, Place, TargetState};
+use crashes::Crashes;
 pub use event::{
     Effect, Event, Grounds, Incarnation, Introduction, Lack, Lapse, Note, Now, Outcome, Reason,
     Refusal, Request, Reservation, Start, Target, Ticket, Tokens,
@@ -57,8 +59,6 @@
 const SILENCE: Duration = Duration::from_millis(2_800);
 /// Crashes after which a body is refused.
 const CRASHES: u32 = 2;
-/// Most bodies whose crashes are remembered; each is told to every other process.
-const CRASHES_KEPT: usize = 1_000;
 /// Time within which a target that takes no connection is blamed on what it ran before.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Part of a request's wait for which it may wait for units of its account's limit: whoever is refused
@@ -166,7 +166,7 @@
     /// Entry processes, this one included, that share what is left of limits.
     together: u32,
     sequence: u64,
-    crashes: BTreeMap<Fingerprint, u32>,
+    crashes: Crashes,
     /// Bodies whose connection broke off, by target, until it is known whether that died.
     lost: Vec<Loss>,
     /// Targets that are asked whether they take connections, and their starts.
@@ -256,7 +256,7 @@
         place: Place { index: 0, among: 1 },
         together: 1,
         sequence: 0,
-        crashes: BTreeMap::new(),
+        crashes: Crashes::default(),
         lost: Vec::new(),
         probing: BTreeMap::new(),
         draining: None,
@@ -446,7 +446,7 @@
             accounts: self.accounts.iter().map(used).collect(),
             running: self.capacity.running(now),
             limits: self.capacity.limits(now).map(limited).collect(),
-            crashes: self.crashes.iter().map(|(body, times)| (*body, *times)).collect(),
+            crashes: self.crashes.counts().collect(),
             rollouts: self.shares(now),
         }
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -7,12 +7,13 @@
 };
 
 use model::{
-    id::{AccountName, Fingerprint, TargetName},
+    id::{AccountName, TargetName},
     reservation::Limit,
 };
 use serde::{Deserialize, Serialize};
 
 use super::{
+    crashes,
     event::{Incarnation, Introduction},
     relay::Position,
     rollout::Share,
@@ -101,8 +102,8 @@
     /// What it last heard of the limits of targets that ever named one.
     #[serde(default)]
     pub limits: Vec<Limited>,
-    /// Bodies that ran when a target crashed there, and how often.
-    pub crashes: Vec<(Fingerprint, u32)>,
+    /// Bodies that ran when targets crashed, as far as it knows.
+    pub crashes: Vec<crashes::Count>,
     /// What it knows of each roll-out.
     pub rollouts: Vec<Share>,
 }
@@ -273,12 +274,6 @@
         })
     }
 
-    /// How often a body ran when a target crashed elsewhere.
-    pub fn crashes(&self, body: &Fingerprint) -> u32 {
-        let rows = self.peers.values().flat_map(|peer| &peer.row.crashes);
-        rows.filter(|(crashed, _)| crashed == body).map(|&(_, times)| times).sum()
-    }
-
     /// Forgets processes that have been silent for longer than `gone`, many times over.
     pub fn forget(&mut self, now: Instant, gone: Duration) {
         self.peers.retain(|_, peer| now.duration_since(peer.last()) < gone * 10);
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,7 +5,7 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    CRASH_WINDOW, CRASHES, CRASHES_KEPT, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
+    CRASH_WINDOW, CRASHES, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     budget::{self, Budget},
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
     pending::{Pending, Running, Stage},
@@ -187,20 +187,15 @@
         self.lost = rest;
         let died: Vec<Loss> = died;
         for loss in died {
-            if self.crashes.len() >= CRASHES_KEPT {
-                self.crashes.pop_first();
-            }
-            let times = self.crashes.entry(loss.body).or_default();
-            *times += 1;
-            if *times == CRASHES {
+            let own = (self.settings.address, self.settings.incarnation);
+            if self.crashes.add(loss.body, own) == CRASHES {
                 effects.push(Effect::Note(Note::Quarantined(loss.body)));
             }
         }
     }
 
     pub(super) fn is_quarantined(&self, body: &Fingerprint) -> bool {
-        let own = self.crashes.get(body).copied().unwrap_or_default();
-        own + self.peers.crashes(body) >= CRASHES
+        self.crashes.times(body) >= CRASHES
     }
 
     pub(super) fn refuse(
