--- a/components/scheduler/tests/direct_support/site.rs
+++ b/components/scheduler/tests/direct_support/site.rs
@@ -155,7 +155,7 @@
     targets
 }
 
-/// A process at its so-manieth start, which knows a configuration and the targets.
+/// An entry process after so many restarts, which knows a configuration and the targets.
 pub fn entry(number: usize, life: u32, site: Site, now: Now) -> Process {
     let mut settings = settings(number as u16 + 1);
     settings.incarnation = u64::from(life) + 1;
