Listen to a silent target until another has room for its request

Callers saw answers broken off in the middle with seconds of their time left. A target that had been silent for 500 ms (or four times the expected time), before or between events, lost its run at once, and then the request waited 1.5 s for another target with room; where none had, or the budget for repeats was used up, the answer ended as `target_lost` though the target may have gone on.

Now silence ends nothing. The caller's task tells the reducer (`Event::Quiet`) and listens on; the reducer lets the request wait for room elsewhere while it runs (`Stage::Seeking`), within attempts and budget. If the target speaks first the search is withdrawn and its repeat given back. If another has room, that is kept (`Stage::Moving`), the silent run is closed (`Effect::Leave`), and the new one starts once the task has said so, so two targets never work on it.

Weighed: (a) longer silence and waits: a dark target then costs that much, and any timer ends some answer; (b) both runs at once and the first to speak wins: breaks "goes on at one target only"; (c) a start sent while the old dispatch still counts: ends of two dispatches then cross in the channel, and the evidence needs to tell them apart; (d) a close first, answered by the end of the dispatch, as chosen: one dispatch at a time everywhere, for one more message between two threads. What a dark target costs is as before where another has room; its slot counts as used until the request moves.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! The life of one caller's request.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, pin::pin, sync::Arc, time::Duration};
 
 use async_stream::try_stream;
 use bytes::Bytes;
@@ -9,12 +9,16 @@
 use hyper::body::{Frame, Incoming};
 use model::id::{self, Fingerprint};
 use scheduler::direct::{self, Event, Outcome, Reason, Refusal, Start, Ticket};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    select,
+    sync::mpsc,
+    time::{sleep, timeout},
+};
 
 use crate::{
     Body, Broken, Call, Dialect,
     control::{self, Order},
-    dispatch::{self, Events, Opened, Targets},
+    dispatch::{self, Events, Opened, Targets, Unread},
     events::Piece,
     ingress::Open,
 };
@@ -145,17 +149,23 @@
                 Err(None) => return self.failure.take().map(Head::Whole).ok_or(LOST),
             };
             match self.send(&start).await {
-                Ok(Opened::Whole(response)) => {
-                    self.began();
-                    self.digest.update(response.body());
-                    self.report(Outcome::Done);
-                    return Ok(Head::Whole(response));
-                }
-                Ok(Opened::Failure(response)) => {
-                    self.failure = Some(response);
-                    self.report(Outcome::Failed);
-                }
-                Ok(Opened::Stream(parts, mut events)) => match events.next().await {
+                Ok(Opened::Whole(unread)) => match self.read(&start, unread).await {
+                    Ok(response) => {
+                        self.began();
+                        self.digest.update(response.body());
+                        self.report(Outcome::Done);
+                        return Ok(Head::Whole(response));
+                    }
+                    Err(outcome) => self.report(outcome),
+                },
+                Ok(Opened::Failure(unread)) => match self.read(&start, unread).await {
+                    Ok(response) => {
+                        self.failure = Some(response);
+                        self.report(Outcome::Failed);
+                    }
+                    Err(outcome) => self.report(outcome),
+                },
+                Ok(Opened::Stream(parts, mut events)) => match self.next(&mut events).await {
                     Ok(Some(piece)) => {
                         self.began();
                         return Ok(Head::Stream(parts, piece, events));
@@ -185,26 +195,68 @@
 
     /// The next dispatch; else the refusal, or nothing where the last failure is to be passed on.
     async fn order(&mut self) -> Result<Start, Option<Refusal>> {
-        match self.orders.recv().await {
-            Some(Order::Start(start)) => Ok(start),
-            Some(Order::Refuse(refusal)) => {
-                self.ended = true;
-                Err(Some(refusal))
-            }
-            Some(Order::Pass) => {
-                self.ended = true;
-                Err(None)
+        loop {
+            match self.orders.recv().await {
+                Some(Order::Start(start)) => return Ok(start),
+                // The target that it was to leave ended first.
+                Some(Order::Leave) => {}
+                Some(Order::Refuse(refusal)) => {
+                    self.ended = true;
+                    return Err(Some(refusal));
+                }
+                Some(Order::Pass) => {
+                    self.ended = true;
+                    return Err(None);
+                }
+                None => return Err(Some(LOST)),
             }
-            None => Err(Some(LOST)),
         }
     }
 
-    async fn send(&self, start: &Start) -> Result<Opened, Outcome> {
-        let Context { targets, dialect, .. } = &*self.context;
-        let limited = |per_second| {
-            self.context.control.send(Event::Limited { ticket: self.ticket, per_second });
-        };
-        dispatch::send(targets, dialect, &self.call, start, self.last.as_deref(), limited).await
+    async fn send(&mut self, start: &Start) -> Result<Opened, Outcome> {
+        let (context, call, last) =
+            (Arc::clone(&self.context), Arc::clone(&self.call), self.last.clone());
+        let Context { control, targets, dialect } = &*context;
+        let ticket = self.ticket;
+        let limited = |per_second| control.send(Event::Limited { ticket, per_second });
+        let sent = dispatch::send(targets, dialect, &call, start, last.as_deref(), limited);
+        self.listen(start.silence, sent).await
+    }
+
+    async fn read(&mut self, start: &Start, unread: Unread) -> Result<Response<Bytes>, Outcome> {
+        self.listen(start.silence, unread.read()).await
+    }
+
+    async fn next(&mut self, events: &mut Events) -> Result<Option<Piece>, Outcome> {
+        self.listen(events.silence, events.next()).await
+    }
+
+    /// Waits for a target. Tells when it is silent, and goes on to listen until another has room.
+    async fn listen<T>(
+        &mut self,
+        silence: Option<Duration>,
+        heard: impl Future<Output = Result<T, Outcome>>,
+    ) -> Result<T, Outcome> {
+        let mut heard = pin!(heard);
+        let (ticket, begun) = (self.ticket, self.begun);
+        let mut quiet = false;
+        loop {
+            select! {
+                biased;
+                // No other order comes before the dispatch has ended.
+                Some(Order::Leave) = self.orders.recv() => return Err(Outcome::Silent),
+                heard = &mut heard => {
+                    if quiet && heard.is_ok() {
+                        self.context.control.send(Event::Spoke { ticket });
+                    }
+                    return heard;
+                }
+                () = sleep(silence.unwrap_or_default()), if silence.is_some() => {
+                    quiet = true;
+                    self.context.control.send(Event::Quiet { ticket, begun });
+                }
+            }
+        }
     }
 
     fn began(&self) {
@@ -257,12 +309,12 @@
                     break;
                 }
                 Err(outcome) => {
-                    session.report(outcome);
                     drop(events);
+                    session.report(outcome);
                     events = *session.resume().await?;
                 }
             }
-            next = events.next().await;
+            next = session.next(&mut events).await;
         }
     }
 }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -49,6 +49,8 @@
 pub enum Order {
     /// Dispatch it.
     Start(Start),
+    /// Close its dispatch, so that another target gets it.
+    Leave,
     /// End it with an answer of our own.
     Refuse(Refusal),
     /// End it with the failure that its target answered with.
@@ -365,6 +367,16 @@
                     self.metrics.first(view.tier, view.running_for);
                 }
             }
+            Event::Quiet { ticket, begun } => {
+                if let Some(view) = self.state.view(*ticket, now).filter(|view| !view.seeks) {
+                    record::quiet(&view, *begun);
+                }
+            }
+            Event::Spoke { ticket } => {
+                if let Some(view) = self.state.view(*ticket, now).filter(|view| view.seeks) {
+                    record::spoke(&view);
+                }
+            }
             Event::Ended { ticket, outcome, begun, events } => {
                 if let Some(view) = self.state.view(*ticket, now) {
                     record::ended(&view, *outcome, *begun, *events);
@@ -386,6 +398,11 @@
                     let _ = orders.send(Order::Start(start));
                 }
             }
+            Effect::Leave { ticket, .. } => {
+                if let Some(orders) = self.orders.get(&ticket) {
+                    let _ = orders.send(Order::Leave);
+                }
+            }
             Effect::Refuse { ticket, refusal, grounds } => {
                 let id = self.ids.get(&ticket).map(String::as_str).unwrap_or_default();
                 record::refused(id, &refusal, &grounds, self.state.open_requests());
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -59,16 +59,25 @@
 
 /// What a dispatch gave.
 pub enum Opened {
-    /// A whole answer.
-    Whole(Response<Bytes>),
-    /// A whole answer that tells of a failure.
-    Failure(Response<Bytes>),
+    /// An answer that isn't a stream.
+    Whole(Unread),
+    /// One that tells of a failure.
+    Failure(Unread),
     /// The head of a stream, and what follows.
     Stream(Box<response::Parts>, Box<Events>),
 }
 
+/// An answer of which the head came.
+pub struct Unread {
+    head: response::Parts,
+    body: Incoming,
+    watch: Watch,
+}
+
 /// The events of one dispatch.
 pub struct Events {
+    /// Silence after which another target is looked for, where there may be one.
+    pub silence: Option<Duration>,
     body: Pin<Box<Incoming>>,
     splitter: Splitter,
     connection: CaptureConnection,
@@ -76,8 +85,8 @@
     ended: bool,
 }
 
-/// Sends a request and reads its answer, or the head of it where that is a stream. Tells at once the rate
-/// limit, in requests a second, that the answer names.
+/// Sends a request and reads the head of its answer. Tells at once the rate limit, in requests a second,
+/// that this names.
 pub async fn send(
     targets: &Targets,
     dialect: &Dialect,
@@ -93,7 +102,7 @@
     }
     let mut request = (dialect.forward)(call, start, remaining, last_event);
     let connection = capture_connection(&mut request);
-    let watch = Watch { until, silence: start.silence };
+    let watch = Watch { until };
     let answer = watch.wait(targets.request(request)).await?;
     let answer = answer.map_err(|error| lost(&error))?;
     let (mut head, body) = answer.into_parts();
@@ -115,12 +124,12 @@
         }
         Verdict::Answer if start.stream => {
             let body = Box::pin(body);
-            let events =
-                Events { body, splitter: Splitter::default(), connection, watch, ended: false };
+            let (silence, splitter) = (start.silence, Splitter::default());
+            let events = Events { silence, body, splitter, connection, watch, ended: false };
             Ok(Opened::Stream(Box::new(head), Box::new(events)))
         }
-        Verdict::Answer => Ok(Opened::Whole(whole(head, body, watch).await?)),
-        Verdict::Failure => Ok(Opened::Failure(whole(head, body, watch).await?)),
+        Verdict::Answer => Ok(Opened::Whole(Unread { head, body, watch })),
+        Verdict::Failure => Ok(Opened::Failure(Unread { head, body, watch })),
     }
 }
 
@@ -128,17 +137,22 @@
 #[derive(Clone, Copy)]
 struct Watch {
     until: Instant,
-    silence: Option<Duration>,
 }
 
 impl Watch {
     async fn wait<T>(&self, answer: impl Future<Output = T>) -> Result<T, Outcome> {
-        let silent = self.silence.map(|silence| Instant::now() + silence);
-        let (at, outcome) = match silent.filter(|&at| at < self.until) {
-            Some(at) => (at, Outcome::Silent),
-            None => (self.until, Outcome::Expired),
-        };
-        timeout_at(at, answer).await.map_err(|_| outcome)
+        timeout_at(self.until, answer).await.map_err(|_| Outcome::Expired)
+    }
+}
+
+impl Unread {
+    /// Reads the answer to its end.
+    pub async fn read(self) -> Result<Response<Bytes>, Outcome> {
+        let Unread { head, body, watch } = self;
+        match watch.wait(Limited::new(body, ANSWER_MAX).collect()).await? {
+            Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+            Err(_) => Err(Outcome::Lost { crashed: true }),
+        }
     }
 }
 
@@ -175,17 +189,6 @@
     }
 }
 
-async fn whole(
-    head: response::Parts,
-    body: Incoming,
-    watch: Watch,
-) -> Result<Response<Bytes>, Outcome> {
-    match watch.wait(Limited::new(body, ANSWER_MAX).collect()).await? {
-        Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
-        Err(_) => Err(Outcome::Lost { crashed: true }),
-    }
-}
-
 fn lost(error: &legacy::Error) -> Outcome {
     if error.is_connect() {
         return Outcome::Unreached;
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -42,6 +42,12 @@
                 "dispatched"
             );
         }
+        Effect::Leave { ticket, target } => {
+            if let Some(view) = state.view(*ticket, now) {
+                let after_ms = millis(view.running_for);
+                info!(request = view.id, to = target, after_ms, "leaves its silent target");
+            }
+        }
         Effect::Probe { target, .. } => info!(to = target, "asked whether it takes connections"),
         Effect::Fetch { .. }
         | Effect::Pass { .. }
@@ -77,6 +83,7 @@
         Effect::Note(Note::Limited { .. }) => limited(state, metrics),
         Effect::Note(Note::Quarantined(_) | Note::Restarted(_) | Note::Rollout(_))
         | Effect::Fetch { .. }
+        | Effect::Leave { .. }
         | Effect::Pass { .. }
         | Effect::Probe { .. }
         | Effect::Reserve(_)
@@ -88,6 +95,23 @@
     metrics.limited.set(i64::try_from(state.limited_targets()).unwrap_or(i64::MAX));
 }
 
+/// Logs that a target is silent while its answer is waited for.
+pub fn quiet(view: &View<'_>, begun: bool) {
+    info!(
+        request = view.id,
+        begun,
+        attempt = view.attempt,
+        after_ms = millis(view.running_for),
+        "its target is silent"
+    );
+}
+
+/// Logs that a silent target goes on.
+pub fn spoke(view: &View<'_>) {
+    let after_ms = millis(view.running_for);
+    info!(request = view.id, attempt = view.attempt, after_ms, "its silent target goes on");
+}
+
 /// Logs the end of a dispatch.
 pub fn ended(view: &View<'_>, outcome: Outcome, begun: bool, events: u32) {
     info!(
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -7,7 +7,7 @@
 use super::{
     PATIENCE, PROMOTE_PART, RETRY, State, WAIT_MIN, WAIT_PART, allowance,
     event::{Effect, Grounds, Now, Reason, Refusal, Request},
-    pending::{Pending, Stage},
+    pending::{Charge, Pending, Stage},
     plan::Plan,
     refuse,
 };
@@ -76,6 +76,7 @@
             stream: route.stream,
             attempts: route.attempts,
             dispatches: 0,
+            charge: Charge::Free,
             ran: false,
             begun: false,
             tried: Vec::new(),
--- a/components/scheduler/src/direct/budget.rs
+++ b/components/scheduler/src/direct/budget.rs
@@ -64,6 +64,11 @@
         allowed
     }
 
+    /// Gives a repeat back that wasn't dispatched.
+    pub fn give_back(&mut self) {
+        self.left += 1.0;
+    }
+
     fn refill(&mut self, now: Instant, rule: &Rule, processes: u32) {
         while self.requests.front().is_some_and(|&at| now.duration_since(at) > rule.window) {
             self.requests.pop_front();
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -369,6 +369,13 @@
         })
     }
 
+    /// Whether the target of a slot that was taken still takes requests.
+    pub fn is_open(&self, now: Instant, slot: &Slot) -> bool {
+        let state = self.state(&slot.target);
+        let state = state.filter(|state| state.target.incarnation == slot.incarnation);
+        state.is_some_and(|state| state.is_up(now))
+    }
+
     /// Gives a slot back.
     pub fn release(&mut self, slot: &Slot) {
         if let Some(state) = self.current(&slot.target, slot.incarnation) {
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -84,7 +84,7 @@
         /// Whether the connection broke off, as it does when a target dies.
         crashed: bool,
     },
-    /// Nothing came for too long; it may run.
+    /// Nothing came for long, and it was left for another target; it may run.
     Silent,
     /// The time was over; it may have run.
     Expired,
@@ -182,6 +182,19 @@
         /// Requests a second that the target takes from all processes together; not negative.
         per_second: f64,
     },
+    /// The target of a dispatch has been silent for as long as its [`Start`] says; its answer is still
+    /// waited for.
+    Quiet {
+        /// The request.
+        ticket: Ticket,
+        /// Whether a part of the answer went to the caller.
+        begun: bool,
+    },
+    /// A target that was silent goes on with its answer.
+    Spoke {
+        /// The request.
+        ticket: Ticket,
+    },
     /// A dispatch ended.
     Ended {
         /// The request.
@@ -359,7 +372,8 @@
     pub until: Instant,
     /// Whether the answer is a stream of events.
     pub stream: bool,
-    /// Longest silence of the target, where the request may be dispatched elsewhere.
+    /// Silence of the target after which another is looked for, where the request may be dispatched
+    /// elsewhere.
     pub silence: Option<Duration>,
     /// Which dispatch of the request this is, from 1.
     pub attempt: u32,
@@ -406,6 +420,13 @@
     },
     /// Dispatch a request.
     Start(Start),
+    /// End the dispatch of a request to a target that is silent: another has room for it.
+    Leave {
+        /// The request.
+        ticket: Ticket,
+        /// The target that has room.
+        target: TargetName,
+    },
     /// End a request with an answer of our own, or by breaking its answer off where that began.
     Refuse {
         /// The request.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 mod reserve;
 pub mod rollout;
+mod seek;
 mod settle;
 mod versions;
 mod world;
@@ -80,7 +81,7 @@
 /// Part of the time that is left in which a refused caller is told to come back: late enough for a
 /// burst to pass, early enough to be served then.
 const RETRY_PART: f64 = 0.25;
-/// Shortest silence of a target after which a request that may be repeated is dispatched elsewhere.
+/// Shortest silence of a target after which a request that may be repeated waits for room at another.
 const SILENT: Duration = Duration::from_millis(500);
 /// The same in multiples of the time to the first event that was expected.
 const SILENT_TIMES: u32 = 4;
@@ -211,6 +212,8 @@
     pub patience: Duration,
     /// Which dispatch it is, from 1.
     pub attempt: u32,
+    /// Whether it waits for room at another target, since its own is silent.
+    pub seeks: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -278,6 +281,10 @@
         Event::Limited { ticket, per_second } => {
             state.limited(now.steady, ticket, per_second, &mut effects);
         }
+        Event::Quiet { ticket, begun } => state.quiet(now.steady, ticket, begun),
+        Event::Spoke { ticket } => {
+            state.stay(ticket, &mut effects);
+        }
         Event::Ended { ticket, outcome, begun, events } => {
             state.ended(now, ticket, outcome, (begun, events), &mut effects);
         }
@@ -366,9 +373,7 @@
     /// What a dispatch was decided from.
     pub fn view(&self, ticket: Ticket, now: Instant) -> Option<View<'_>> {
         let pending = self.requests.get(&ticket)?;
-        let Stage::Running(running) = &pending.stage else {
-            return None;
-        };
+        let running = pending.running()?;
         let since = running.since;
         let state = self.capacity.state(&running.slot.target);
         Some(View {
@@ -388,6 +393,7 @@
             first: running.first,
             patience: pending.until.saturating_duration_since(pending.arrived),
             attempt: pending.dispatches,
+            seeks: matches!(pending.stage, Stage::Seeking(_)),
         })
     }
 
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -41,6 +41,15 @@
     pub reservation: Option<u32>,
 }
 
+/// Room at another target, for a request whose own is silent.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The slot.
+    pub slot: Slot,
+    /// The reservation that it was granted to, where that target has an agent.
+    pub reservation: Option<u32>,
+}
+
 /// A place at a target's agent.
 #[derive(Clone, Debug)]
 pub struct Reserved {
@@ -65,6 +74,21 @@
     Waiting,
     /// A target has it.
     Running(Running),
+    /// A target has it that is silent, and it waits for room at another.
+    Seeking(Running),
+    /// Another has room, and gets it once the dispatch to the silent one has ended.
+    Moving(Running, Held),
+}
+
+/// What the next dispatch of a request takes of the budget for repeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Charge {
+    /// Nothing.
+    Free,
+    /// A repeat, which has yet to be taken.
+    Due,
+    /// A repeat that was taken.
+    Paid,
 }
 
 /// A request and what was decided about it.
@@ -104,6 +128,8 @@
     pub attempts: u32,
     /// Dispatches so far.
     pub dispatches: u32,
+    /// What its next dispatch takes of the budget for repeats.
+    pub charge: Charge,
     /// Whether it may have run.
     pub ran: bool,
     /// Whether a part of the answer went to the caller.
@@ -155,6 +181,26 @@
         allowed && ran < self.attempts as usize
     }
 
+    /// Its dispatch that hasn't ended.
+    pub fn running(&self) -> Option<&Running> {
+        match &self.stage {
+            Stage::Running(running) | Stage::Seeking(running) | Stage::Moving(running, _) => {
+                Some(running)
+            }
+            Stage::Limited(_) | Stage::Waiting => None,
+        }
+    }
+
+    /// Its dispatch that hasn't ended.
+    pub fn running_mut(&mut self) -> Option<&mut Running> {
+        match &mut self.stage {
+            Stage::Running(running) | Stage::Seeking(running) | Stage::Moving(running, _) => {
+                Some(running)
+            }
+            Stage::Limited(_) | Stage::Waiting => None,
+        }
+    }
+
     /// Sends it to the version in use from now on; whether it was chosen for the one on trial.
     pub fn unchoose(&mut self, rollouts: &mut Rollouts) -> bool {
         let chosen = self.chosen.replace(false) == Some(true);
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use super::{
-    SILENT, SILENT_TIMES, State,
+    SILENT, SILENT_TIMES, State, budget,
     capacity::{Demand, Slot},
     event::{Effect, Now, Reason, Start, Ticket},
-    pending::{Pending, Running, Stage},
+    pending::{Charge, Held, Pending, Running, Stage},
     plan::Repeat,
     reserve,
     rollout::{Lane, Rollouts},
@@ -71,6 +71,9 @@
             if self.promote(now, ticket, effects) {
                 continue;
             }
+            if self.stay(ticket, effects) {
+                continue;
+            }
             if let Some((lack, wait)) = self.limit_wait(now, ticket) {
                 self.refuse_limited(now, ticket, lack, wait, effects);
                 continue;
@@ -86,6 +89,7 @@
     /// Dispatches what waits, as far as there is room, and reserves room for the rest.
     pub(super) fn place(&mut self, now: Now, effects: &mut Vec<Effect>) {
         self.reserve_at = self.reserve_at.split_off(&now.steady);
+        let (rule, among, opened) = (self.settings.repeats, self.place.among, self.opened);
         let alone = self.rollouts.any_active() && self.is_outnumbered(now.steady);
         for (pool, queue) in &mut self.waiting {
             if queue.is_empty() {
@@ -99,6 +103,14 @@
                     placed.push(*order);
                     continue;
                 };
+                if pending.charge == Charge::Due {
+                    let budget = self.budgets.entry(pool.clone());
+                    let budget = budget.or_insert_with(|| budget::open(opened));
+                    if !budget.repeat(now.steady, &rule, among) {
+                        continue;
+                    }
+                    pending.charge = Charge::Paid;
+                }
                 let lowest = self.lowest.get(pool) == Some(&pending.tier)
                     && self.holds.is_longest(pool, pending.tier);
                 let draw = (pending.request.draw >> 12) as f64 / (1_u64 << 52) as f64;
@@ -120,13 +132,8 @@
                         placed.push(*order);
                         self.timers.remove(&(pending.wake(), order.ticket));
                         pending.withdraw(effects);
-                        effects.push(Effect::Start(start(
-                            now.steady,
-                            pending,
-                            slot,
-                            None,
-                            &mut self.rollouts,
-                        )));
+                        let rollouts = &mut self.rollouts;
+                        effects.push(dispatch(now.steady, pending, slot, None, rollouts));
                         continue;
                     }
                     // One that may not go everywhere doesn't hold up those that may.
@@ -151,6 +158,24 @@
     }
 }
 
+/// Uses room for a request: it goes there, at once or as soon as the target that has it is left.
+pub(super) fn dispatch(
+    now: Instant,
+    pending: &mut Pending,
+    slot: Slot,
+    reservation: Option<u32>,
+    rollouts: &mut Rollouts,
+) -> Effect {
+    match std::mem::replace(&mut pending.stage, Stage::Waiting) {
+        Stage::Seeking(running) => {
+            let target = slot.target.clone();
+            pending.stage = Stage::Moving(running, Held { slot, reservation });
+            Effect::Leave { ticket: pending.request.ticket, target }
+        }
+        _ => Effect::Start(start(now, pending, slot, reservation, rollouts)),
+    }
+}
+
 pub(super) fn start(
     now: Instant,
     pending: &mut Pending,
@@ -159,6 +184,7 @@
     rollouts: &mut Rollouts,
 ) -> Start {
     pending.dispatches += 1;
+    pending.charge = Charge::Free;
     // What is dispatched again goes to the version in use.
     pending.unchoose(rollouts);
     rollouts.dispatched(&pending.pool, &pending.route, slot.ordered);
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -13,7 +13,7 @@
     State,
     capacity::{Capacity, Demand, Slot},
     event::{Effect, Lapse, Reservation, Ticket},
-    pending::{Order, Pending, Reserved, Running},
+    pending::{Held, Order, Pending, Reserved, Running},
     queue,
 };
 
@@ -120,8 +120,8 @@
         self.dequeue(ticket);
         if let Some(pending) = self.requests.get_mut(&ticket) {
             pending.withdraw(effects);
-            let start = queue::start(now, pending, slot, Some(number), &mut self.rollouts);
-            effects.push(Effect::Start(start));
+            let rollouts = &mut self.rollouts;
+            effects.push(queue::dispatch(now, pending, slot, Some(number), rollouts));
         }
     }
 
@@ -161,4 +161,10 @@
         let number = running.reservation;
         effects.extend(number.map(|number| Effect::Withdraw { ticket, number }));
     }
+
+    /// Gives room back that a request didn't use.
+    pub(super) fn release_held(&mut self, ticket: Ticket, held: &Held, effects: &mut Vec<Effect>) {
+        self.capacity.release(&held.slot);
+        effects.extend(held.reservation.map(|number| Effect::Withdraw { ticket, number }));
+    }
 }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -7,10 +7,22 @@
 use super::{
     CRASH_WINDOW, CRASHES, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
     budget::{self, Budget},
+    capacity::Slot,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
-    pending::{Pending, Running, Stage},
+    pending::{Held, Pending, Running, Stage},
+    queue,
 };
 
+/// What follows the end of a dispatch.
+enum Next {
+    /// Nothing was decided before.
+    Open,
+    /// The request already waits for room at another target.
+    Waiting,
+    /// Another target has room for it.
+    Held(Held),
+}
+
 impl State {
     pub(super) fn began(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
         let Some(running) = self.running(ticket) else {
@@ -30,10 +42,7 @@
 
     /// The dispatch of a request that hasn't ended.
     pub(super) fn running(&mut self, ticket: Ticket) -> Option<&mut Running> {
-        match &mut self.requests.get_mut(&ticket)?.stage {
-            Stage::Running(running) => Some(running),
-            _ => None,
-        }
+        self.requests.get_mut(&ticket)?.running_mut()
     }
 
     pub(super) fn ended(
@@ -44,67 +53,129 @@
         (begun, events): (bool, u32),
         effects: &mut Vec<Effect>,
     ) {
+        self.dequeue(ticket);
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Stage::Running(running) = pending.stage.clone() else {
-            return;
+        let stage = std::mem::replace(&mut pending.stage, Stage::Waiting);
+        let (running, next) = match stage {
+            Stage::Running(running) => (running, Next::Open),
+            Stage::Seeking(running) => (running, Next::Waiting),
+            Stage::Moving(running, held) => (running, Next::Held(held)),
+            stage => {
+                pending.stage = stage;
+                return self.enqueue(ticket);
+            }
         };
-        pending.stage = Stage::Waiting;
         let target = running.slot.target.clone();
         pending.begun |= begun || events > 0;
         pending.ran |= outcome.may_have_run();
-        let (pool, tier, body) = (pending.pool.clone(), pending.tier, pending.request.fingerprint);
+        let (pool, tier) = (pending.pool.clone(), pending.tier);
+        if outcome == Outcome::Done {
+            let held = now.steady.saturating_duration_since(running.since);
+            self.holds.learn(&pool, tier, held);
+        }
         self.learn_version(now.steady, ticket, &running, (outcome, events));
         self.release(ticket, &running, effects);
-        let Running { slot, since, .. } = running;
+        self.learn_end(now.steady, ticket, &running.slot, outcome, effects);
+        if matches!(outcome, Outcome::Done | Outcome::Expired) {
+            if let Next::Held(held) = &next {
+                self.release_held(ticket, held, effects);
+            }
+            if outcome == Outcome::Done {
+                self.remove(ticket, effects);
+            } else {
+                self.refuse(now.steady, ticket, Reason::Expired, true, effects);
+            }
+            return;
+        }
+        if !matches!(next, Next::Open) {
+            return self.move_on(now.steady, ticket, outcome, next, effects);
+        }
+        match outcome {
+            Outcome::Rejected | Outcome::Replaced => self.again(now, ticket, true, effects),
+            Outcome::Unreached => self.again(now, ticket, false, effects),
+            _ => {
+                if outcome == Outcome::Silent {
+                    self.capacity.mark_down(now.steady, &target, running.slot.incarnation);
+                }
+                self.repeat(now, ticket, target, outcome, effects);
+            }
+        }
+    }
+
+    /// What the end of a dispatch says of its target.
+    fn learn_end(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        slot: &Slot,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
         let failed = matches!(
             outcome,
             Outcome::Failed | Outcome::Lost { .. } | Outcome::Rejected | Outcome::Silent
         );
         if failed || outcome == Outcome::Done {
-            self.capacity.judge(&slot, failed);
+            self.capacity.judge(slot, failed);
         }
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
         match outcome {
-            Outcome::Done => {
-                let held = now.steady.saturating_duration_since(since);
-                self.holds.learn(&pool, tier, held);
-                self.remove(ticket, effects);
-            }
             Outcome::Rejected => {
-                self.capacity.mark_full(now.steady, &slot);
-                if let Some(pending) = self.requests.get_mut(&ticket) {
-                    pending.rejected.push(target);
-                }
-                self.again(now, ticket, true, effects);
-            }
-            Outcome::Replaced => {
-                self.capacity.mark_gone(&slot);
-                self.again(now, ticket, true, effects);
+                pending.rejected.push(slot.target.clone());
+                self.capacity.mark_full(now, slot);
             }
+            Outcome::Replaced => self.capacity.mark_gone(slot),
             Outcome::Unreached => {
-                self.capacity.mark_down(now.steady, &target, slot.incarnation);
-                self.count_crashes(now.steady, &target, effects);
-                self.again(now, ticket, false, effects);
-            }
-            Outcome::Failed => self.repeat(now, ticket, target, Outcome::Failed, effects),
-            Outcome::Silent => {
-                self.capacity.mark_down(now.steady, &target, slot.incarnation);
-                self.repeat(now, ticket, target, outcome, effects);
+                self.capacity.mark_down(now, &slot.target, slot.incarnation);
+                self.count_crashes(now, &slot.target, effects);
             }
-            Outcome::Lost { crashed } => {
-                if crashed {
-                    let loss = Loss { at: now.steady, target: target.clone(), body };
-                    self.lost.retain(|known| now.steady.duration_since(known.at) < CRASH_WINDOW);
-                    self.lost.push(loss);
-                    self.probe(&target, effects);
-                }
-                self.repeat(now, ticket, target, outcome, effects);
+            Outcome::Lost { crashed: true } => {
+                let body = pending.request.fingerprint;
+                let loss = Loss { at: now, target: slot.target.clone(), body };
+                self.lost.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
+                self.lost.push(loss);
+                self.probe(&slot.target, effects);
             }
-            Outcome::Expired => self.refuse(now.steady, ticket, Reason::Expired, true, effects),
+            Outcome::Done
+            | Outcome::Failed
+            | Outcome::Lost { crashed: false }
+            | Outcome::Silent
+            | Outcome::Expired => {}
         }
     }
 
+    /// Goes on with a request whose dispatch ended while it looked for another target, or had one.
+    fn move_on(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        outcome: Outcome,
+        next: Next,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        if !outcome.may_have_run() {
+            pending.tried.pop();
+        }
+        let Next::Held(held) = next else {
+            return self.enqueue(ticket);
+        };
+        // It may have left the list since it had room.
+        if !self.capacity.is_open(now, &held.slot) {
+            self.release_held(ticket, &held, effects);
+            return self.enqueue(ticket);
+        }
+        let Held { slot, reservation } = held;
+        let start = queue::start(now, pending, slot, reservation, &mut self.rollouts);
+        effects.push(Effect::Start(start));
+    }
+
     /// Puts a request back that this target did not run.
     pub(super) fn again(
         &mut self,
@@ -223,12 +294,16 @@
 
     pub(super) fn remove(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) -> Option<Pending> {
         self.dequeue(ticket);
+        self.refund(ticket);
         let mut pending = self.requests.remove(&ticket)?;
         pending.withdraw(effects);
         pending.unchoose(&mut self.rollouts);
-        if let Stage::Running(running) = &pending.stage {
+        if let Some(running) = pending.running() {
             self.release(ticket, running, effects);
         }
+        if let Stage::Moving(_, held) = &pending.stage {
+            self.release_held(ticket, held, effects);
+        }
         if !pending.ran && matches!(pending.stage, Stage::Waiting) {
             self.give_back(&pending);
         }
--- a/components/scheduler/src/direct/versions.rs
+++ b/components/scheduler/src/direct/versions.rs
@@ -6,7 +6,7 @@
     State,
     capacity::Capacity,
     event::{Effect, Note, Outcome, Target, Ticket},
-    pending::{Running, Stage},
+    pending::Running,
     rollout::{Answer, Order, Others, Report, Share, Step},
 };
 
@@ -37,9 +37,7 @@
 
     /// The target that has a request.
     pub fn target(&self, ticket: Ticket) -> Option<&Target> {
-        let Stage::Running(running) = &self.requests.get(&ticket)?.stage else {
-            return None;
-        };
+        let running = self.requests.get(&ticket)?.running()?;
         Some(&self.capacity.state(&running.slot.target)?.target)
     }
 
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -28,6 +28,9 @@
         outcome: Outcome,
         begun: bool,
     },
+    /// The target of such a dispatch is silent, or goes on after that.
+    Quiet(usize),
+    Speak(usize),
     Leave(usize),
     Wait(u16),
     Confirm,
@@ -42,6 +45,8 @@
     /// Targets that may have run it.
     ran: usize,
     running: Option<String>,
+    /// Whether its target is silent, and it may wait for another.
+    seeks: bool,
     ended: bool,
 }
 
@@ -76,6 +81,8 @@
         6 => repeat.prop_map(Step::Arrive),
         6 => (0..8_usize, outcome, any::<bool>())
             .prop_map(|(nth, outcome, begun)| Step::End { nth, outcome, begun }),
+        2 => (0..8_usize).prop_map(Step::Quiet),
+        1 => (0..8_usize).prop_map(Step::Speak),
         1 => (0..8_usize).prop_map(Step::Leave),
         3 => (0..600_u16).prop_map(Step::Wait),
         2 => Just(Step::Confirm),
@@ -111,6 +118,12 @@
                     asked.ended = true;
                 }
                 Effect::Reserve(_) | Effect::Withdraw { .. } => panic!("no agent: {effect:?}"),
+                Effect::Leave { ticket, target } => {
+                    let asked = self.asked.get_mut(ticket).expect("it was asked");
+                    assert!(asked.seeks && !asked.ended, "{asked:?}");
+                    assert!(asked.running.as_ref().is_some_and(|old| old != target), "{asked:?}");
+                    asked.seeks = false;
+                }
                 Effect::Fetch { .. } | Effect::Probe { .. } | Effect::Note(_) => {}
             }
         }
@@ -145,7 +158,7 @@
     for (ticket, step) in (0..).zip(steps) {
         let effects = match step {
             Step::Arrive(repeat) => {
-                let asked = Asked { repeat, ran: 0, running: None, ended: false };
+                let asked = Asked { repeat, ran: 0, running: None, seeks: false, ended: false };
                 oracle.asked.insert(ticket, asked);
                 process.arrive(request(ticket, path(repeat)))
             }
@@ -157,10 +170,26 @@
                 // A part of an answer went on only where something ran, and from a stream.
                 let begun = begun && outcome.may_have_run() && asked.repeat == Repeat::Resume;
                 asked.running = None;
+                asked.seeks = false;
                 asked.ran += usize::from(outcome.may_have_run());
                 asked.ended = outcome == Outcome::Done;
                 process.send(Event::Ended { ticket, outcome, begun, events: u32::from(begun) })
             }
+            Step::Quiet(nth) => {
+                let Some(ticket) = oracle.running(nth) else {
+                    continue;
+                };
+                let asked = oracle.asked.get_mut(&ticket).expect("it runs");
+                asked.seeks |= asked.repeat != Repeat::Never;
+                process.send(Event::Quiet { ticket, begun: false })
+            }
+            Step::Speak(nth) => {
+                let Some(ticket) = oracle.running(nth) else {
+                    continue;
+                };
+                oracle.asked.get_mut(&ticket).expect("it runs").seeks = false;
+                process.send(Event::Spoke { ticket })
+            }
             Step::Leave(nth) => {
                 let Some(ticket) = oracle.running(nth) else {
                     continue;
