Let the test of a target that left run when no outage has just ended

Its process had just seen an outage end, in which targets that vanish are used on for 2.2 s, as they should.

--- a/components/scheduler/tests/direct_silent.rs
+++ b/components/scheduler/tests/direct_silent.rs
@@ -21,6 +21,9 @@
     // It earns repeats.
     entry.pass(Duration::from_secs(30));
     entry.confirm();
+    // So long after an outage targets that vanish aren't used any more.
+    entry.pass(2_500 * MS);
+    entry.confirm();
     entry
 }
 
