Let a stream that broke off wait for another target for as long as its caller does

A stream whose connection to its target broke off after a part had gone to the caller waited 1.5 s for another target with room, over all of its tries, and was then ended in the middle; with no repeat left in the pool's budget it was ended at once, also where the next target rejected it.

Once an answer has begun its rest is owed: it waits until its caller's time is over, for room and for a repeat. The repeat is taken when the stream's turn comes (`Charge::Due`), so the budget binds as before, and one for which there is none holds nobody up. What hasn't begun keeps its 1.5 s (now REPEAT_WAIT): it gets an answer of ours that its caller may follow with another try, elsewhere and with time left. Ruled out: repeats beyond the budget for streams that have begun (the budget is a promise over all processes); a longer fixed wait (some answer always ends by it).

All pass: cargo test -p scheduler -p platform -p gateway: 0 failed.

--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,11 +5,11 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    CRASH_WINDOW, CRASHES, Loss, RESUME_WAIT, RETRY_MAX, RETRY_PART, State,
+    CRASH_WINDOW, CRASHES, Loss, REPEAT_WAIT, RETRY_MAX, RETRY_PART, State,
     budget::{self, Budget},
     capacity::Slot,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
-    pending::{Held, Pending, Running, Stage},
+    pending::{Charge, Held, Pending, Running, Stage},
     queue,
 };
 
@@ -184,10 +184,13 @@
         arrived: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(pending) = self.requests.get(&ticket) else {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        if arrived && !self.pay(now.steady, &pending.pool.clone()) {
+        let pool = pending.pool.clone();
+        if arrived && pending.begun {
+            pending.charge = Charge::Due;
+        } else if arrived && !self.pay(now.steady, &pool) {
             return self.refuse(now.steady, ticket, Reason::Unserved, false, effects);
         }
         self.enqueue(ticket);
@@ -208,10 +211,14 @@
         pending.tried.push(target);
         let allowed = pending.may_repeat(pending.tried.len());
         let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
+        let begun = pending.begun;
         let harmless = !self.is_quarantined(&body);
-        if allowed && harmless && self.pay(now.steady, &pool) {
+        // The rest of an answer that has begun is owed for as long as its caller waits.
+        if allowed && harmless && (begun || self.pay(now.steady, &pool)) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
-                pending.give_up = pending.until.min(now.steady + RESUME_WAIT);
+                let wait = now.steady + REPEAT_WAIT;
+                pending.charge = if begun { Charge::Due } else { Charge::Paid };
+                pending.give_up = if begun { pending.until } else { pending.until.min(wait) };
             }
             return self.enqueue(ticket);
         }
