Pass a target's failure on where no other target answers

A safe request that a target answered with a failure of its own is tried elsewhere. Where no target had room within 1.5 s, or the next lost the request or took too long, its caller got a 502 or 504 of ours, although a target's answer lay ready. It gets that answer now, unless a part of another answer has already gone out.

--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -79,6 +79,7 @@
             charge: Charge::Free,
             ran: false,
             begun: false,
+            failed: false,
             tried: Vec::new(),
             rejected: Vec::new(),
             reserved: Vec::new(),
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -134,6 +134,8 @@
     pub ran: bool,
     /// Whether a part of the answer went to the caller.
     pub begun: bool,
+    /// Whether a target answered with a failure, which the caller gets if no other answers.
+    pub failed: bool,
     /// Targets that may have run it.
     pub tried: Vec<TargetName>,
     /// Targets that rejected it: it goes to another first.
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -70,6 +70,7 @@
         let target = running.slot.target.clone();
         pending.begun |= begun || events > 0;
         pending.ran |= outcome.may_have_run();
+        pending.failed |= outcome == Outcome::Failed;
         let (pool, tier) = (pending.pool.clone(), pending.tier);
         if outcome == Outcome::Done {
             let held = now.steady.saturating_duration_since(running.since);
@@ -99,7 +100,7 @@
                 if outcome == Outcome::Silent {
                     self.capacity.mark_down(now.steady, &target, running.slot.incarnation);
                 }
-                self.repeat(now, ticket, target, outcome, effects);
+                self.repeat(now, ticket, target, effects);
             }
         }
     }
@@ -202,7 +203,6 @@
         now: Now,
         ticket: Ticket,
         target: String,
-        outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
         let Some(pending) = self.requests.get_mut(&ticket) else {
@@ -222,10 +222,6 @@
             }
             return self.enqueue(ticket);
         }
-        if outcome == Outcome::Failed {
-            self.remove(ticket, effects);
-            return effects.push(Effect::Pass { ticket });
-        }
         self.refuse(now.steady, ticket, Reason::Lost, true, effects);
     }
 
@@ -288,6 +284,9 @@
         let Some(pending) = self.remove(ticket, effects) else {
             return;
         };
+        if pending.failed && !pending.begun {
+            return effects.push(Effect::Pass { ticket });
+        }
         let not_run = !ran && !pending.ran;
         let reason = match (reason, not_run) {
             (Reason::Late | Reason::NoRoom | Reason::Unserved, false) => Reason::Lost,
--- a/components/scheduler/tests/direct.rs
+++ b/components/scheduler/tests/direct.rs
@@ -257,6 +257,24 @@
     assert!(matches!(effects[..], [Effect::Pass { ticket: 1 }]), "{effects:?}");
 }
 
+/// Guards against failures that targets answered with and that are replaced by one of our own.
+#[test_case(1, &[Outcome::Failed]; "no other has room")]
+#[test_case(5, &[Outcome::Failed, Outcome::Lost { crashed: false }]; "another lost it")]
+#[test_case(5, &[Outcome::Failed, Outcome::Rejected, Outcome::Expired]; "another took too long")]
+fn a_failure_is_passed_on_where_no_other_target_answers(count: u16, outcomes: &[Outcome]) {
+    let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(count));
+    process.pass(Duration::from_secs(30));
+    process.confirm();
+    process.arrive(request(1, "/a/"));
+
+    let mut effects: Vec<Effect> =
+        outcomes.iter().flat_map(|&outcome| process.end(1, outcome)).collect();
+    effects.extend(process.pass(Duration::from_secs(2)));
+
+    let last = effects.last();
+    assert!(matches!(last, Some(Effect::Pass { ticket: 1 })), "{effects:?}");
+}
+
 #[test]
 fn a_dispatch_that_never_arrived_takes_no_attempt() {
     let mut process = process(plan(1, vec![route("/a/", Repeat::Safe)], None), targets(5));
