--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -454,12 +454,21 @@
         rows
     }
 
+    /// Measures what every other process is told with each exchange.
+    fn measure(&mut self, now: Instant) {
+        match postcard::to_stdvec(&self.state.row(now)) {
+            Ok(row) => drop(self.metrics.row_bytes.set(row.len() as i64)),
+            Err(error) => error!(%error, "the own row can't be packed"),
+        }
+    }
+
     /// Exchanges rows and offers with those whose address is higher, and with all that aren't heard.
     fn exchange(&mut self) {
         self.exchanges += 1;
         let now = now();
         let peers: Vec<SocketAddr> = self.state.peers().collect();
         self.links.retain(&peers);
+        self.measure(now.steady);
         for (place, address) in peers.into_iter().enumerate() {
             if address < self.own && self.state.hears(now.steady, address) {
                 continue;
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -84,7 +84,7 @@
         let link = self.links.entry(address).or_default();
         link.busy = false;
         self.metrics.exchanged(done.is_some());
-        link.silent = record::exchanged(address, link.silent, done.is_some());
+        link.silent = record::exchanged(address, link.silent, done.is_some(), &self.metrics);
         let (client, answer) = done.unzip();
         link.client = client;
         answer
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -75,7 +75,9 @@
             limited(state, metrics);
         }
         Effect::Note(Note::Limited { .. }) => limited(state, metrics),
-        Effect::Note(Note::Quarantined(_) | Note::Restarted(_) | Note::Rollout(_))
+        Effect::Note(
+            Note::Crashed { .. } | Note::Quarantined(_) | Note::Restarted(_) | Note::Rollout(_),
+        )
         | Effect::Fetch { .. }
         | Effect::Pass { .. }
         | Effect::Probe { .. }
@@ -174,9 +176,17 @@
 }
 
 /// Logs that another process no longer answers, or does again; gives since when it doesn't.
-pub fn exchanged(peer: SocketAddr, silent: Option<Instant>, answered: bool) -> Option<Instant> {
+pub fn exchanged(
+    peer: SocketAddr,
+    silent: Option<Instant>,
+    answered: bool,
+    metrics: &Gateway,
+) -> Option<Instant> {
     match (silent, answered) {
-        (None, false) => info!(%peer, "an entry process doesn't answer"),
+        (None, false) => {
+            let row_bytes = metrics.row_bytes.get();
+            info!(%peer, row_bytes, "an entry process doesn't answer");
+        }
         (Some(since), true) => {
             info!(%peer, away_ms = millis(since.elapsed()), "an entry process answers again");
         }
@@ -236,6 +246,9 @@
             info!(to = target, "a target names no rate limit any more");
         }
         Note::Rollout(step) => stepped(step),
+        Note::Crashed { target, bodies } => {
+            info!(to = target, bodies, "a target died while it ran requests");
+        }
         Note::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
             warn!(body, "a body is refused: targets died while they ran it");
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -59,6 +59,8 @@
     pub targets: Gauge,
     /// Targets that name a rate limit.
     pub limited: Gauge,
+    /// Bytes of the row that this process last told of itself.
+    pub row_bytes: Gauge,
     /// Seconds since the platform last answered a read of its list of targets; infinite where it never did.
     pub list_age: Gauge<f64, AtomicU64>,
     /// Log lines that were left out.
@@ -86,6 +88,7 @@
         together: Gauge::default(),
         targets: Gauge::default(),
         limited: Gauge::default(),
+        row_bytes: Gauge::default(),
         list_age: Gauge::default(),
         left_out: Gauge::default(),
     };
@@ -109,6 +112,7 @@
         ("entries_together", "Entry processes that share limits", &metrics.together),
         ("targets_ready", "Targets that take requests", &metrics.targets),
         ("targets_limited", "Targets that name a rate limit", &metrics.limited),
+        ("row_bytes", "Size of the row told to other entry processes", &metrics.row_bytes),
         ("log_lines_left_out", "Log lines that found no room", &metrics.left_out),
     ];
     for (name, help, gauge) in gauges {
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -475,6 +475,13 @@
         /// Requests a second; `None` where it names none any more.
         per_second: Option<f64>,
     },
+    /// A target died while it ran requests of this process.
+    Crashed {
+        /// The target.
+        target: TargetName,
+        /// The requests.
+        bodies: u32,
+    },
     /// A body is refused from now on.
     Quarantined(Fingerprint),
     /// A roll-out goes on.
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -186,6 +186,10 @@
             std::mem::take(&mut self.lost).into_iter().partition(|loss| loss.target == target);
         self.lost = rest;
         let died: Vec<Loss> = died;
+        if !died.is_empty() {
+            let (target, bodies) = (target.to_owned(), died.len() as u32);
+            effects.push(Effect::Note(Note::Crashed { target, bodies }));
+        }
         for loss in died {
             let own = (self.settings.address, self.settings.incarnation);
             if self.crashes.add(loss.body, own) == CRASHES {
