Fetch counts of crashed bodies from those that have others, instead of telling them in each row

Cause: since each process's row told all bodies that ran when targets died, as counted by anyone and any earlier start; the row goes out with each of 100 exchanges a second, and the rows of all with each twentieth. Class: state that all must know, carried by messages that are sized for what few must know at once. Entries with 10 Mbit/s no longer heard each other within 400 ms, and bytes between zones tripled.

Now the offer of an exchange has a digest of the counts, and whoever has another one fetches them, four times a second at most. Counts are forgotten after ten minutes, which nothing did before. Ruled out: slow targets (the exchanges failed also with no requests left), and asking the one with the most counts (adds one process's a round: the test with 31 failed).

--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -107,7 +107,7 @@
         version: Position,
         news: impl FnOnce() -> Option<News>,
     ) -> Option<Bytes> {
-        let last = self.packed.get(&topic).filter(|last| last.0 == version);
+        let last = self.packed.get(&topic).filter(|last| last.0 == version && topic.is_timeless());
         if let Some((_, packed)) = last {
             self.metrics.relayed(topic.name());
             return Some(packed.clone());
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -167,6 +167,8 @@
     together: u32,
     sequence: u64,
     crashes: Crashes,
+    /// When counts of crashes may be fetched again.
+    crashes_at: Option<Instant>,
     /// Bodies whose connection broke off, by target, until it is known whether that died.
     lost: Vec<Loss>,
     /// Targets that are asked whether they take connections, and their starts.
@@ -257,6 +259,7 @@
         together: 1,
         sequence: 0,
         crashes: Crashes::default(),
+        crashes_at: None,
         lost: Vec::new(),
         probing: BTreeMap::new(),
         draining: None,
@@ -326,7 +329,7 @@
     }
     state.freshen(now, &mut effects);
     state.relist(now.steady, &mut effects);
-    state.fetch(&mut effects);
+    state.fetch(now.steady, &mut effects);
     state.grant(now.steady);
     state.expire(now.steady, &mut effects);
     state.place(now, &mut effects);
@@ -446,7 +449,6 @@
             accounts: self.accounts.iter().map(used).collect(),
             running: self.capacity.running(now),
             limits: self.capacity.limits(now).map(limited).collect(),
-            crashes: self.crashes.counts().collect(),
             rollouts: self.shares(now),
         }
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -13,7 +13,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    crashes,
     event::{Incarnation, Introduction},
     relay::Position,
     rollout::Share,
@@ -102,8 +101,6 @@
     /// What it last heard of the limits of targets that ever named one.
     #[serde(default)]
     pub limits: Vec<Limited>,
-    /// Bodies that ran when targets crashed, as far as it knows.
-    pub crashes: Vec<crashes::Count>,
     /// What it knows of each roll-out.
     pub rollouts: Vec<Share>,
 }
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -1,4 +1,4 @@
-//! What entry processes relay to each other of the configuration and the targets.
+//! What entry processes relay to each other: the configuration, the targets, and which bodies crashed some.
 //!
 //! With each exchange a process offers what it has, by version only. Whoever lacks it fetches it from
 //! one that offers it, so that a process without a way to the platform's service goes on by those that
@@ -21,11 +21,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    SILENCE, State,
+    SILENCE, State, crashes,
     event::{Effect, Now, Target},
     plan::Plan,
 };
 
+/// Gives the same in all processes.
+const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
+/// Shortest time between two fetches of counts of crashes: while many targets die at once, each process has others than
+/// the next.
+const PAUSE: Duration = Duration::from_millis(250);
+
 /// Number of the copies of itself that the platform's service came back from, and so lost the last of
 /// what it had acknowledged; 0 where it doesn't count them.
 pub type Era = u64;
@@ -47,6 +53,8 @@
     Targets,
     /// The configuration.
     Plan,
+    /// Bodies that crashed targets.
+    Crashes,
 }
 
 /// What a process has.
@@ -56,6 +64,8 @@
     pub plan: u64,
     /// Position of its list of targets; the default where it has none.
     pub targets: Position,
+    /// Digest of its counts of crashes; 0 where it has none.
+    pub crashes: u64,
 }
 
 /// What a process offers to the others.
@@ -75,6 +85,8 @@
     Targets(Listing),
     /// The configuration.
     Plan(Arc<Plan>),
+    /// Bodies that crashed targets, as all processes counted that are known.
+    Crashes(Vec<crashes::Count>),
 }
 
 /// A list of targets.
@@ -88,24 +100,40 @@
 
 impl Topic {
     /// All topics, in the order in which they are fetched.
-    pub const ALL: [Topic; 2] = [Topic::Targets, Topic::Plan];
+    pub const ALL: [Topic; 3] = [Topic::Targets, Topic::Plan, Topic::Crashes];
 
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Topic::Targets => "targets",
             Topic::Plan => "configuration",
+            Topic::Crashes => "crashes",
         }
     }
+
+    /// Whether what is given of it stays true for as long as its version stays; ages don't.
+    pub fn is_timeless(self) -> bool {
+        self != Topic::Crashes
+    }
 }
 
 impl Known {
-    /// What it has of a topic: grows with each change, the default where it has nothing. Versions of
+    /// What it has of a topic: differs with each change, the default where it has nothing. Versions of
     /// the configuration grow through all eras.
     pub fn of(&self, topic: Topic) -> Position {
         match topic {
             Topic::Targets => self.targets,
             Topic::Plan => Position { era: 0, offset: self.plan },
+            Topic::Crashes => Position { era: 0, offset: self.crashes },
+        }
+    }
+
+    /// Whether it may have something of a topic that another lacks.
+    fn may_tell(&self, other: &Known, topic: Topic) -> bool {
+        match topic {
+            Topic::Targets | Topic::Plan => self.of(topic) > other.of(topic),
+            // Which of two digests is of more counts can't be seen.
+            Topic::Crashes => self.crashes != other.crashes && self.crashes != 0,
         }
     }
 
@@ -113,6 +141,7 @@
         match topic {
             Topic::Targets => self.targets = Position::default(),
             Topic::Plan => self.plan = 0,
+            Topic::Crashes => self.crashes = 0,
         }
     }
 }
@@ -121,7 +150,7 @@
     /// What this process has.
     pub fn known(&self) -> Known {
         let plan = self.plan.as_ref().map_or(0, |plan| plan.version);
-        Known { plan, targets: self.listing.position }
+        Known { plan, targets: self.listing.position, crashes: self.crashes.digest() }
     }
 
     /// What this process offers to the others.
@@ -144,6 +173,7 @@
         match topic {
             Topic::Targets => Some(News::Targets(self.listing.clone())),
             Topic::Plan => self.plan.clone().map(News::Plan),
+            Topic::Crashes => Some(News::Crashes(self.crashes.counts(now.steady))),
         }
     }
 
@@ -179,32 +209,41 @@
                 self.listing = self.settle(now, listing);
                 self.use_listed(now, false, effects);
             }
+            Some(News::Crashes(counts)) => {
+                counts.iter().for_each(|count| self.crashes.hear(now, count));
+            }
             Some(News::Targets(_)) | None => {}
         }
     }
 
     /// Fetches what others are ahead in.
-    pub(super) fn fetch(&mut self, effects: &mut Vec<Effect>) {
+    pub(super) fn fetch(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let own = self.known();
-        let is_ahead = |known: &Known| Topic::ALL.iter().any(|&t| known.of(t) > own.of(t));
+        let is_ahead = |known: &Known| Topic::ALL.iter().any(|&t| known.may_tell(&own, t));
         self.offers.retain(|_, known| is_ahead(known));
         for topic in Topic::ALL {
-            if self.fetching.contains(&topic) {
+            let rests = topic == Topic::Crashes && self.crashes_at.is_some_and(|at| now < at);
+            if rests || self.fetching.contains(&topic) {
                 continue;
             }
-            let offers = self.offers.iter().map(|(&peer, known)| (known.of(topic), peer));
-            let ahead = offers.filter(|&(version, _)| version > own.of(topic));
-            // Processes that lack the same ask different ones for it.
-            let rank = |&(version, peer): &(Position, SocketAddr)| (version, self.affinity(peer));
-            if let Some((_, peer)) = ahead.max_by_key(rank) {
+            let ahead = self.offers.iter().filter(|(_, known)| known.may_tell(&own, topic));
+            let ahead = ahead.map(|(&peer, known)| match topic {
+                Topic::Targets | Topic::Plan => (known.of(topic), self.affinity(peer, 0), peer),
+                Topic::Crashes => (Position::default(), self.affinity(peer, own.crashes), peer),
+            });
+            if let Some((.., peer)) = ahead.max() {
+                if topic == Topic::Crashes {
+                    self.crashes_at = Some(now + PAUSE);
+                }
                 self.fetching.insert(topic);
                 effects.push(Effect::Fetch { peer, topic });
             }
         }
     }
 
-    fn affinity(&self, peer: SocketAddr) -> u64 {
-        BuildHasherDefault::<DefaultHasher>::default().hash_one((self.settings.address, peer))
+    /// Differs by process and peer, so that processes that lack the same ask different ones for it.
+    fn affinity(&self, peer: SocketAddr, turn: u64) -> u64 {
+        HASHER.hash_one((self.settings.address, peer, turn))
     }
 
     /// Takes a list over that was read here, unless a newer one is known.
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -192,7 +192,7 @@
         }
         for loss in died {
             let own = (self.settings.address, self.settings.incarnation);
-            if self.crashes.add(loss.body, own) == CRASHES {
+            if self.crashes.add(now, loss.body, own) == CRASHES {
                 effects.push(Effect::Note(Note::Quarantined(loss.body)));
             }
         }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -110,7 +110,6 @@
         let (own, opened) = (self.settings.address, self.opened);
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
             self.hear_shares(now, row.age, &row.rollouts, effects);
-            row.crashes.iter().for_each(|count| self.crashes.hear(count));
             self.hear_limits(now, row.age, &row.limits, effects);
             for told in self.peers.hear(now, now.saturating_duration_since(opened), row) {
                 let (Told::Spent(account, _) | Told::Left(account, _)) = &told;
@@ -132,6 +131,7 @@
     pub(super) fn look_round(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let gone = self.settings.gone;
         self.peers.forget(now, gone);
+        self.crashes.forget(now);
         let mut addresses = self.peers.active_addresses(now, gone);
         let own = self.settings.address;
         addresses.push(own);
--- a/components/scheduler/tests/direct_crashes.rs
+++ b/components/scheduler/tests/direct_crashes.rs
@@ -2,10 +2,24 @@
 
 mod direct_support;
 
+use std::{net::SocketAddr, time::Duration};
+
 use direct_support::{
     Process, blank, plan, refusals, request, route, settings, start, starts, targets,
 };
-use scheduler::direct::{self, Event, Outcome, Request, Ticket, plan::Repeat};
+use scheduler::direct::{
+    self, Effect, Event, Outcome, Request, Ticket, plan::Repeat, relay::Topic,
+};
+
+/// Time from a crash after which all processes have to know of it: the shortest in which a process that
+/// was disturbed counts as well again.
+const KNOWN: Duration = Duration::from_secs(3);
+/// Time between two exchanges of a process.
+const EXCHANGE: Duration = Duration::from_millis(10);
+/// Most fetches a second: of 100 bodies, which are 3 KB, they take a hundredth of 10 Mbit/s.
+const FETCHES: usize = 4;
+/// Bytes by which what is told with an exchange may grow, as numbers in it do.
+const DIGITS: usize = 64;
 
 fn entry(number: u16, incarnation: u64, like: &Process) -> Process {
     let mut settings = settings(number);
@@ -18,52 +32,154 @@
     entry
 }
 
-fn poison(ticket: Ticket) -> Request {
-    Request { fingerprint: [9; 16], ..request(ticket, "/a/") }
+fn entries(count: u16) -> Vec<Process> {
+    let clock = blank(1);
+    (1..=count).map(|number| entry(number, 1, &clock)).collect()
+}
+
+fn poison(ticket: Ticket, body: u16) -> Request {
+    let mut fingerprint = [9; 16];
+    fingerprint[..2].copy_from_slice(&body.to_le_bytes());
+    Request { fingerprint, ..request(ticket, "/a/") }
 }
 
 /// A target dies with the body.
-fn crash(entry: &mut Process, ticket: Ticket) {
-    let target = start(&entry.arrive(poison(ticket))).target;
+fn crash(entry: &mut Process, ticket: Ticket, body: u16) {
+    let target = start(&entry.arrive(poison(ticket, body))).target;
     entry.end(ticket, Outcome::Lost { crashed: true });
     entry.send(Event::Left { ticket, events: 0 });
     entry.send(Event::Probed { target, reached: false });
+    // It is up again.
+    entry.pass(Duration::from_secs(2));
+    entry.confirm();
 }
 
-fn hear(entry: &mut Process, other: &mut Process) {
+/// One exchange, in which an entry hears what the other has.
+fn hear(entry: &mut Process, other: &mut Process) -> Vec<Topic> {
     let row = other.state.row(other.now.steady);
     entry.send(Event::Heard(vec![row]));
+    let (topics, _) = entry.hear_offer(other);
+    topics.iter().for_each(|&topic| drop(entry.fetch(other, topic)));
+    topics
+}
+
+/// What is asked of whom.
+fn asked(effects: &[Effect]) -> Vec<(SocketAddr, Topic)> {
+    let fetches = effects.iter().filter_map(|effect| match effect {
+        Effect::Fetch { peer, topic } => Some((*peer, *topic)),
+        _ => None,
+    });
+    fetches.collect()
 }
 
-fn is_refused(entry: &mut Process, ticket: Ticket) -> bool {
-    let effects = entry.arrive(poison(ticket));
+fn is_refused(entry: &mut Process, ticket: Ticket, body: u16) -> bool {
+    let effects = entry.arrive(poison(ticket, body));
     starts(&effects).is_empty() && !refusals(&effects).is_empty()
 }
 
+/// Bytes that an entry tells with each exchange.
+fn told(entry: &mut Process) -> usize {
+    let row = entry.state.row(entry.now.steady);
+    let offer = entry.state.offer(entry.now);
+    serde_json::to_vec(&(row, offer)).expect("it can be packed").len()
+}
+
 #[test]
 fn a_body_that_another_process_saw_crash_targets_is_refused() {
-    let clock = blank(1);
-    let (mut one, mut other) = (entry(1, 1, &clock), entry(2, 1, &clock));
-    (1..=2).for_each(|ticket| crash(&mut one, ticket));
+    let [mut one, mut other] = <[Process; 2]>::try_from(entries(2)).ok().expect("two");
+    (1..=2).for_each(|ticket| crash(&mut one, ticket, 0));
 
     hear(&mut other, &mut one);
 
-    assert!(is_refused(&mut other, 1));
+    assert!(is_refused(&mut other, 1, 0));
 }
 
 /// Guards against crashes that are forgotten everywhere once the process that saw them is killed.
 #[test]
 fn crashes_are_known_after_the_process_that_saw_them_is_killed() {
-    let clock = blank(1);
-    let (mut one, mut other) = (entry(1, 1, &clock), entry(2, 1, &clock));
-    (1..=2).for_each(|ticket| crash(&mut one, ticket));
+    let [mut one, mut other] = <[Process; 2]>::try_from(entries(2)).ok().expect("two");
+    (1..=2).for_each(|ticket| crash(&mut one, ticket, 0));
     hear(&mut other, &mut one);
-    let mut again = entry(1, 2, &clock);
-    again.now.steady += std::time::Duration::from_millis(10);
+    let mut again = entry(1, 2, &one);
 
     hear(&mut other, &mut again);
     hear(&mut again, &mut other);
 
-    assert!(is_refused(&mut other, 1), "by the one that lives");
-    assert!(is_refused(&mut again, 1), "by the one that started again");
+    assert!(is_refused(&mut other, 1, 0), "by the one that lives");
+    assert!(is_refused(&mut again, 1, 0), "by the one that started again");
+}
+
+/// Guards against rows that grow with all bodies that ever crashed a target until they fill the links.
+#[test]
+fn what_each_exchange_tells_does_not_grow_with_the_crashes() {
+    let [mut one, mut other] = <[Process; 2]>::try_from(entries(2)).ok().expect("two");
+    hear(&mut other, &mut one);
+    hear(&mut one, &mut other);
+    let before = [told(&mut one), told(&mut other)];
+
+    (0..50).for_each(|body| crash(&mut one, u64::from(body) + 1, body));
+    hear(&mut other, &mut one);
+    let after = [told(&mut one), told(&mut other)];
+
+    for (before, after) in before.into_iter().zip(after) {
+        assert!(after <= before + DIGITS, "{before} bytes before, {after} after");
+    }
+}
+
+/// Guards against counts that come over again and again while many targets die at once, and against some
+/// that don't come over.
+#[test]
+fn crashes_at_many_processes_are_soon_known_to_all_and_fetched_seldom() {
+    const ENTRIES: usize = 31;
+    let mut entries = entries(ENTRIES as u16);
+    // Each body crashes one target at one process and one at the next.
+    for (place, entry) in entries.iter_mut().enumerate() {
+        crash(entry, 1, place as u16);
+        crash(entry, 2, (place + 1) as u16 % ENTRIES as u16);
+    }
+
+    let rounds = KNOWN.div_duration_f64(EXCHANGE) as usize;
+    let mut fetches = 0;
+    for round in 0..rounds {
+        for place in 0..ENTRIES {
+            let other = (place + 1 + round % (ENTRIES - 1)) % ENTRIES;
+            let offer = entries[other].state.offer(entries[other].now);
+            let peer = entries[other].address;
+            let mut effects = entries[place].pass(EXCHANGE);
+            effects.extend(entries[place].send(Event::Offered { peer, offer }));
+            for (peer, topic) in asked(&effects) {
+                let place_of = |entry: &Process| entry.address == peer;
+                let other = entries.iter().position(place_of).expect("it is one of them");
+                let [entry, other] = entries.get_disjoint_mut([place, other]).expect("two of them");
+                entry.fetch(other, topic);
+                fetches += usize::from(topic == Topic::Crashes);
+            }
+        }
+    }
+
+    for entry in &mut entries {
+        let refused =
+            (0..ENTRIES as u16).filter(|&body| is_refused(entry, 100 + u64::from(body), body));
+        assert_eq!(refused.count(), ENTRIES);
+    }
+    let most = ENTRIES * FETCHES * KNOWN.as_secs() as usize;
+    assert!(fetches <= most, "{fetches} fetches");
+}
+
+/// Guards against counts that processes tell each other for ever.
+#[test]
+fn crashes_of_long_ago_are_forgotten_by_all() {
+    let [mut one, mut other] = <[Process; 2]>::try_from(entries(2)).ok().expect("two");
+    (1..=2).for_each(|ticket| crash(&mut one, ticket, 0));
+    hear(&mut other, &mut one);
+
+    for _ in 0..1_300 {
+        one.pass(Duration::from_millis(500));
+        other.pass(Duration::from_millis(500));
+        hear(&mut other, &mut one);
+        hear(&mut one, &mut other);
+    }
+
+    assert_eq!(one.state.known().crashes, other.state.known().crashes);
+    assert_eq!(one.state.known().crashes, 0);
 }
