--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -84,7 +84,7 @@
         let link = self.links.entry(address).or_default();
         link.busy = false;
         self.metrics.exchanged(done.is_some());
-        link.silent = record::exchanged(address, link.silent, done.is_some());
+        link.silent = record::exchanged(address, link.silent, done.is_some(), &self.metrics);
         let (client, answer) = done.unzip();
         link.client = client;
         answer
@@ -107,7 +107,7 @@
         version: Position,
         news: impl FnOnce() -> Option<News>,
     ) -> Option<Bytes> {
-        let last = self.packed.get(&topic).filter(|last| last.0 == version);
+        let last = self.packed.get(&topic).filter(|last| last.0 == version && topic.is_timeless());
         if let Some((_, packed)) = last {
             self.metrics.relayed(topic.name());
             return Some(packed.clone());
