Spread the telling of all rows over those who are told

All processes told the same one all rows in the same exchange, as the turn came from the place of the one told only, which is the same for all.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -486,11 +486,12 @@
         let peers: Vec<SocketAddr> = self.state.peers().collect();
         self.links.retain(&peers);
         self.measure(now.steady);
+        let teller = peers.partition_point(|&address| address < self.own);
         for (place, address) in peers.into_iter().enumerate() {
             if address < self.own && self.state.hears(now.steady, address) {
                 continue;
             }
-            let all = peers::tells_all(self.exchanges, place);
+            let all = peers::tells_all(self.exchanges, teller, place);
             let told = Told { rows: self.rows(all), all, offer: self.state.offer(now) };
             self.links.exchange(address, told);
         }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -33,12 +33,12 @@
     PERIOD.max(PERIOD_EACH * u32::try_from(others).unwrap_or(u32::MAX))
 }
 
-/// Whether all rows are told in an exchange to the process in that place among the others. No more
-/// than one in 20 is told in the same exchange, rounded up: with 25 others at once, all rows of all
-/// came as 0.33 MB, a quarter of a second of a link of 10 Mbit/s, and they grow with the square of the
-/// processes.
-pub fn tells_all(exchange: u64, place: usize) -> bool {
-    (exchange + place as u64).is_multiple_of(FULL)
+/// Whether a process tells all rows in an exchange to another; each by its place in the order of addresses. No more
+/// than one in 20 tells them to the same one in the same exchange, and no more than one in 20 is told them by the
+/// same, rounded up: from 25 at once all rows of all came as 0.33 MB, a quarter of a second of a link of 10 Mbit/s,
+/// and they grow with the square of the processes.
+pub fn tells_all(exchange: u64, teller: usize, told: usize) -> bool {
+    (exchange + teller as u64 + told as u64).is_multiple_of(FULL)
 }
 
 /// What one entry process has at a target.
