Ask again whether a request may move once its silent target has ended, and end a move in time

Whether it may be repeated is asked again when the run has ended, and so is quarantine. - A target that failed after a silence let its caller wait until the end of its time (5 s) for another, not 1.5 s. - Room at another target was kept for a request that never left, its caller taking nothing: until the caller went.

--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -62,13 +62,14 @@
                 queue.remove(&pending.order());
             }
             self.timers.remove(&(pending.wake(), ticket));
+            self.timers.remove(&(pending.until, ticket));
         }
     }
 
     pub(super) fn expire(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while let Some(&(at, ticket)) = self.timers.first().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, ticket));
-            if self.promote(now, ticket, effects) {
+            if self.give_up_move(ticket, effects) || self.promote(now, ticket, effects) {
                 continue;
             }
             if self.stay(ticket, effects) {
@@ -133,7 +134,11 @@
                         self.timers.remove(&(pending.wake(), order.ticket));
                         pending.withdraw(effects);
                         let rollouts = &mut self.rollouts;
-                        effects.push(dispatch(now.steady, pending, slot, None, rollouts));
+                        let effect = dispatch(now.steady, pending, slot, None, rollouts);
+                        if matches!(effect, Effect::Leave { .. }) {
+                            self.timers.insert((pending.until, order.ticket));
+                        }
+                        effects.push(effect);
                         continue;
                     }
                     // One that may not go everywhere doesn't hold up those that may.
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -121,7 +121,11 @@
         if let Some(pending) = self.requests.get_mut(&ticket) {
             pending.withdraw(effects);
             let rollouts = &mut self.rollouts;
-            effects.push(queue::dispatch(now, pending, slot, Some(number), rollouts));
+            let effect = queue::dispatch(now, pending, slot, Some(number), rollouts);
+            if matches!(effect, Effect::Leave { .. }) {
+                self.timers.insert((pending.until, ticket));
+            }
+            effects.push(effect);
         }
     }
 
--- a/components/scheduler/src/direct/seek.rs
+++ b/components/scheduler/src/direct/seek.rs
@@ -55,6 +55,26 @@
         true
     }
 
+    /// Gives the room back that a request holds which hasn't left its silent target by the end of its time;
+    /// `false` where it holds none.
+    pub(super) fn give_up_move(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) -> bool {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return false;
+        };
+        let (running, held) = match std::mem::replace(&mut pending.stage, Stage::Waiting) {
+            Stage::Moving(running, held) => (running, held),
+            stage => {
+                pending.stage = stage;
+                return false;
+            }
+        };
+        pending.tried.pop();
+        pending.stage = Stage::Running(running);
+        self.refund(ticket);
+        self.release_held(ticket, &held, effects);
+        true
+    }
+
     /// Gives back what a dispatch took of the budget for repeats that doesn't take place.
     pub(super) fn refund(&mut self, ticket: Ticket) {
         let Some(pending) = self.requests.get_mut(&ticket) else {
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -161,20 +161,37 @@
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return;
         };
-        if !outcome.may_have_run() {
+        let ran = outcome.may_have_run();
+        if !ran {
             pending.tried.pop();
         }
-        let Next::Held(held) = next else {
-            return self.enqueue(ticket);
+        if !pending.begun {
+            pending.give_up = pending.until.min(now + REPEAT_WAIT);
+        }
+        // Its answer may have begun since it looked for another target.
+        let allowed = pending.may_repeat(pending.tried.len());
+        let body = pending.request.fingerprint;
+        let allowed = allowed && !self.is_quarantined(&body);
+        // The other target may have left the list since it had room.
+        let held = match next {
+            Next::Held(held) if allowed && self.capacity.is_open(now, &held.slot) => Some(held),
+            Next::Held(held) => {
+                self.release_held(ticket, &held, effects);
+                None
+            }
+            Next::Open | Next::Waiting => None,
         };
-        // It may have left the list since it had room.
-        if !self.capacity.is_open(now, &held.slot) {
-            self.release_held(ticket, &held, effects);
-            return self.enqueue(ticket);
+        if !allowed {
+            let reason = if ran { Reason::Lost } else { Reason::Unserved };
+            return self.refuse(now, ticket, reason, ran, effects);
+        }
+        match (held, self.requests.get_mut(&ticket)) {
+            (Some(Held { slot, reservation }), Some(pending)) => {
+                let start = queue::start(now, pending, slot, reservation, &mut self.rollouts);
+                effects.push(Effect::Start(start));
+            }
+            _ => self.enqueue(ticket),
         }
-        let Held { slot, reservation } = held;
-        let start = queue::start(now, pending, slot, reservation, &mut self.rollouts);
-        effects.push(Effect::Start(start));
     }
 
     /// Puts a request back that this target did not run.
--- a/components/scheduler/tests/direct_silent.rs
+++ b/components/scheduler/tests/direct_silent.rs
@@ -6,7 +6,10 @@
 
 use direct_support::{Process, plan, process, refusals, request, route, start, starts, targets};
 use model::reservation::Load;
-use scheduler::direct::{Effect, Event, Outcome, Target, Ticket, plan::Repeat};
+use scheduler::direct::{
+    Effect, Event, Outcome, Target, Ticket,
+    plan::{Repeat, Route},
+};
 use test_case::test_case;
 
 const MS: Duration = Duration::from_millis(1);
@@ -15,6 +18,7 @@
     let routes = vec![
         route("/resume/", Repeat::Resume),
         route("/safe/", Repeat::Safe),
+        Route { stream: true, ..route("/safe-stream/", Repeat::Safe) },
         route("/never/", Repeat::Never),
     ];
     let mut entry = process(plan(1, routes, None), targets);
@@ -270,3 +274,69 @@
     assert_eq!(withdrawn(&broken), [1]);
     assert_eq!(start(&granted).attempt, 2);
 }
+
+/// Guards against an answer that is joined from two runs: its first event and the order to leave its target
+/// cross.
+#[test]
+fn a_safe_request_whose_answer_begins_as_it_is_to_move_does_not_go_on_elsewhere() {
+    let mut entry = entry(targets(2));
+    entry.arrive(request(1, "/safe-stream/"));
+    let leaves = quiet(&mut entry, 1, false);
+    entry.send(Event::Spoke { ticket: 1 });
+    entry.send(Event::Began { ticket: 1 });
+
+    let ended = Event::Ended { ticket: 1, outcome: Outcome::Silent, begun: true, events: 1 };
+    let effects = entry.send(ended);
+
+    assert_eq!(left(&leaves).len(), 1);
+    assert!(starts(&effects).is_empty(), "what went to its caller comes again: {effects:?}");
+    assert_eq!(refusals(&effects).len(), 1);
+}
+
+/// Time until a caller is told that its target failed and no other has room.
+fn time_to_failure(is_quiet: bool) -> Duration {
+    let mut entry = entry(targets(1));
+    entry.arrive(request(1, "/safe/"));
+    if is_quiet {
+        quiet(&mut entry, 1, false);
+    }
+    let mut effects = entry.end(1, Outcome::Failed);
+    let mut passed = Duration::ZERO;
+    let is_told = |effect: &Effect| matches!(effect, Effect::Pass { .. } | Effect::Refuse { .. });
+    while !effects.iter().any(is_told) && passed < Duration::from_secs(6) {
+        passed += 100 * MS;
+        effects.extend(entry.pass(100 * MS));
+    }
+    passed
+}
+
+/// Guards against a failure that is known and kept from its caller until the caller's time is over.
+#[test]
+fn a_failure_after_silence_is_told_as_soon_as_one_without() {
+    let after_silence = time_to_failure(true);
+    let without = time_to_failure(false);
+
+    assert_eq!(after_silence, without);
+}
+
+/// Guards against room that is kept for a request which doesn't come: its caller takes no more of what its
+/// target said as the order to leave was on its way.
+#[test]
+fn room_for_a_request_that_does_not_move_is_given_back() {
+    let mut entry = entry(agents(3));
+    entry.arrive(request(1, "/resume/"));
+    grant(&mut entry, 1, 1);
+    let sought = quiet(&mut entry, 1, true);
+    let (number, _) = reserved(&sought).first().cloned().expect("it asks for room");
+    let leaves = grant(&mut entry, 1, number);
+    entry.send(Event::Spoke { ticket: 1 });
+
+    let mut effects = Vec::new();
+    for _ in 0..60 {
+        effects.extend(entry.pass(100 * MS));
+        entry.confirm();
+    }
+
+    assert_eq!(left(&leaves).len(), 1);
+    assert!(withdrawn(&effects).contains(&number), "its time has been over for a second");
+}
