Count a body as one that crashed a target only while nothing shows that the target lives

A target that took a connection after an answer had broken off was still held to have died where another request didn't reach it within two seconds, as happens to an entry whose own link is full; two such counts refuse a body everywhere. What has been reached counts now only if the target starts anew. Open: a question that isn't answered within 300 ms and one that is refused look alike.

direct_crashes.rs, a_target_that_was_reached_after_an_answer_broke_off_is_not_held_to_have_died, before: the body is refused.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -224,6 +224,8 @@
     at: Instant,
     target: String,
     body: Fingerprint,
+    /// Whether the target took a connection after that: then only another start of it shows that it died.
+    reached: bool,
 }
 
 /// Gives the state of a process that knows nothing yet.
@@ -325,13 +327,17 @@
             state.look_round(now.steady, &mut effects);
         }
         Event::Heard(rows) => state.hear(now.steady, rows, &mut effects),
-        Event::Probed { target, reached } => {
-            let asked = state.probing.remove(&target).filter(|_| !reached);
-            if let Some(incarnation) = asked {
+        Event::Probed { target, reached } => match state.probing.remove(&target) {
+            Some(_) if reached => {
+                let lost = state.lost.iter_mut().filter(|loss| loss.target == target);
+                lost.for_each(|loss| loss.reached = true);
+            }
+            Some(incarnation) => {
                 state.capacity.mark_down(now.steady, &target, incarnation);
-                state.count_crashes(now.steady, &target, &mut effects);
+                state.count_crashes(now.steady, &target, false, &mut effects);
             }
-        }
+            None => {}
+        },
         Event::Drain { end } => state.draining = Some(end),
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -132,11 +132,12 @@
             Outcome::Replaced => self.capacity.mark_gone(slot),
             Outcome::Unreached => {
                 self.capacity.mark_down(now, &slot.target, slot.incarnation);
-                self.count_crashes(now, &slot.target, effects);
+                self.count_crashes(now, &slot.target, false, effects);
             }
             Outcome::Lost { crashed: true } => {
                 let body = pending.request.fingerprint;
-                let loss = Loss { at: now, target: slot.target.clone(), body };
+                let target = slot.target.clone();
+                let loss = Loss { at: now, target, body, reached: false };
                 self.lost.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
                 self.lost.push(loss);
                 self.probe(&slot.target, effects);
@@ -271,10 +272,16 @@
     }
 
     /// A target takes no connection, or started again: what broke off there just before ran when it died.
-    pub(super) fn count_crashes(&mut self, now: Instant, target: &str, effects: &mut Vec<Effect>) {
+    pub(super) fn count_crashes(
+        &mut self,
+        now: Instant,
+        target: &str,
+        restarted: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         self.lost.retain(|loss| now.duration_since(loss.at) < CRASH_WINDOW);
-        let (died, rest) =
-            std::mem::take(&mut self.lost).into_iter().partition(|loss| loss.target == target);
+        let ran = |loss: &Loss| loss.target == target && (restarted || !loss.reached);
+        let (died, rest) = std::mem::take(&mut self.lost).into_iter().partition(ran);
         self.lost = rest;
         let died: Vec<Loss> = died;
         if !died.is_empty() {
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -93,7 +93,7 @@
         effects.push(Effect::Note(Note::Targets { ready, listed, unordered }));
         for target in restarted {
             // What broke off there just before ran when it died.
-            self.count_crashes(now, &target, effects);
+            self.count_crashes(now, &target, true, effects);
             effects.push(Effect::Note(Note::Restarted(target)));
         }
         self.look_round(now, effects);
--- a/components/scheduler/tests/direct_crashes.rs
+++ b/components/scheduler/tests/direct_crashes.rs
@@ -5,10 +5,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use direct_support::{
-    Process, blank, plan, refusals, request, route, settings, start, starts, targets,
+    Process, blank, limit, plan, process, refusals, request, route, settings, start, starts,
+    targets,
 };
 use scheduler::direct::{
-    self, Effect, Event, Outcome, Request, Ticket, plan::Repeat, relay::Topic,
+    self, Effect, Event, Outcome, Request, Ticket,
+    plan::{Account, Repeat},
+    relay::Topic,
 };
 
 /// Time from a crash after which all processes have to know of it: the shortest in which a process that
@@ -183,3 +186,61 @@
     assert_eq!(one.state.known().crashes, other.state.known().crashes);
     assert_eq!(one.state.known().crashes, 0);
 }
+
+/// Guards against bodies that are refused since a process had no way to a target that is well.
+#[test]
+fn a_target_that_was_reached_after_an_answer_broke_off_is_not_held_to_have_died() {
+    let mut entry = process(plan(1, vec![route("/a/", Repeat::Never)], None), targets(4));
+    for ticket in 1..=2 {
+        let target = start(&entry.arrive(poison(ticket, 0))).target;
+        entry.end(ticket, Outcome::Lost { crashed: true });
+        entry.send(Event::Probed { target: target.clone(), reached: true });
+        // Others that the same target has find no way to it.
+        let mut other = 10 * ticket;
+        while start(&entry.arrive(request(other, "/a/"))).target != target {
+            other += 1;
+        }
+        entry.end(other, Outcome::Unreached);
+        for ticket in 10 * ticket..=other + 1 {
+            entry.send(Event::Left { ticket, events: 0 });
+        }
+        entry.pass(Duration::from_millis(500));
+    }
+
+    let effects = entry.arrive(poison(3, 0));
+
+    assert!(refusals(&effects).is_empty(), "{effects:?}");
+    assert_eq!(starts(&effects).len(), 1);
+}
+
+/// Guards against rows that tell of each account that ever asked for something, of whichever process.
+#[test]
+fn what_each_exchange_tells_does_not_grow_with_the_accounts_that_ever_asked() {
+    let mut plan = plan(1, vec![route("/a/", Repeat::Never)], Some(limit(1e6)));
+    for number in 0..500 {
+        let name = format!("account-{number}");
+        let account = Account { rank: 0, limit: Some(limit(1e6)) };
+        plan.accounts.insert(name.as_str().into(), account);
+        plan.keys.insert(format!("key-{number}").as_str().into(), name.as_str().into());
+    }
+    let mut entry = process(plan, targets(4));
+    let told = |entry: &mut Process| {
+        let row = entry.state.row(entry.now.steady);
+        serde_json::to_vec(&row).expect("it can be packed").len()
+    };
+    let before = told(&mut entry);
+
+    for ticket in 0..500 {
+        entry.arrive(Request { key: Some(format!("key-{ticket}")), ..request(ticket, "/a/") });
+        entry.end(ticket, Outcome::Done);
+        entry.confirm();
+    }
+    // All that they used is there again.
+    for _ in 0..600 {
+        entry.pass(Duration::from_secs(1));
+        entry.confirm();
+    }
+    let after = told(&mut entry);
+
+    assert!(after < before + 1_000, "{before} bytes before, {after} after");
+}
