Refill an account's bucket by the parts of all whose use it is charged with

After entry processes hadn't agreed on who is heard, callers were refused as beyond their account's limit though all of them together used 0.4 of it. While a process keeps to its part of the limits (`together` is 1), its count of the whole limit was refilled at that part's rate and charged with what all others let through, so that it sank to a second of debt; once all heard each other again it refused until that was refilled.

Now it is refilled by the parts of all that are heard. What is left of limits is still used only by processes that hear each other.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -14,7 +14,8 @@
 pub struct Allowance {
     /// Units let through by this process since its start; only grows, but for what is given back.
     pub spent: u64,
-    /// Units left of the whole limit; at most the burst, negative after an overshoot.
+    /// Units left of the parts of all processes whose use is known; at most their burst, negative after
+    /// an overshoot.
     whole: f64,
     /// Units left of an equal part of the limit.
     part: f64,
@@ -79,6 +80,8 @@
 pub struct Share {
     /// Processes among which the limit is parted; at least 1.
     pub among: u32,
+    /// Those of them, this one included, whose use is known here.
+    pub heard: u32,
     /// Those of them, this one included, that share their parts because each hears all of the
     /// others; 1 where this one keeps to its part.
     pub together: u32,
@@ -183,9 +186,10 @@
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
-        let together = f64::from(share.together) / among;
-        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * together;
-        self.whole = (self.whole + passed * limit.rate * together).clamp(floor, most);
+        // By all whose use is charged to it, also while this process keeps to its part.
+        let heard = f64::from(share.heard) / among;
+        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * heard;
+        self.whole = (self.whole + passed * limit.rate * heard).clamp(floor, most);
         self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
     }
 }
--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -115,8 +115,8 @@
 
     fn limit(&self, account: &AccountName) -> Option<(plan::Limit, Share)> {
         let limit = self.plan.as_ref()?.accounts.get(account)?.limit?;
-        let tolerance = self.settings.tolerance;
-        Some((limit, Share { among: self.place.among, together: self.together, tolerance }))
+        let (among, heard, together) = (self.place.among, self.heard, self.together);
+        Some((limit, Share { among, heard, together, tolerance: self.settings.tolerance }))
     }
 
     /// Takes units of an account's limit.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -163,6 +163,8 @@
     rollouts: Rollouts,
     peers: Peers,
     place: Place,
+    /// Entry processes, this one included, whose rows are current.
+    heard: u32,
     /// Entry processes, this one included, that share what is left of limits.
     together: u32,
     sequence: u64,
@@ -254,6 +256,7 @@
         rollouts: Rollouts::default(),
         peers: Peers::default(),
         place: Place { index: 0, among: 1 },
+        heard: 1,
         together: 1,
         sequence: 0,
         crashes: Crashes::default(),
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -139,11 +139,13 @@
         let index = addresses.iter().position(|&address| address == own).unwrap_or_default();
         self.place = Place { index: index as u32, among: addresses.len() as u32 };
         self.capacity.share(self.peers.addresses().count());
+        let heard = self.peers.heard(now, gone);
+        self.heard = heard as u32 + 1;
         let together = self.peers.together(now, gone);
         if together != self.together {
             self.together = together;
             self.next_grant = None;
-            let (heard, expected) = (self.peers.heard(now, gone), self.peers.expected(now, gone));
+            let expected = self.peers.expected(now, gone);
             effects.push(Effect::Note(Note::Peers { heard, expected, together }));
         }
         self.capacity.count_others(now, self.peers.running(now));
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -321,6 +321,32 @@
     assert!(fleet.dispatched.len() >= window, "{} of {window}", fleet.dispatched.len());
 }
 
+/// Incident: after two processes hadn't heard each other for a while, accounts were refused far below
+/// their limits by all processes.
+#[test]
+fn what_all_used_below_the_limit_while_two_did_not_hear_each_other_is_not_owed_afterwards() {
+    let mut fleet = fleet();
+    fleet.introduce();
+    (0..400).for_each(|step| fleet.pass(step));
+    fleet.strike(Fault::Cut(0, 1));
+    for step in 400..800_u64 {
+        fleet.pass(step);
+        // 0.6 of the limit, the same at each process.
+        fleet.ask((step % 4) as u16, 150);
+    }
+    fleet.strike(Fault::Heal);
+    fleet.served.clear();
+
+    for step in 800..880_u64 {
+        fleet.pass(step);
+        // 0.6 of the limit; all of it at one process that was heard by all.
+        fleet.ask(2, 150);
+    }
+
+    let served = fleet.served.get(&150).copied().unwrap_or_default();
+    assert_eq!(served, 80);
+}
+
 #[test]
 fn one_that_is_alive_elsewhere_is_never_taken_for_gone() {
     let mut fleet = fleet();
