Let a process use the parts of limits of all that hear it, also while some others don't hear each other

Callers of the processes that most of an account's requests came to were refused far below its limit.

The rule is now by part: a process uses the part of another one that hears it and hears none that is silent here. Whoever else may use that part is heard by that other process, so it is heard here too and what it uses is charged here; two that a third hears but not each other still can't both use the third's part. A start costs the others its own part.

--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -106,7 +106,11 @@
         ("open_requests", "Requests that haven't ended", &metrics.open),
         ("config_version", "Version of the configuration in force", &metrics.version),
         ("config_current", "1 where the configuration is known to be current", &metrics.fresh),
-        ("entries_together", "Entry processes that share limits", &metrics.together),
+        (
+            "entries_together",
+            "Entry processes whose parts of limits this one may use",
+            &metrics.together,
+        ),
         ("targets_ready", "Targets that take requests", &metrics.targets),
         ("targets_limited", "Targets that name a rate limit", &metrics.limited),
         ("log_lines_left_out", "Log lines that found no room", &metrics.left_out),
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -1,9 +1,9 @@
 //! Limits of client accounts that all entry processes keep together.
 //!
 //! Each process knows what the others let through and keeps the whole limit's bucket. A process that
-//! may take requests but is silent keeps to an equal part; those that all hear each other, and none of
-//! the silent ones, share the parts that are left. Any other keeps to its part, so that the parts add
-//! up to the limit whoever is cut off from whom.
+//! may take requests but is silent keeps to an equal part. A process uses, besides its own, the parts
+//! of those that hear it and none that is silent here: whoever else uses these parts is heard here, so
+//! that what is let through adds up to the limit whoever is cut off from whom.
 
 use std::time::{Duration, Instant};
 
@@ -82,8 +82,7 @@
     pub among: u32,
     /// Those of them, this one included, whose use is known here.
     pub heard: u32,
-    /// Those of them, this one included, that share their parts because each hears all of the
-    /// others; 1 where this one keeps to its part.
+    /// Those of them, this one included, whose parts this one may use; 1 where it keeps to its part.
     pub together: u32,
     /// How far the limit may be passed.
     pub tolerance: Tolerance,
@@ -186,10 +185,11 @@
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
-        // By all whose use is charged to it, also while this process keeps to its part.
-        let heard = f64::from(share.heard) / among;
-        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * heard;
-        self.whole = (self.whole + passed * limit.rate * heard).clamp(floor, most);
+        // All whose use is charged to it count while this process keeps to its part.
+        let known = if share.together > 1 { share.together } else { share.heard };
+        let known = f64::from(known) / among;
+        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * known;
+        self.whole = (self.whole + passed * limit.rate * known).clamp(floor, most);
         self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
     }
 }
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -300,7 +300,7 @@
     pub rate: f64,
     /// Processes among which the limit was parted.
     pub among: u32,
-    /// Those of them that shared their parts.
+    /// Those of them whose parts this one may use, this one included.
     pub together: u32,
 }
 
@@ -463,7 +463,7 @@
         heard: usize,
         /// Those that may take requests.
         expected: usize,
-        /// Those, with this one, that share what is left of limits.
+        /// Those, with this one, whose parts of limits this one may use.
         together: u32,
     },
     /// A target started again under its name: what was known of it is forgotten.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -165,7 +165,7 @@
     place: Place,
     /// Entry processes, this one included, whose rows are current.
     heard: u32,
-    /// Entry processes, this one included, that share what is left of limits.
+    /// Entry processes, this one included, whose parts of limits this one may use.
     together: u32,
     sequence: u64,
     crashes: Crashes,
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -207,22 +207,19 @@
         self.active(now, gone).filter(|peer| self.is_known(peer, now)).count()
     }
 
-    /// Processes, this one included, that share what is left of limits: all that are heard, if each
-    /// of them hears just the same, else this one alone.
-    pub fn together(&self, now: Instant, gone: Duration) -> u32 {
-        let heard: Vec<&Peer> =
-            self.active(now, gone).filter(|peer| self.is_known(peer, now)).collect();
-        let silent = self.active(now, gone).filter(|peer| !self.is_known(peer, now));
-        let silent: BTreeSet<SocketAddr> = silent.filter_map(|peer| peer.row.address).collect();
-        let agrees = |peer: &&Peer| {
-            let others = heard.iter().filter_map(|other| other.row.address);
-            let mut others = others.filter(|&other| peer.row.address != Some(other));
-            // Both are in the order of addresses.
-            let mut hears = peer.row.hears.iter();
-            others.all(|other| hears.any(|&heard_there| heard_there == other))
-                && !peer.row.hears.iter().any(|heard_there| silent.contains(heard_there))
+    /// Processes, this one included, whose parts of limits this one may use: those that hear it, and
+    /// whom none hears that is silent here. So no two processes use the same part without one of them
+    /// hearing what the other uses.
+    pub fn together(&self, now: Instant, gone: Duration, own: SocketAddr) -> u32 {
+        let (heard, silent): (Vec<&Peer>, Vec<&Peer>) =
+            self.active(now, gone).partition(|peer| self.is_known(peer, now));
+        let silent: BTreeSet<SocketAddr> =
+            silent.into_iter().filter_map(|peer| peer.row.address).collect();
+        let shares = |peer: &&Peer| {
+            let hears = &peer.row.hears;
+            hears.contains(&own) && hears.iter().all(|address| !silent.contains(address))
         };
-        if heard.iter().all(agrees) { heard.len() as u32 + 1 } else { 1 }
+        heard.into_iter().filter(shares).count() as u32 + 1
     }
 
     /// Processes that are heard.
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -141,7 +141,7 @@
         self.capacity.share(self.peers.addresses().count());
         let heard = self.peers.heard(now, gone);
         self.heard = heard as u32 + 1;
-        let together = self.peers.together(now, gone);
+        let together = self.peers.together(now, gone, own);
         if together != self.together {
             self.together = together;
             self.next_grant = None;
--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -347,6 +347,25 @@
     assert_eq!(served, 80);
 }
 
+/// Incident: while two processes of many didn't hear each other, as after each start of one, all of them
+/// refused what lay beyond an equal part of their accounts' limits.
+#[test]
+fn one_that_is_heard_by_all_shares_what_is_left_while_two_others_do_not_hear_each_other() {
+    let mut fleet = fleet();
+    fleet.introduce();
+    (0..400).for_each(|step| fleet.pass(step));
+    fleet.strike(Fault::Cut(0, 3));
+
+    for step in 400..800_u64 {
+        fleet.pass(step);
+        // 0.76 of the limit; all of it comes to one process.
+        fleet.ask(2, 190);
+    }
+
+    let served = fleet.served.get(&190).copied().unwrap_or_default();
+    assert_eq!(served, 400);
+}
+
 #[test]
 fn one_that_is_alive_elsewhere_is_never_taken_for_gone() {
     let mut fleet = fleet();
