Spread over exchanges which processes tell all their rows to the same one

Each process tells all rows to one in 20 of the others in each exchange and chooses them by the count of its exchanges and their place among the others. Processes that start together count alike, so all of them told all rows to the same ones at once: 67 times the rows of 68 processes each way, more than a link of 20 Mbit/s takes in the 400 ms of an exchange.

Ruled out: counts of crashes (there are none yet), single hosts (each place has its turn).

The teller's own place now counts too.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -469,11 +469,13 @@
         let peers: Vec<SocketAddr> = self.state.peers().collect();
         self.links.retain(&peers);
         self.measure(now.steady);
-        for (place, address) in peers.into_iter().enumerate() {
+        // They are in the order of their addresses.
+        let own = peers.partition_point(|&address| address < self.own);
+        for (other, address) in peers.into_iter().enumerate() {
             if address < self.own && self.state.hears(now.steady, address) {
                 continue;
             }
-            let all = peers::tells_all(self.exchanges, place);
+            let all = peers::tells_all(self.exchanges, own, other);
             let told = Told { rows: self.rows(all), all, offer: self.state.offer(now) };
             self.links.exchange(address, told);
         }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -33,12 +33,12 @@
     PERIOD.max(PERIOD_EACH * u32::try_from(others).unwrap_or(u32::MAX))
 }
 
-/// Whether all rows are told in an exchange to the process in that place among the others. No more
-/// than one in 20 is told in the same exchange, rounded up: with 25 others at once, all rows of all
-/// came as 0.33 MB, a quarter of a second of a link of 10 Mbit/s, and they grow with the square of the
-/// processes.
-pub fn tells_all(exchange: u64, place: usize) -> bool {
-    (exchange + place as u64).is_multiple_of(FULL)
+/// Whether the process in place `own` tells all rows in an exchange to the one in place `other` among
+/// those it knows. No more than one in 20 is told, and tells the same one, in the same exchange, rounded up:
+/// processes that start together count their exchanges alike, and all rows of all to one process would
+/// fill its link for longer than an exchange may take.
+pub fn tells_all(exchange: u64, own: usize, other: usize) -> bool {
+    (exchange + own as u64 + other as u64).is_multiple_of(FULL)
 }
 
 /// What one entry process has at a target.
