--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -1,9 +1,9 @@
 //! Limits of client accounts that all entry processes keep together.
 //!
 //! Each process knows what the others let through and keeps the whole limit's bucket. A process that
-//! may take requests but is silent keeps to an equal part; those that all hear each other, and none of
-//! the silent ones, share the parts that are left. Any other keeps to its part, so that the parts add
-//! up to the limit whoever is cut off from whom.
+//! may take requests but is silent keeps to an equal part. A process uses, besides its own, the parts
+//! of those that hear it and none that is silent here: whoever else uses these parts is heard here, so
+//! that what is let through adds up to the limit whoever is cut off from whom.
 
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,8 @@
 pub struct Allowance {
     /// Units let through by this process since its start; only grows, but for what is given back.
     pub spent: u64,
-    /// Units left of the whole limit; at most the burst, negative after an overshoot.
+    /// Units left of the parts of all processes whose use is known; at most their burst, negative after
+    /// an overshoot.
     whole: f64,
     /// Units left of an equal part of the limit.
     part: f64,
@@ -79,8 +80,9 @@
 pub struct Share {
     /// Processes among which the limit is parted; at least 1.
     pub among: u32,
-    /// Those of them, this one included, that share their parts because each hears all of the
-    /// others; 1 where this one keeps to its part.
+    /// Those of them, this one included, whose use is known here.
+    pub heard: u32,
+    /// Those of them, this one included, whose parts this one may use; 1 where it keeps to its part.
     pub together: u32,
     /// How far the limit may be passed.
     pub tolerance: Tolerance,
@@ -165,7 +167,7 @@
         self.refilled = now;
     }
 
-    /// Counts what another process let through.
+    /// Counts what another process let through; less than 0 where it gave more back.
     pub fn charge(&mut self, units: f64) {
         self.whole -= units;
     }
@@ -183,9 +185,11 @@
         // What was taken beyond the limit is owed for a burst at most, else a lowered limit would
         // lock its account out.
         let floor = -limit.burst.max(limit.rate);
-        let together = f64::from(share.together) / among;
-        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * together;
-        self.whole = (self.whole + passed * limit.rate * together).clamp(floor, most);
+        // All whose use is charged to it count while this process keeps to its part.
+        let known = if share.together > 1 { share.together } else { share.heard };
+        let known = f64::from(known) / among;
+        let most = (limit.burst + share.tolerance.part(GIVEN, limit)) * known;
+        self.whole = (self.whole + passed * limit.rate * known).clamp(floor, most);
         self.part = (self.part + passed * limit.rate / among).clamp(floor, limit.burst / among);
     }
 }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -33,12 +33,12 @@
     PERIOD.max(PERIOD_EACH * u32::try_from(others).unwrap_or(u32::MAX))
 }
 
-/// Whether a process tells all rows in an exchange to another; each by its place in the order of addresses. No more
-/// than one in 20 tells them to the same one in the same exchange, and no more than one in 20 is told them by the
-/// same, rounded up: from 25 at once all rows of all came as 0.33 MB, a quarter of a second of a link of 10 Mbit/s,
-/// and they grow with the square of the processes.
-pub fn tells_all(exchange: u64, teller: usize, told: usize) -> bool {
-    (exchange + teller as u64 + told as u64).is_multiple_of(FULL)
+/// Whether the process in place `own` tells all rows in an exchange to the one in place `other` among
+/// those it knows. No more than one in 20 is told, and tells the same one, in the same exchange, rounded up:
+/// processes that start together count their exchanges alike, and all rows of all to one process would
+/// fill its link for longer than an exchange may take.
+pub fn tells_all(exchange: u64, own: usize, other: usize) -> bool {
+    (exchange + own as u64 + other as u64).is_multiple_of(FULL)
 }
 
 /// What one entry process has at a target.
@@ -125,8 +125,8 @@
 /// What a row tells of an account.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Told {
-    /// Units that another process let through since its last row.
-    Spent(AccountName, u64),
+    /// Units that another process let through since its last row, less those that it gave back.
+    Spent(AccountName, i64),
     /// Units that a process has left which started earlier and is heard for the first time.
     Left(AccountName, i64),
 }
@@ -176,7 +176,7 @@
             }
             let before = known.accounts.iter().find(|known| same && known.account == account);
             let before = before.map_or(0, |before| before.spent);
-            Told::Spent(account, use_.spent.saturating_sub(before))
+            Told::Spent(account, use_.spent.cast_signed().saturating_sub(before.cast_signed()))
         });
         let told = told.collect();
         peer.row = row;
@@ -204,22 +204,19 @@
         self.active(now, gone).filter(|peer| self.is_known(peer, now)).count()
     }
 
-    /// Processes, this one included, that share what is left of limits: all that are heard, if each
-    /// of them hears just the same, else this one alone.
-    pub fn together(&self, now: Instant, gone: Duration) -> u32 {
-        let heard: Vec<&Peer> =
-            self.active(now, gone).filter(|peer| self.is_known(peer, now)).collect();
-        let silent = self.active(now, gone).filter(|peer| !self.is_known(peer, now));
-        let silent: BTreeSet<SocketAddr> = silent.filter_map(|peer| peer.row.address).collect();
-        let agrees = |peer: &&Peer| {
-            let others = heard.iter().filter_map(|other| other.row.address);
-            let mut others = others.filter(|&other| peer.row.address != Some(other));
-            // Both are in the order of addresses.
-            let mut hears = peer.row.hears.iter();
-            others.all(|other| hears.any(|&heard_there| heard_there == other))
-                && !peer.row.hears.iter().any(|heard_there| silent.contains(heard_there))
+    /// Processes, this one included, whose parts of limits this one may use: those that hear it, and
+    /// whom none hears that is silent here. So no two processes use the same part without one of them
+    /// hearing what the other uses.
+    pub fn together(&self, now: Instant, gone: Duration, own: SocketAddr) -> u32 {
+        let (heard, silent): (Vec<&Peer>, Vec<&Peer>) =
+            self.active(now, gone).partition(|peer| self.is_known(peer, now));
+        let silent: BTreeSet<SocketAddr> =
+            silent.into_iter().filter_map(|peer| peer.row.address).collect();
+        let shares = |peer: &&Peer| {
+            let hears = &peer.row.hears;
+            hears.contains(&own) && hears.iter().all(|address| !silent.contains(address))
         };
-        if heard.iter().all(agrees) { heard.len() as u32 + 1 } else { 1 }
+        heard.into_iter().filter(shares).count() as u32 + 1
     }
 
     /// Processes that are heard.
