--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -35,8 +35,6 @@
     best: f64,
     /// Seconds that a run takes, on average.
     run: f64,
-    /// Work that a run is, on average.
-    work: f64,
     /// Seconds from a grant to its start, on average.
     lead: f64,
     /// Runs that ended, up to `LEARNT`.
@@ -53,7 +51,6 @@
         unit: 0.0,
         best: f64::MAX,
         run: 0.0,
-        work: 0.0,
         lead: 0.0,
         learnt: 0,
         heard: None,
@@ -80,7 +77,6 @@
         let weight = if self.learnt == 0 { 1.0 } else { WEIGHT };
         self.unit += (unit - self.unit) * weight;
         self.run += (took - self.run) * weight;
-        self.work += (work.max(1) as f64 - self.work) * weight;
         self.learnt = (self.learnt + 1).min(LEARNT);
         if self.learnt == LEARNT {
             self.best = self.best.min(self.unit);
@@ -101,10 +97,9 @@
     }
 
     /// Average time of a decode step, of which a prompt counts as a part; `None` while too little is
-    /// known. Runs count by their work: most of a short one's time is its prompt's.
+    /// known.
     pub fn step(&self) -> Option<Duration> {
-        let unit = self.run / self.work.max(1.0);
-        let step = Duration::from_secs_f64(unit * STEP as f64);
+        let step = Duration::from_secs_f64(self.unit * STEP as f64);
         (self.learnt >= LEARNT).then_some(step)
     }
 
