--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -96,7 +96,7 @@
         id: Id { request, attempt: reservation.number },
         rank: reservation.rank,
         // The process that reserves decides when its request has waited for too long.
-        remaining: reservation.wait + reservation.head_start + GRACE,
+        remaining: reservation.wait + GRACE,
         prefill: reservation.tokens.prompt,
         decode: reservation.tokens.output,
         prefix: Vec::new(),
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -136,19 +136,6 @@
         Some(state)
     }
 
-    /// Part of the slots, from 0 to 1, that a request may be reserved at, of those that any of its pool may.
-    pub fn fitting(&self, now: Instant, demand: &Demand<'_>) -> f64 {
-        let fastest = self.fastest(now, demand);
-        let open = self.pool(demand.pool).filter(|state| {
-            state.lane == demand.lane && state.is_up(now) && state.is_reserved(now)
-        });
-        let (fit, all) = open.fold((0, 0), |(fit, all), state| {
-            let slots = state.target.slots;
-            (fit + if state.ends_in_time(demand, fastest) { slots } else { 0 }, all + slots)
-        });
-        if all == 0 { 1.0 } else { f64::from(fit) / f64::from(all) }
-    }
-
     /// Whether a request may still wait at a target's agent.
     pub fn keeps(&self, now: Instant, reserved: &Reserved) -> bool {
         let state = self.state(&reserved.target);
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -388,8 +388,6 @@
     pub rank: Rank,
     /// Time for which it waits at most.
     pub wait: Duration,
-    /// How much newer it counts than it is where the newest of a tier goes first.
-    pub head_start: Duration,
     /// Tokens of the request.
     pub tokens: Tokens,
 }
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -21,8 +21,6 @@
 const FIRST: usize = 2;
 /// Most agents at which it is reserved at a time.
 const MOST: usize = 6;
-/// Part of its wait by which a request that fits nowhere else counts as newer than it is.
-const HEAD_START: f64 = 0.5;
 /// Time until it is reserved at one more; doubles with each.
 const STEP: Duration = Duration::from_millis(40);
 /// Highest value of an account's rank in the first place of a packed rank.
@@ -84,7 +82,6 @@
         };
         let (target, limited) = (state.target.clone(), state.is_limited());
         let (slots, limit) = (state.admits(), state.last_limit(now));
-        let elsewhere = 1.0 - capacity.fitting(now, demand);
         pending.reservations += 1;
         let number = pending.reservations;
         let (name, incarnation) = (target.name.clone(), target.incarnation);
@@ -101,8 +98,6 @@
             limit,
             rank: pack(&pending.order()),
             wait: pending.give_up.saturating_duration_since(now),
-            // A tier's long answers would else get less than its short ones, which may go anywhere.
-            head_start: (pending.give_up - pending.arrived).mul_f64(HEAD_START * elsewhere),
             tokens: pending.tokens(),
         }));
     }
