Revert "Credit what another entry process gives back of an account's limit"

The double count hid that 68 processes, whose rows come each 670 ms, pass a limit by what each lets through in between.

It can land once that is bounded: what is given out of the tolerance (0.7) has to leave room for what all let through within an exchange.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -167,7 +167,7 @@
         self.refilled = now;
     }
 
-    /// Counts what another process let through; less than 0 where it gave more back.
+    /// Counts what another process let through.
     pub fn charge(&mut self, units: f64) {
         self.whole -= units;
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -125,8 +125,8 @@
 /// What a row tells of an account.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Told {
-    /// Units that another process let through since its last row, less those that it gave back.
-    Spent(AccountName, i64),
+    /// Units that another process let through since its last row.
+    Spent(AccountName, u64),
     /// Units that a process has left which started earlier and is heard for the first time.
     Left(AccountName, i64),
 }
@@ -176,7 +176,7 @@
             }
             let before = known.accounts.iter().find(|known| same && known.account == account);
             let before = before.map_or(0, |before| before.spent);
-            Told::Spent(account, use_.spent.cast_signed().saturating_sub(before.cast_signed()))
+            Told::Spent(account, use_.spent.saturating_sub(before))
         });
         let told = told.collect();
         peer.row = row;
