--- a/components/scheduler/tests/direct_limits.rs
+++ b/components/scheduler/tests/direct_limits.rs
@@ -18,8 +18,9 @@
     test_runner::{Config, RngSeed},
 };
 use scheduler::direct::{
-    self, Effect, Event, Introduction, Now, Outcome, Ticket, Tokens, allowance::Tolerance,
-    plan::Repeat,
+    self, Effect, Event, Introduction, Now, Outcome, Ticket, Tokens,
+    allowance::Tolerance,
+    plan::{Part, Repeat, Route},
 };
 use test_case::test_case;
 
@@ -473,6 +474,47 @@
     assert!(fleet.worst <= allowed(), "{} of {}", fleet.worst, allowed());
 }
 
+/// Incident: units that one process took and gave back, since its requests found no room, stayed charged at
+/// all others, which refused their account far below its limit.
+#[test]
+fn units_that_another_process_gave_back_are_not_counted_as_used() {
+    let crowded = Part { pool: "crowded".into(), weight: 1 };
+    let crowded = Route { parts: vec![crowded], ..route("/b/", Repeat::Safe) };
+    let plan = Arc::new(plan(1, vec![route("/a/", Repeat::Safe), crowded], Some(limit(RATE))));
+    let mut processes = [1, 2].map(blank);
+    for process in &mut processes {
+        process.send(Event::Planned(Arc::clone(&plan)));
+        process.confirm();
+        process.list(targets(60));
+    }
+    let pass = |processes: &mut [Process; 2], time: Duration| {
+        let rows = processes.each_mut().map(|process| {
+            process.pass(time);
+            process.confirm();
+            process.state.row(process.now.steady)
+        });
+        let [first, second] = processes;
+        let [of_first, of_second] = rows;
+        [first.send(Event::Heard(vec![of_second])), second.send(Event::Heard(vec![of_first]))]
+    };
+    let sized = |ticket, path, prompt| {
+        let tokens = Some(Tokens { prompt, output: 0 });
+        direct::Request { tokens, ..request(ticket, path) }
+    };
+    (0..20).for_each(|_| drop(pass(&mut processes, Duration::from_millis(200))));
+
+    // Nearly twice the burst at a time, for which there is no room.
+    for ticket in 0..200 {
+        processes[0].arrive(sized(ticket, "/b/", 900));
+        if ticket % 20 == 19 {
+            (0..4).for_each(|_| drop(pass(&mut processes, Duration::from_millis(200))));
+        }
+    }
+    let asked = (200..220).flat_map(|ticket| processes[1].arrive(sized(ticket, "/a/", 190)));
+
+    assert_eq!(starts(&asked.collect::<Vec<Effect>>()).len(), 20);
+}
+
 #[test]
 fn what_would_wait_for_most_of_its_time_is_told_at_once_when_to_come_back() {
     // An aim of 800 ms gives a wait of 600 ms, of which 240 may pass for units: those of two requests.
--- a/components/scheduler/tests/direct_support/site.rs
+++ b/components/scheduler/tests/direct_support/site.rs
@@ -12,8 +12,9 @@
 use scheduler::{
     agent::{self, Policy, Room, State},
     direct::{
-        self, Effect, Event, Lapse, Now, Outcome, Reservation, Target, Ticket, peers::period,
-        plan::Repeat,
+        self, Effect, Event, Lapse, Now, Outcome, Request, Reservation, Target, Ticket,
+        peers::period,
+        plan::{Repeat, Route},
     },
 };
 use uuid::Uuid;
@@ -68,6 +69,48 @@
     pub share: f64,
 }
 
+/// Requests of one route, whose answers differ in length.
+#[derive(Clone, Copy)]
+pub struct Kind {
+    pub path: &'static str,
+    /// Rank of its tier.
+    pub rank: u32,
+    /// Part of the requests, from 0 to 1.
+    pub share: f64,
+    /// Time until the first event should come.
+    pub aim: Duration,
+    /// Time until the whole answer must have come.
+    pub patience: Duration,
+    /// Tokens of the answer: half of them have more.
+    pub median: f64,
+    /// Factor between the median and the length that one of six is beyond.
+    pub spread: f64,
+}
+
+/// Answers that differ in length, at targets of two speeds: each third is a fast one.
+#[derive(Clone, Copy)]
+pub struct Lengths {
+    pub kinds: &'static [Kind],
+    /// Times at a fast and at a slow target, in ms: to the first token, and for each one.
+    pub first: [f64; 2],
+    pub token: [f64; 2],
+}
+
+/// A request whose answer has a length, and what became of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Sized {
+    /// Which of the kinds.
+    pub kind: usize,
+    pub tokens: f64,
+    /// When it must have been answered.
+    until: u64,
+    /// Whether it was answered whole and in time.
+    pub served: bool,
+}
+
+/// How much longer one of six answers is than its caller expects; as many are as much shorter.
+const SURPRISE: f64 = 1.6;
+
 /// What fails, from two seconds on.
 #[derive(Clone, Copy, Eq, PartialEq)]
 pub enum Fault {
@@ -129,6 +172,9 @@
     /// When each request arrived at a process.
     pub requests: Vec<u64>,
     pub shedding: Option<Shedding>,
+    lengths: Option<Lengths>,
+    /// Requests whose answers have a length.
+    pub sized: BTreeMap<Ticket, Sized>,
     /// Requests that were answered.
     pub answered: usize,
     /// Time from arrival to dispatch of each request that was dispatched, in ms.
@@ -157,11 +203,15 @@
 
 /// An entry process after so many restarts, which knows a configuration and the targets.
 pub fn entry(number: usize, life: u32, site: Site, now: Now) -> Process {
+    planned(number, life, site, now, vec![route("/call/", Repeat::Never)])
+}
+
+fn planned(number: usize, life: u32, site: Site, now: Now, routes: Vec<Route>) -> Process {
     let mut settings = settings(number as u16 + 1);
     settings.incarnation = u64::from(life) + 1;
     let state = direct::open(now.steady, settings);
     let mut entry = Process { state, now, ..blank(number as u16 + 1) };
-    entry.send(Event::Planned(plan(1, vec![route("/call/", Repeat::Never)], None).into()));
+    entry.send(Event::Planned(plan(1, routes, None).into()));
     entry.confirm();
     entry.list(targets(site));
     entry
@@ -185,6 +235,8 @@
         asked: BTreeMap::new(),
         requests: Vec::new(),
         shedding: None,
+        lengths: None,
+        sized: BTreeMap::new(),
         answered: 0,
         waits: Vec::new(),
         refused: 0,
@@ -195,6 +247,33 @@
     }
 }
 
+/// One whose answers differ in length.
+pub fn world_of(site: Site, lengths: Lengths, seed: u64) -> World {
+    let mut world = world(site, Fault::Nothing, &[]);
+    let now = world.entries[0].now;
+    let routes = lengths.kinds.iter().map(|kind| Route {
+        rank: kind.rank,
+        aim: kind.aim,
+        timeout: kind.patience,
+        ..route(kind.path, Repeat::Resume)
+    });
+    let routes: Vec<_> = routes.collect();
+    let entries = (0..site.entries).map(|number| planned(number, 0, site, now, routes.clone()));
+    world.entries = entries.collect();
+    world.lengths = Some(lengths);
+    world.random = StdRng::seed_from_u64(seed);
+    world
+}
+
+/// About as the normal distribution gives, of variance 1.
+fn normal(random: &mut StdRng) -> f64 {
+    (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0
+}
+
+fn is_fast(target: u16) -> bool {
+    target.is_multiple_of(3)
+}
+
 fn id((index, ticket, attempt): Key) -> Id {
     Id { request: Uuid::from_u64_pair(index as u64, ticket), attempt }
 }
@@ -255,8 +334,8 @@
             id: id(key),
             rank,
             remaining: reservation.wait,
-            prefill: 0,
-            decode: 0,
+            prefill: reservation.tokens.prompt,
+            decode: reservation.tokens.output,
             prefix: Vec::new(),
             offset: 0,
             body: Default::default(),
@@ -317,7 +396,7 @@
                 if rejected {
                     return self.after(WAY, Due::Rejected { from, life, ticket });
                 }
-                let held = self.site.held / 2 + self.random.random_range(0..self.site.held);
+                let held = self.held(to, ticket);
                 self.after(held + WAY, Due::Answered { to, from, life, ticket });
             }
             Due::Answered { to, from, life, ticket } if self.lives[from] == life => {
@@ -328,7 +407,10 @@
                 }
                 self.answered += 1;
                 self.send(from, Event::Began { ticket });
-                let outcome = Outcome::Done;
+                let sized = self.sized.get_mut(&ticket);
+                let expired = sized.as_ref().is_some_and(|sized| sized.until <= self.at);
+                sized.into_iter().for_each(|sized| sized.served = !expired);
+                let outcome = if expired { Outcome::Expired } else { Outcome::Done };
                 self.send(from, Event::Ended { ticket, outcome, begun: true, events: 0 });
             }
             Due::Granted { key, load } => self.granted(key, load),
@@ -343,6 +425,16 @@
         }
     }
 
+    /// Time for which a target has a request, in ms; it is taken from it at its deadline.
+    fn held(&mut self, to: u16, ticket: Ticket) -> u64 {
+        let (Some(lengths), Some(sized)) = (self.lengths, self.sized.get(&ticket)) else {
+            return self.site.held / 2 + self.random.random_range(0..self.site.held);
+        };
+        let speed = usize::from(!is_fast(to));
+        let needs = lengths.first[speed] + sized.tokens * lengths.token[speed];
+        (needs as u64).min(sized.until.saturating_sub(self.at))
+    }
+
     pub fn pass(&mut self) {
         self.at += 1;
         for entry in &mut self.entries {
@@ -373,6 +465,15 @@
         }
     }
 
+    /// Lets time pass without requests until whatever came is over.
+    pub fn finish(&mut self) {
+        self.site.load = 0.0;
+        let last = self.sized.values().map(|sized| sized.until).max().unwrap_or_default();
+        while self.at <= last + WAY {
+            self.pass();
+        }
+    }
+
     fn fail(&mut self) {
         match self.fault {
             Fault::AgentsKilled => self.kill_agents(),
@@ -417,12 +518,42 @@
         self.tickets += 1;
         self.asked.insert(self.tickets, self.at);
         self.requests.push(self.at);
-        let mut call = request(self.tickets, "/call/");
+        let mut call = match self.lengths {
+            Some(lengths) => self.draw(lengths),
+            None => request(self.tickets, "/call/"),
+        };
         call.draw = self.random.random();
         let index = self.random.random_range(0..self.site.entries);
         self.send(index, Event::Arrived(call));
     }
 
+    fn draw(&mut self, lengths: Lengths) -> Request {
+        let mut left = self.random.random::<f64>();
+        let kind = lengths.kinds.iter().position(|kind| {
+            left -= kind.share;
+            left < 0.0
+        });
+        let number = kind.unwrap_or(lengths.kinds.len() - 1);
+        let kind = lengths.kinds[number];
+        let tokens = (kind.median * kind.spread.powf(normal(&mut self.random))).max(1.0);
+        let expected = tokens * SURPRISE.powf(normal(&mut self.random));
+        let until = self.at + kind.patience.as_millis() as u64;
+        self.sized.insert(self.tickets, Sized { kind: number, tokens, until, served: false });
+        let patience = Some(kind.patience);
+        let expected = Some(expected.max(1.0) as u32);
+        Request { patience, expected, ..request(self.tickets, kind.path) }
+    }
+
+    /// Part of a kind's requests that were served, of all or of those in a range of its lengths, as parts
+    /// from the shortest, 0, to the longest, 1.
+    pub fn served(&self, kind: usize, range: Range<f64>) -> f64 {
+        let mut sized: Vec<_> = self.sized.values().filter(|sized| sized.kind == kind).collect();
+        sized.sort_by(|a, b| a.tokens.total_cmp(&b.tokens));
+        let place = |part: f64| (part * sized.len() as f64) as usize;
+        let sized = &sized[place(range.start)..place(range.end)];
+        sized.iter().filter(|sized| sized.served).count() as f64 / sized.len() as f64
+    }
+
     /// Most requests that a target got in a window while its limit binds, of those that count.
     pub fn most(&self, to: u16, counts: impl Fn(&Arrival) -> bool) -> usize {
         let binds = NAMED + STABLE..LIFTED;
