--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -330,17 +330,9 @@
             state.look_round(now.steady, &mut effects);
         }
         Event::Heard(rows) => state.hear(now.steady, rows, &mut effects),
-        Event::Probed { target, reached } => match state.probing.remove(&target) {
-            Some(_) if reached => {
-                let lost = state.lost.iter_mut().filter(|loss| loss.target == target);
-                lost.for_each(|loss| loss.reached = true);
-            }
-            Some(incarnation) => {
-                state.capacity.mark_down(now.steady, &target, incarnation);
-                state.count_crashes(now.steady, &target, false, &mut effects);
-            }
-            None => {}
-        },
+        Event::Probed { target, reached } => {
+            state.probed(now.steady, &target, reached, &mut effects);
+        }
         Event::Drain { end } => state.draining = Some(end),
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -271,6 +271,25 @@
         }
     }
 
+    /// A target was asked whether it takes connections.
+    pub(super) fn probed(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        reached: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(incarnation) = self.probing.remove(target) else {
+            return;
+        };
+        if reached {
+            let lost = self.lost.iter_mut().filter(|loss| loss.target == *target);
+            return lost.for_each(|loss| loss.reached = true);
+        }
+        self.capacity.mark_down(now, target, incarnation);
+        self.count_crashes(now, target, false, effects);
+    }
+
     /// A target takes no connection, or started again: what broke off there just before ran when it died.
     pub(super) fn count_crashes(
         &mut self,
--- a/components/scheduler/tests/direct_crashes.rs
+++ b/components/scheduler/tests/direct_crashes.rs
@@ -2,14 +2,14 @@
 
 mod direct_support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use direct_support::{
-    Process, blank, limit, plan, process, refusals, request, route, settings, start, starts,
-    targets,
+    Process, blank, fetches, limit, plan, process, refusals, request, route, settings, start,
+    starts, targets,
 };
 use scheduler::direct::{
-    self, Effect, Event, Outcome, Request, Ticket,
+    self, Event, Outcome, Request, Ticket,
     plan::{Account, Repeat},
     relay::Topic,
 };
@@ -66,15 +66,6 @@
     topics
 }
 
-/// What is asked of whom.
-fn asked(effects: &[Effect]) -> Vec<(SocketAddr, Topic)> {
-    let fetches = effects.iter().filter_map(|effect| match effect {
-        Effect::Fetch { peer, topic } => Some((*peer, *topic)),
-        _ => None,
-    });
-    fetches.collect()
-}
-
 fn is_refused(entry: &mut Process, ticket: Ticket, body: u16) -> bool {
     let effects = entry.arrive(poison(ticket, body));
     starts(&effects).is_empty() && !refusals(&effects).is_empty()
@@ -142,7 +133,7 @@
     }
 
     let rounds = KNOWN.div_duration_f64(EXCHANGE) as usize;
-    let mut fetches = 0;
+    let mut fetched = 0;
     for round in 0..rounds {
         for place in 0..ENTRIES {
             let other = (place + 1 + round % (ENTRIES - 1)) % ENTRIES;
@@ -150,12 +141,12 @@
             let peer = entries[other].address;
             let mut effects = entries[place].pass(EXCHANGE);
             effects.extend(entries[place].send(Event::Offered { peer, offer }));
-            for (peer, topic) in asked(&effects) {
+            for (peer, topic) in fetches(&effects) {
                 let place_of = |entry: &Process| entry.address == peer;
                 let other = entries.iter().position(place_of).expect("it is one of them");
                 let [entry, other] = entries.get_disjoint_mut([place, other]).expect("two of them");
                 entry.fetch(other, topic);
-                fetches += usize::from(topic == Topic::Crashes);
+                fetched += usize::from(topic == Topic::Crashes);
             }
         }
     }
@@ -166,7 +157,7 @@
         assert_eq!(refused.count(), ENTRIES);
     }
     let most = ENTRIES * FETCHES * KNOWN.as_secs() as usize;
-    assert!(fetches <= most, "{fetches} fetches");
+    assert!(fetched <= most, "{fetched} fetches");
 }
 
 /// Guards against counts that processes tell each other for ever.
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -2,11 +2,13 @@
 
 mod direct_support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use direct_support::{Process, blank, plan, process, refusal, request, route, starts, targets};
+use direct_support::{
+    Process, blank, fetches, plan, process, refusal, request, route, starts, targets,
+};
 use scheduler::direct::{
-    Effect, Event, Reason,
+    Event, Reason,
     plan::{Plan, Repeat},
     relay::Topic,
 };
@@ -42,15 +44,6 @@
     process
 }
 
-/// What is asked of whom.
-fn asked(effects: &[Effect]) -> Vec<(SocketAddr, Topic)> {
-    let fetches = effects.iter().filter_map(|effect| match effect {
-        Effect::Fetch { peer, topic } => Some((*peer, *topic)),
-        _ => None,
-    });
-    fetches.collect()
-}
-
 #[test]
 fn a_process_without_the_platform_learns_the_configuration_of_another() {
     let (reader, mut other) = pair();
@@ -97,7 +90,7 @@
     let failed = Event::Fetched { peer: first.address, topic: Topic::Plan, news: None };
     let effects = other.send(failed);
 
-    assert_eq!(asked(&effects), [(second.address, Topic::Plan)]);
+    assert_eq!(fetches(&effects), [(second.address, Topic::Plan)]);
 }
 
 #[test]
@@ -111,7 +104,7 @@
 
     let effects = other.fetch(&older, Topic::Plan);
 
-    assert_eq!(asked(&effects), [(newer.address, Topic::Plan)]);
+    assert_eq!(fetches(&effects), [(newer.address, Topic::Plan)]);
 }
 
 #[test]
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -92,11 +92,9 @@
         let offer = other.state.offer(other.now);
         let peer = other.address;
         let effects = self.send(Event::Offered { peer, offer });
-        let topics = effects.iter().filter_map(|effect| match effect {
-            Effect::Fetch { peer: asked, topic } if *asked == peer => Some(*topic),
-            _ => None,
-        });
-        (topics.collect(), effects)
+        let asked = fetches(&effects).into_iter().filter(|&(asked, _)| asked == peer);
+        let topics = asked.map(|(_, topic)| topic).collect();
+        (topics, effects)
     }
 
     /// Hears what another process offers and fetches it.
@@ -198,6 +196,15 @@
     starts.collect()
 }
 
+/// What is to be fetched of whom.
+pub fn fetches(effects: &[Effect]) -> Vec<(SocketAddr, Topic)> {
+    let fetches = effects.iter().filter_map(|effect| match effect {
+        Effect::Fetch { peer, topic } => Some((*peer, *topic)),
+        _ => None,
+    });
+    fetches.collect()
+}
+
 pub fn refusals(effects: &[Effect]) -> Vec<(Ticket, Refusal)> {
     let refusals = effects.iter().filter_map(|effect| match effect {
         Effect::Refuse { ticket, refusal, .. } => Some((*ticket, *refusal)),
