--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -1,17 +1,17 @@
 //! Targets that are reached by way of their agents.
 
 use std::{
-    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
+    hash::BuildHasher,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use model::{id::ZoneName, reservation::Load};
 
+use crate::direct::HASHER;
+
 use super::{Capacity, Demand, Reserved, Slot, Target, TargetState, cheaper};
 
-/// Gives the same in all processes.
-const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
 /// Time for which an agent that isn't reached is left alone; doubles with each repeat.
 const AWAY_MIN: Duration = Duration::from_millis(250);
 /// Longest time for which it is left alone.
--- a/components/scheduler/src/direct/crashes.rs
+++ b/components/scheduler/src/direct/crashes.rs
@@ -1,11 +1,11 @@
 //! Bodies that ran when targets crashed, and how often, as all entry processes counted.
 //!
-//! Each process keeps what it counted and what it heard, so that a count outlives the process that made it. With each
-//! exchange only a digest of it is told: whoever has another one fetches the counts.
+//! Each process keeps what it counted and what it heard, so that a count outlives the process that
+//! made it. With each exchange only a digest of it is told: whoever has another one fetches the counts.
 
 use std::{
     collections::BTreeMap,
-    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
+    hash::BuildHasher,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -13,12 +13,12 @@
 use model::id::Fingerprint;
 use serde::{Deserialize, Serialize};
 
+use super::HASHER;
+
 /// Most bodies that are remembered.
 const KEPT: usize = 1_000;
 /// Time for which a count is remembered after it last grew.
 const LIFE: Duration = Duration::from_secs(600);
-/// Gives the same in all processes.
-const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
 
 /// A process that counted: where it listens, and its start.
 pub type Witness = (SocketAddr, u64);
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -28,6 +28,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    hash::{BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -53,6 +54,8 @@
 use relay::{Era, Known, Listing, Topic};
 use rollout::Rollouts;
 
+/// Gives the same in all processes.
+const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
 const RETURN: Duration = Duration::from_millis(2_200);
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -1,4 +1,5 @@
-//! What entry processes relay to each other: the configuration, the targets, and which bodies crashed some.
+//! What entry processes relay to each other: the configuration, the targets, and which bodies crashed
+//! some.
 //!
 //! With each exchange a process offers what it has, by version only. Whoever lacks it fetches it from
 //! one that offers it, so that a process without a way to the platform's service goes on by those that
@@ -12,7 +13,7 @@
 //! take room from those that are.
 
 use std::{
-    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
+    hash::BuildHasher,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -21,15 +22,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    SILENCE, State, crashes,
+    HASHER, SILENCE, State, crashes,
     event::{Effect, Now, Target},
     plan::Plan,
 };
 
-/// Gives the same in all processes.
-const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
-/// Shortest time between two fetches of counts of crashes: while many targets die at once, each process has others than
-/// the next.
+/// Shortest time between two fetches of counts of crashes: while many targets die at once, each process
+/// has others than the next.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Number of the copies of itself that the platform's service came back from, and so lost the last of
--- a/components/scheduler/src/direct/seek.rs
+++ b/components/scheduler/src/direct/seek.rs
@@ -55,8 +55,8 @@
         true
     }
 
-    /// Gives the room back that a request holds which hasn't left its silent target by the end of its time;
-    /// `false` where it holds none.
+    /// Gives the room back that a request holds which hasn't left its silent target by the end of its
+    /// time; `false` where it holds none.
     pub(super) fn give_up_move(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) -> bool {
         let Some(pending) = self.requests.get_mut(&ticket) else {
             return false;
