--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -28,6 +28,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    hash::{BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -53,6 +54,8 @@
 use relay::{Era, Known, Listing, Topic};
 use rollout::Rollouts;
 
+/// Gives the same in all processes.
+const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
 /// Time for which a target that vanished from the platform's list in an outage is still used:
 /// living ones are listed again within two seconds of the outage's end.
 const RETURN: Duration = Duration::from_millis(2_200);
@@ -330,17 +333,9 @@
             state.look_round(now.steady, &mut effects);
         }
         Event::Heard(rows) => state.hear(now.steady, rows, &mut effects),
-        Event::Probed { target, reached } => match state.probing.remove(&target) {
-            Some(_) if reached => {
-                let lost = state.lost.iter_mut().filter(|loss| loss.target == target);
-                lost.for_each(|loss| loss.reached = true);
-            }
-            Some(incarnation) => {
-                state.capacity.mark_down(now.steady, &target, incarnation);
-                state.count_crashes(now.steady, &target, false, &mut effects);
-            }
-            None => {}
-        },
+        Event::Probed { target, reached } => {
+            state.probed(now.steady, &target, reached, &mut effects);
+        }
         Event::Drain { end } => state.draining = Some(end),
         Event::Tick => state.look_round(now.steady, &mut effects),
     }
