--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -339,7 +339,7 @@
             _ => None,
         };
         for effect in direct::reduce(&mut self.state, now, event) {
-            record::decided(&self.state, now.steady, &effect);
+            record::decided(&self.state, now, &effect);
             record::count(&self.state, now.steady, &self.metrics, &effect);
             self.carry_out(effect);
         }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -7,7 +7,7 @@
 
 use metrics::Gateway;
 use scheduler::direct::{
-    Effect, Grounds, Note, Outcome, Reason, Refusal, State, View,
+    Effect, Grounds, Note, Now, Outcome, Reason, Refusal, State, View,
     relay::Topic,
     rollout::{Action, Step},
 };
@@ -16,7 +16,8 @@
 use crate::relay::{self, Fetched};
 
 /// Logs what the reducer decided.
-pub fn decided(state: &State, now: Instant, effect: &Effect) {
+pub fn decided(state: &State, at: Now, effect: &Effect) {
+    let now = at.steady;
     match effect {
         Effect::Start(start) => {
             let Some(view) = state.view(start.ticket, now) else {
@@ -54,6 +55,7 @@
         | Effect::Refuse { .. }
         | Effect::Reserve(_)
         | Effect::Withdraw { .. } => {}
+        Effect::Note(Note::Fresh(false)) => outdated(state, at),
         Effect::Note(note) => noted(note),
     }
 }
@@ -247,6 +249,19 @@
     );
 }
 
+/// Logs that no proof of the configuration came in time. The platform's last answers tell a host that
+/// is cut off or whose link is full from an outage of the platform.
+fn outdated(state: &State, now: Now) {
+    let ages = state.ages(now);
+    warn!(
+        version = state.known().plan,
+        proof_age_ms = ages.proof.map(millis),
+        list_age_ms = state.list_age(now.steady).map(millis),
+        answered_age_ms = ages.answered.map(millis),
+        "the configuration may be out of date: keys don't count"
+    );
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -258,7 +273,8 @@
             info!(ready, listed, unordered, "the targets changed");
         }
         Note::Fresh(true) => info!("the configuration is current: keys count"),
-        Note::Fresh(false) => warn!("the configuration may be out of date: keys don't count"),
+        // Logged with the ages that tell why.
+        Note::Fresh(false) => {}
         Note::Peers { heard, expected, together } => {
             info!(heard, expected, together, "entry processes that are heard changed");
         }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -115,6 +115,15 @@
     pub exposure: f64,
 }
 
+/// How old what is known of the platform is; `None` where nothing is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ages {
+    /// Age of the last proof of this process that the configuration is current.
+    pub proof: Option<Duration>,
+    /// Time since the platform last answered this process or one that it hears.
+    pub answered: Option<Duration>,
+}
+
 /// Everything that direct dispatch decides from.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -430,6 +439,12 @@
         self.list_answered.map(|at| now.saturating_duration_since(at))
     }
 
+    /// How old what is known of the platform is.
+    pub fn ages(&self, now: Now) -> Ages {
+        let age = |at: Duration| now.boot.saturating_sub(at);
+        Ages { proof: self.confirmed.map(age), answered: self.answered.map(age) }
+    }
+
     /// Whether another process that may take requests isn't heard.
     pub fn is_lonely(&self, now: Instant) -> bool {
         let gone = self.settings.gone;
