--- a/components/scheduler/tests/direct_peers.rs
+++ b/components/scheduler/tests/direct_peers.rs
@@ -3,11 +3,36 @@
 //! Pattern: many processes that started together, on links of 10 Mbit/s. All rows of 26 take 13 KB; told
 //! to or by all in the same exchange they fill such a link for a quarter of a second, every 5 s.
 
-use scheduler::direct::peers;
+mod direct_support;
+
+use std::time::Duration;
+
+use direct_support::{Process, blank};
+use scheduler::direct::{Event, peers, peers::Row};
 use test_case::test_case;
 
 /// Exchanges in which each pair tells all rows once.
 const ROUND: u64 = 20;
+/// Bytes a second of the narrowest link of a host in one direction: 10 Mbit/s.
+const NARROW: f64 = 1.25e6;
+
+/// Processes that hear each other and have no request.
+fn processes(count: u16) -> Vec<Process> {
+    let mut processes: Vec<Process> = (1..=count).map(blank).collect();
+    // Only who was heard is named in what is told to others.
+    for _ in 0..2 {
+        let rows: Vec<Row> = processes.iter_mut().map(|it| it.state.row(it.now.steady)).collect();
+        for process in &mut processes {
+            process.send(Event::Heard(rows.clone()));
+        }
+    }
+    processes
+}
+
+/// Bytes of rows as they are told.
+fn size(rows: &[Row]) -> usize {
+    postcard::to_stdvec(rows).expect("they can be packed").len()
+}
 
 #[test_case(4, 1)]
 #[test_case(25, 2)]
@@ -43,3 +68,28 @@
         }
     }
 }
+
+/// Incident: what processes told each other filled the links of small hosts, over which a confirmed
+/// configuration has to come. Exchanges were bounded in number, not in bytes.
+#[test_case(26)]
+#[test_case(68)]
+#[test_case(301)]
+fn rows_leave_room_on_a_narrow_link_for_a_configuration(count: u16) {
+    let mut processes = processes(count);
+    let others = usize::from(count) - 1;
+    let one = &mut processes[others / 2];
+    let own = size(&[one.state.row(one.now.steady)]);
+    let all = own + size(&one.state.rows(one.now.steady));
+
+    // Each pair exchanges once a period; either side tells its own row or all.
+    let told = |exchange: u64| {
+        let full = (0..others).filter(|&other| peers::tells_all(exchange, others / 2, other));
+        let full = full.count();
+        full * all + (others - full) * own
+    };
+    let told: usize = (0..ROUND).map(told).sum();
+
+    let time: Duration = peers::period(others) * ROUND as u32;
+    let rate = told as f64 / time.as_secs_f64();
+    assert!(rate < NARROW, "{rate:.0} bytes a second of {NARROW}");
+}
