Say in the log how many targets are used though they vanished from the list

Cause: after what counts as an outage of the store, targets that vanished from the list are used for 2.2 s more. "the targets changed" counted them among those that are listed, so that a request to a target that left couldn't be told from one sent by an old list. The line says now how many of them are kept.

Ruled out: saying it with each dispatch, which would cost a look-up for each request; the two lines beside each other tell the same.

--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -254,8 +254,8 @@
 fn noted(note: &Note) {
     match note {
         Note::Planned { version } => info!(version, "a configuration is in force"),
-        Note::Targets { ready, listed, unordered } => {
-            info!(ready, listed, unordered, "the targets changed");
+        Note::Targets { ready, listed, kept, unordered } => {
+            info!(ready, listed, kept, unordered, "the targets changed");
         }
         Note::Fresh(true) => info!("the configuration is current: keys count"),
         Note::Fresh(false) => warn!("the configuration may be out of date: keys don't count"),
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -473,6 +473,8 @@
         ready: usize,
         /// Targets that are listed.
         listed: usize,
+        /// Those of them that vanished from the list and are still used, since an outage just ended.
+        kept: usize,
         /// Ready targets that take none since nobody ordered their version.
         unordered: usize,
     },
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -86,11 +86,12 @@
             used.extend(vanished.cloned());
         }
         let ready = used.iter().filter(|target| target.ready).count();
+        let kept = used.len() - listed.len();
         let listed = used.len();
         let restarted = self.capacity.list(used);
         self.assign_lanes(now);
         let unordered = self.capacity.shut();
-        effects.push(Effect::Note(Note::Targets { ready, listed, unordered }));
+        effects.push(Effect::Note(Note::Targets { ready, listed, kept, unordered }));
         for target in restarted {
             // What broke off there just before ran when it died.
             self.count_crashes(now, &target, true, effects);
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -5,10 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use direct_support::{
-    Process, blank, fetches, plan, process, refusal, request, route, starts, targets,
+    Process, blank, fetches, plan, process, refusal, request, route, starts, target, targets,
 };
 use scheduler::direct::{
-    Event, Reason,
+    Effect, Event, Note, Reason,
     plan::{Plan, Repeat},
     relay::Topic,
 };
@@ -244,6 +244,23 @@
     assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
 }
 
+/// Guards against a log from which a target that is used though it vanished can't be told from one that is
+/// listed.
+#[test]
+fn targets_that_are_used_though_they_vanished_are_counted() {
+    let (mut reader, _) = pair();
+    reader.pass(SILENT);
+    reader.confirm();
+
+    let effects = reader.list(vec![target(1)]);
+
+    let kept = effects.iter().find_map(|effect| match effect {
+        Effect::Note(Note::Targets { kept, .. }) => Some(*kept),
+        _ => None,
+    });
+    assert_eq!(kept, Some(1));
+}
+
 #[test]
 fn a_dispatch_tells_how_long_ago_the_platform_answered_for_its_list() {
     let mut process = process(routes(7), targets(1));
