Show that what a process learns of leaving targets is late where bytes, cuts and long reads hold it up

Cause, one for all three: the bound in which a target that leaves must get no more requests was parted among the steps of one read, each with a time of its own. What the store's shared rate adds, and what is done with the news after the read, belongs to no step.

- Each entry process reads a large configuration whole, and reads of the targets stand behind these. 300 entries and 1 MB take 3.75 s of a store that gives 80 MB/s; for 5 s to leave, pause and wait of a read leave 1.3 s.
- After a cut between all entries and the store the end of an outage counts from the first answer, and vanished targets are used for 2.2 s after that.
- A read of the configuration that takes over 2.8 s counts as an outage, though the list was read all the while.

Ruled out: streams that leave a silent target, and reservations at the agent of one that leaves. Both ask again whether the target takes requests before they are dispatched (capacity.is_open, capacity.occupy).

Conclusion: nothing is mended here. The first needs processes that fetch a large configuration of one that has it, the others an end of an outage that isn't later than the last read that failed.

--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -21,6 +21,13 @@
 const LONG: Duration = Duration::from_millis(6_000);
 /// Time after an outage in which living targets are listed again.
 const RETURN: Duration = Duration::from_millis(2_300);
+/// Time for which a way must be back before what is known of leaving targets binds again.
+const STABLE: Duration = Duration::from_millis(3_000);
+/// Longest time from then until a process is answered: a connection that is begun just before is given up
+/// after 0.5 s, and the longest pause after that is 0.8 s.
+const HUNG: Duration = Duration::from_millis(1_300);
+/// Time in which a target that leaves must get no more requests.
+const DRAIN: Duration = Duration::from_millis(2_000);
 
 /// A route for all, and one for those with a key.
 fn routes(version: u64) -> Plan {
@@ -244,6 +251,43 @@
     assert_eq!(starts(&other.arrive(request(1, "/open/"))).len(), 1);
 }
 
+/// Guards against requests to a target that left while all processes were cut off, which take the end of
+/// that for the end of an outage of the platform, and for later than it was.
+#[test]
+fn what_left_while_all_were_cut_off_gets_nothing_once_the_way_is_back_for_long() {
+    let (mut reader, mut other) = pair();
+    other.ask(&reader);
+    other.confirm();
+    for process in [&mut reader, &mut other] {
+        process.pass(LONG + HUNG);
+        process.confirm();
+        process.list(Vec::new());
+    }
+    reader.ask(&other);
+    other.ask(&reader);
+
+    reader.pass(STABLE - HUNG);
+
+    assert!(starts(&reader.arrive(request(1, "/open/"))).is_empty());
+}
+
+/// Guards against requests to a target that left while a large configuration was on its way: the platform
+/// answered all the while, but no read of the configuration ended.
+#[test]
+fn a_configuration_that_takes_long_to_come_is_no_outage() {
+    let (mut reader, _) = pair();
+    for _ in 0..10 {
+        reader.pass(OUTAGE / 10);
+        reader.send(Event::ListAnswered);
+    }
+    reader.confirm();
+    reader.list(Vec::new());
+
+    reader.pass(DRAIN);
+
+    assert!(starts(&reader.arrive(request(1, "/open/"))).is_empty());
+}
+
 /// Guards against a log from which a target that is used though it vanished can't be told from one that is
 /// listed.
 #[test]
