Test that long answers find room while their kind is asked for too much

What callers saw: SHORT, long answers of layout-qa are served far less often than the rest of their kind.

--- a/components/scheduler/tests/direct_support/site.rs
+++ b/components/scheduler/tests/direct_support/site.rs
@@ -465,6 +465,14 @@
         }
     }
 
+    /// Changes how much is asked, and of which kinds, from now on.
+    pub fn ask(&mut self, load: f64, kinds: &'static [Kind]) {
+        self.site.load = load;
+        if let Some(lengths) = &mut self.lengths {
+            lengths.kinds = kinds;
+        }
+    }
+
     /// Lets time pass without requests until whatever came is over.
     pub fn finish(&mut self) {
         self.site.load = 0.0;
