Say how many targets fit a refused request, and what agents tell of a token

Metrics counted refusals by reason only.

refused: wait_ms, up, fitting, fast, fastest_token_us; dispatched: token_us; a counter of requests by tier, class of expected length (up to 64, 256, 1,024, more, unknown) and end. No decision changes: ends_in_time is split in two conditions that say the same.

Conclusion: the length that an answer may have at most is one of the inputs of a refusal, and is in its line now.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -383,6 +383,7 @@
                     self.metrics.ended(record::name(*outcome));
                     if *outcome == Outcome::Done {
                         self.metrics.whole(view.account, view.waited);
+                        self.metrics.sized(view.tier, view.expected, true);
                     }
                 }
             }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -37,6 +37,7 @@
                 list_age_ms = view.list_age.map(millis),
                 units = view.units,
                 expected = view.expected,
+                token_us = view.pace.map(micros),
                 patience_ms = millis(view.patience),
                 left_ms = start.until.saturating_duration_since(now).as_millis() as u64,
                 "dispatched"
@@ -66,7 +67,12 @@
                 metrics.waited(view.tier, view.waited);
             }
         }
-        Effect::Refuse { refusal, .. } => metrics.refused(reason(refusal.reason)),
+        Effect::Refuse { refusal, grounds, .. } => {
+            metrics.refused(reason(refusal.reason));
+            if let Some(tier) = grounds.tier {
+                metrics.sized(tier, grounds.expected, false);
+            }
+        }
         Effect::Note(Note::Planned { version }) => {
             metrics.version.set(i64::try_from(*version).unwrap_or(i64::MAX));
         }
@@ -163,7 +169,7 @@
 
 /// Logs a refusal with the id that the caller gave.
 pub fn refused(id: &str, refusal: &Refusal, grounds: &Grounds, open: usize) {
-    let lack = refusal.lack;
+    let (lack, fits) = (refusal.lack, grounds.fits);
     info!(
         request = id,
         reason = reason(refusal.reason),
@@ -174,6 +180,11 @@
         tier = grounds.tier,
         expected = grounds.expected,
         waited_ms = millis(grounds.waited),
+        wait_ms = millis(grounds.wait),
+        up = fits.up,
+        fitting = fits.fitting,
+        fast = fits.fast,
+        fastest_token_us = fits.fastest.map(micros),
         open,
         ahead = grounds.ahead,
         free = grounds.free,
@@ -251,6 +262,11 @@
     time.as_millis() as u64
 }
 
+/// A time in ms as whole microseconds.
+fn micros(millis: f64) -> u64 {
+    (millis * 1_000.0) as u64
+}
+
 fn noted(note: &Note) {
     match note {
         Note::Planned { version } => info!(version, "a configuration is in force"),
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -20,6 +20,13 @@
 /// these take 150 KB, where all 43,000 would take more memory than a process has for control.
 const TRACKED: usize = 64;
 
+/// Classes of expected lengths: the most tokens of each, and its label.
+const LENGTHS: [(u32, &str); 3] = [(64, "64"), (256, "256"), (1_024, "1024")];
+/// Label of answers that are longer than any class.
+const LONGEST: &str = "more";
+/// Label of answers whose length the caller doesn't tell.
+const UNKNOWN: &str = "unknown";
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Tier {
     tier: u32,
@@ -30,6 +37,13 @@
     reason: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Length {
+    tier: u32,
+    expected: &'static str,
+    end: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct What {
     what: &'static str,
@@ -42,6 +56,7 @@
     first: Family<Tier, Histogram>,
     waited: Family<Tier, Histogram>,
     whole: Accounts,
+    lengths: Family<Length, Counter>,
     refused: Family<Why, Counter>,
     dispatches: Family<Why, Counter>,
     exchanges: Family<Why, Counter>,
@@ -77,6 +92,7 @@
         first: Family::new_with_constructor(histogram),
         waited: Family::new_with_constructor(histogram),
         whole,
+        lengths: Family::default(),
         refused: Family::default(),
         dispatches: Family::default(),
         exchanges: Family::default(),
@@ -96,6 +112,9 @@
     registry.register("first_event_seconds", first, metrics.first.clone());
     let waited = "Time from arrival to the first dispatch, by tier";
     registry.register("wait_seconds", waited, metrics.waited.clone());
+    let lengths =
+        "Requests answered whole or refused, by tier and most tokens that the caller expects";
+    registry.register("requests_by_length", lengths, metrics.lengths.clone());
     registry.register("refusals", "Requests refused, by reason", metrics.refused.clone());
     let ended = "Dispatches that ended, by outcome";
     registry.register("dispatches", ended, metrics.dispatches.clone());
@@ -127,6 +146,15 @@
     Gateway { registry, ..metrics }
 }
 
+/// The class of an expected length.
+fn class(expected: Option<u32>) -> &'static str {
+    let Some(expected) = expected else {
+        return UNKNOWN;
+    };
+    let class = LENGTHS.iter().find(|(most, _)| expected <= *most);
+    class.map_or(LONGEST, |(_, label)| label)
+}
+
 impl Gateway {
     /// Counts the first event of a dispatch.
     pub fn first(&self, tier: u32, after: Duration) {
@@ -143,6 +171,13 @@
         self.whole.observe(account.unwrap_or(NOBODY), after);
     }
 
+    /// Counts a request that was answered whole, or refused, in the class of the length that its caller
+    /// expects.
+    pub fn sized(&self, tier: u32, expected: Option<u32>, served: bool) {
+        let end = if served { "served" } else { "refused" };
+        self.lengths.get_or_create(&Length { tier, expected: class(expected), end }).inc();
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, reason: &str) {
         self.refused.get_or_create(&Why { reason: reason.to_owned() }).inc();
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -38,6 +38,7 @@
         let route = plan.route(&request.host, &request.path).ok_or(refuse(no_route))?;
         grounds.route.clone_from(&route.name);
         grounds.tier = Some(route.rank);
+        grounds.expected = request.expected;
         let account = self.authenticate(&plan, route.public, request.key.as_deref())?;
         grounds.account.clone_from(&account);
         let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -200,9 +200,18 @@
     /// Whether a long answer ends in time here, or is better off nowhere else.
     fn ends_in_time(&self, demand: &Demand<'_>, fastest: f64) -> bool {
         let left_ms = demand.left.as_secs_f64() * 1_000.0;
-        self.pace.is_none_or(|pace| {
-            pace * demand.output * LONGER <= left_ms || pace <= fastest * FASTEST
-        })
+        let ends = |pace: f64| pace * demand.output * LONGER <= left_ms;
+        self.is_fast(fastest) || self.pace.is_none_or(ends)
+    }
+
+    /// Whether no target is known to be much faster.
+    fn is_fast(&self, fastest: f64) -> bool {
+        self.pace.is_none_or(|pace| pace <= fastest * FASTEST)
+    }
+
+    /// Time for each token of an answer, in ms, as its agent says.
+    pub fn pace(&self) -> Option<f64> {
+        self.pace
     }
 
     fn occupy(&mut self, tokens: f64, usual: f64) -> Slot {
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -8,7 +8,7 @@
 
 use model::{id::ZoneName, reservation::Load};
 
-use crate::direct::HASHER;
+use crate::direct::{HASHER, event::Fits};
 
 use super::{Capacity, Demand, Reserved, Slot, Target, TargetState, cheaper};
 
@@ -136,6 +136,21 @@
         Some(state)
     }
 
+    /// How many targets a request's length leaves it.
+    pub fn fits(&self, now: Instant, demand: &Demand<'_>) -> Fits {
+        let fastest = self.fastest(now, demand);
+        let open = self.pool(demand.pool);
+        let open = open.filter(|state| state.lane == demand.lane && state.is_up(now));
+        let none =
+            Fits { fastest: Some(fastest).filter(|pace| pace.is_finite()), ..Fits::default() };
+        open.fold(none, |fits, state| Fits {
+            up: fits.up + 1,
+            fitting: fits.fitting + u32::from(state.ends_in_time(demand, fastest)),
+            fast: fits.fast + u32::from(state.is_fast(fastest)),
+            ..fits
+        })
+    }
+
     /// Whether a request may still wait at a target's agent.
     pub fn keeps(&self, now: Instant, reserved: &Reserved) -> bool {
         let state = self.state(&reserved.target);
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -331,7 +331,7 @@
 }
 
 /// What a refusal was decided from, for the log.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Grounds {
     /// Route of the request; empty where none was found.
     pub route: String,
@@ -343,6 +343,10 @@
     pub expected: Option<u32>,
     /// Time since it arrived.
     pub waited: Duration,
+    /// Time for which it might wait for room.
+    pub wait: Duration,
+    /// Targets of its pool that take requests, and those of them where its answer ends in time.
+    pub fits: Fits,
     /// Requests that stood before it.
     pub ahead: usize,
     /// Slots of its pool that no process uses, by the last rows.
@@ -353,6 +357,19 @@
     pub rows: Option<Duration>,
 }
 
+/// Where an answer of some length ends in time, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fits {
+    /// Targets of the pool that take such requests.
+    pub up: u32,
+    /// Those of them where the answer ends in time, or that are among the fastest.
+    pub fitting: u32,
+    /// Those of them that are among the fastest, by what their agents say.
+    pub fast: u32,
+    /// The shortest time for a token that an agent says, in ms.
+    pub fastest: Option<f64>,
+}
+
 /// Everything that is needed to dispatch a request.
 #[derive(Clone, Debug)]
 pub struct Start {
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -44,8 +44,8 @@
 use capacity::{Capacity, Place, TargetState};
 use crashes::Crashes;
 pub use event::{
-    Effect, Event, Grounds, Incarnation, Introduction, Lack, Lapse, Note, Now, Outcome, Reason,
-    Refusal, Request, Reservation, Start, Target, Ticket, Tokens,
+    Effect, Event, Fits, Grounds, Incarnation, Introduction, Lack, Lapse, Note, Now, Outcome,
+    Reason, Refusal, Request, Reservation, Start, Target, Ticket, Tokens,
 };
 use holds::Holds;
 use peers::{Limited, Peers, Row, Use};
@@ -212,6 +212,8 @@
     pub account: Option<&'a str>,
     /// Rank of its route.
     pub tier: u32,
+    /// Time for each token of an answer at the target, in ms, as its agent last said.
+    pub pace: Option<f64>,
     /// Time since its dispatch.
     pub running_for: Duration,
     /// Time from its dispatch to the first event, once that came.
@@ -397,6 +399,7 @@
             expected: pending.request.expected,
             account: pending.account.as_deref(),
             tier: pending.tier,
+            pace: state.and_then(|state| state.pace()),
             running_for: now.saturating_duration_since(since),
             first: running.first,
             patience: pending.until.saturating_duration_since(pending.arrived),
@@ -412,12 +415,15 @@
         };
         let queue = self.waiting.get(&pending.pool);
         let (free, slots) = self.capacity.slots(now, &pending.pool);
+        let demand = pending.demand(now, &pending.pool, &self.settings.zone, (&[], &[]));
         Grounds {
             route: pending.route.clone(),
             account: pending.account.clone(),
             tier: Some(pending.tier),
             expected: pending.request.expected,
             waited: now.saturating_duration_since(pending.arrived),
+            wait: pending.give_up.saturating_duration_since(pending.arrived),
+            fits: self.capacity.fits(now, &demand),
             ahead: queue.map_or(0, |queue| queue.range(..pending.order()).count()),
             free,
             slots,
--- a/components/scheduler/tests/direct_lengths.rs
+++ b/components/scheduler/tests/direct_lengths.rs
@@ -131,3 +131,20 @@
     let effects = grant(&mut process, &reserved[0], FAST);
     assert_eq!(start(&effects).ticket, 1);
 }
+
+#[test_case(LONG, 4; "that is long")]
+#[test_case(SHORT, 12; "that is short")]
+fn a_refusal_says_how_many_targets_fitted_an_answer(expected: u32, fitting: u32) {
+    let mut process = served(false);
+    process.arrive(expecting(1, expected));
+
+    let effects = process.pass(Duration::from_secs(2));
+
+    let grounds = effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { grounds, .. } => Some(grounds),
+        _ => None,
+    });
+    let fits = grounds.expect("no agent granted room").fits;
+    assert_eq!((fits.up, fits.fitting, fits.fast), (12, fitting, 4));
+    assert_eq!(fits.fastest, Some(2.0));
+}
