Tell the time of a token by all work of the last runs

Callers saw the longest answers of the lowest tier refused far more often than the short ones of their own kind (SHORT).

Cause: an agent told the time of a token as the mean of each run's time by its work, a short run weighing as much as a long one. Most of a short run's time is its prompt's, so the figure was too high and went up and down with the lengths of the last few runs. Now it is all time by all work of the last runs, in every use of the pace.

Left: the work is what callers expect, not what came, which keeps some noise.

--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -29,12 +29,12 @@
 /// What was learnt.
 #[derive(Clone, Debug)]
 pub struct Pace {
-    /// Seconds for a unit of work, on average.
-    unit: f64,
-    /// The least that the average ever was.
-    best: f64,
     /// Seconds that a run takes, on average.
     run: f64,
+    /// Work that a run is, on average.
+    work: f64,
+    /// The least time that a unit of work ever took, in seconds.
+    best: f64,
     /// Seconds from a grant to its start, on average.
     lead: f64,
     /// Runs that ended, up to `LEARNT`.
@@ -48,9 +48,9 @@
 /// Gives the pace of a target of which nothing is known.
 pub fn open() -> Pace {
     Pace {
-        unit: 0.0,
-        best: f64::MAX,
         run: 0.0,
+        work: 0.0,
+        best: f64::MAX,
         lead: 0.0,
         learnt: 0,
         heard: None,
@@ -73,13 +73,12 @@
     pub fn end(&mut self, now: Instant, id: Id, since: Instant, work: u64) {
         self.overdue.retain(|overdue| overdue.id != id);
         let took = now.saturating_duration_since(since).as_secs_f64();
-        let unit = took / work.max(1) as f64;
         let weight = if self.learnt == 0 { 1.0 } else { WEIGHT };
-        self.unit += (unit - self.unit) * weight;
         self.run += (took - self.run) * weight;
+        self.work += (work.max(1) as f64 - self.work) * weight;
         self.learnt = (self.learnt + 1).min(LEARNT);
         if self.learnt == LEARNT {
-            self.best = self.best.min(self.unit);
+            self.best = self.best.min(self.unit());
         }
         self.heard = Some(now);
     }
@@ -91,7 +90,7 @@
         }
         let silent = self.heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let halvings = silent.as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let believed = self.best + (self.unit - self.best) * 0.5_f64.powf(halvings);
+        let believed = self.best + (self.unit() - self.best) * 0.5_f64.powf(halvings);
         let unit = believed.max(self.unit_of_overdue(now));
         Some(Duration::from_secs_f64(unit * work as f64))
     }
@@ -99,7 +98,7 @@
     /// Average time of a decode step, of which a prompt counts as a part; `None` while too little is
     /// known.
     pub fn step(&self) -> Option<Duration> {
-        let step = Duration::from_secs_f64(self.unit * STEP as f64);
+        let step = Duration::from_secs_f64(self.unit() * STEP as f64);
         (self.learnt >= LEARNT).then_some(step)
     }
 
@@ -117,6 +116,12 @@
         idle.ceil() as usize
     }
 
+    /// Seconds for a unit of work. Runs count by their work: a short one spends most of its time on its
+    /// prompt and says little of the time of a token.
+    fn unit(&self) -> f64 {
+        self.run / self.work.max(1.0)
+    }
+
     /// The longest overdue run says how slow the target is now.
     fn unit_of_overdue(&self, now: Instant) -> f64 {
         let Some(overdue) = self.overdue.first().filter(|overdue| overdue.at <= now) else {
@@ -124,6 +129,6 @@
         };
         let expected = (overdue.at - overdue.since).as_secs_f64() / f64::from(OVERDUE);
         let age = now.saturating_duration_since(overdue.since).as_secs_f64();
-        self.unit * age / expected.max(f64::MIN_POSITIVE)
+        self.unit() * age / expected.max(f64::MIN_POSITIVE)
     }
 }
