Let the least flexible requests of a tier go first at agents

Callers saw long answers refused while short ones of the same kind, which may go to any target, took the slots of the few fast ones (SHORT).

Cause: an agent grants the newest of a tier first, whoever it is. A request that ends in time at all targets has its turn anywhere; one that does so at a third of them was passed over there by newer ones that didn't need that target. Now a reservation counts as newer by half of its wait times the part of the targets that its length closes to it. Tiers go first as before. It is the rule of the least flexible job first, for jobs that fit nested sets of machines.

The price is paid within the tier: fewer short answers are served, in proportion to their share.

--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -95,8 +95,9 @@
     let ask = Ask {
         id: Id { request, attempt: reservation.number },
         rank: reservation.rank,
-        // The process that reserves decides when its request has waited for too long.
-        remaining: reservation.wait + GRACE,
+        // The process that reserves decides when its request has waited for too long; agents go by the
+        // time that remains, the longest of a tier first.
+        remaining: reservation.wait + reservation.boost + GRACE,
         prefill: reservation.tokens.prompt,
         decode: reservation.tokens.output,
         prefix: Vec::new(),
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -357,7 +357,7 @@
     pub rows: Option<Duration>,
 }
 
-/// Where an answer of some length ends in time, for the log.
+/// At how many targets an answer of some length ends in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Fits {
     /// Targets of the pool that take such requests.
@@ -370,6 +370,13 @@
     pub fastest: Option<f64>,
 }
 
+impl Fits {
+    /// Part of the targets, from 0 to 1, where the answer doesn't end in time.
+    pub fn closed(&self) -> f64 {
+        1.0 - f64::from(self.fitting) / f64::from(self.up.max(1))
+    }
+}
+
 /// Everything that is needed to dispatch a request.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -419,6 +426,8 @@
     pub rank: Rank,
     /// Time for which it waits at most.
     pub wait: Duration,
+    /// How much newer it counts than it is, where the newest of a tier goes first.
+    pub boost: Duration,
     /// Tokens of the request.
     pub tokens: Tokens,
 }
--- a/components/scheduler/tests/direct_sizes.rs
+++ b/components/scheduler/tests/direct_sizes.rs
@@ -44,6 +44,8 @@
 const LAST: usize = 2;
 /// Least that the longest are served, as a part of what their whole kind is.
 const LEAST: f64 = 0.5;
+/// The same where it leaves a margin, and for each other length as well.
+const EVEN: f64 = 0.75;
 
 /// Time for which requests come, in ms.
 const ASKED: u64 = 60_000;
@@ -75,3 +77,20 @@
         assert!(longest.iter().all(|&part| part >= LEAST), "{kind}: {longest:?}");
     }
 }
+
+/// Guards against a tier's answers of one length that pay for those of another.
+#[test_case(160.0, 1; "load_160_seed_1")]
+#[test_case(160.0, 2; "load_160_seed_2")]
+#[test_case(175.0, 3; "load_175_seed_3")]
+#[test_case(175.0, 4; "load_175_seed_4")]
+fn no_length_is_served_much_less_often_than_its_kind(load: f64, seed: u64) {
+    let world = play(load, seed);
+
+    for kind in [MIDDLE, LAST] {
+        let whole = world.served(kind, 0.0..1.0);
+        let tenths = (0..10).map(|tenth| f64::from(tenth) / 10.0);
+        let parts: Vec<f64> =
+            tenths.map(|from| world.served(kind, from..from + 0.1) / whole).collect();
+        assert!(parts.iter().all(|&part| part >= EVEN), "{kind}: {parts:.2?}");
+    }
+}
--- a/components/scheduler/tests/direct_support/site.rs
+++ b/components/scheduler/tests/direct_support/site.rs
@@ -333,7 +333,7 @@
         let ask = Ask {
             id: id(key),
             rank,
-            remaining: reservation.wait,
+            remaining: reservation.wait + reservation.boost,
             prefill: reservation.tokens.prompt,
             decode: reservation.tokens.output,
             prefix: Vec::new(),
