Show that requests that left a silent target are ended before their callers' time

Cause: seek.rs lets a request look for room for as long as its caller waits, but once another target has room the silent run is closed, and settle.rs (move_on) sets the time to give up to 1.5 s from then (REPEAT_WAIT) unless a part of the answer went out. If the other target isn't reached, or rejects the request, nothing is left to wait for: our own refusal ends an answer that the closed run might have given.

Ruled out: answers that have begun. They wait until their caller's time is over, which two cases guard.

Not mended: a mend keeps the silent run until the next target has taken the request, and gives up at the caller's time.

--- a/components/scheduler/tests/direct_silent.rs
+++ b/components/scheduler/tests/direct_silent.rs
@@ -340,3 +340,31 @@
     assert_eq!(left(&leaves).len(), 1);
     assert!(withdrawn(&effects).contains(&number), "its time has been over for a second");
 }
+
+/// Guards against answers that are ended since a silent target was left and the next one doesn't take the
+/// request (LOST): the run that was closed for it might still have answered its caller, who waits for 5 s.
+#[test_case("/safe/", false, Outcome::Unreached; "a safe request isn't reached")]
+#[test_case("/safe/", false, Outcome::Rejected; "a safe request is rejected")]
+#[test_case("/resume/", false, Outcome::Unreached; "a stream isn't reached")]
+#[test_case("/resume/", true, Outcome::Unreached; "a stream that has begun isn't reached")]
+#[test_case("/resume/", true, Outcome::Rejected; "a stream that has begun is rejected")]
+fn a_request_that_left_its_silent_target_waits_as_long_as_its_caller(
+    path: &str,
+    begun: bool,
+    next: Outcome,
+) {
+    let mut entry = entry(targets(2));
+    let first = start(&entry.arrive(request(1, path))).target;
+    let leaves = quiet(&mut entry, 1, begun);
+    let ended = |outcome| Event::Ended { ticket: 1, outcome, begun, events: 0 };
+    let moved = entry.send(ended(Outcome::Silent));
+    let mut effects = entry.send(ended(next));
+    // Only the target that was silent is left.
+    let listed = targets(2).into_iter().filter(|target| target.name == first);
+    effects.extend(entry.list(listed.collect()));
+
+    (0..48).for_each(|_| effects.extend(entry.pass(100 * MS)));
+
+    assert_eq!((left(&leaves).len(), starts(&moved).len()), (1, 1));
+    assert!(refusals(&effects).is_empty(), "{effects:?}");
+}
