--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -343,6 +343,14 @@
     pub expected: Option<u32>,
     /// Time since it arrived.
     pub waited: Duration,
+    /// Time that its caller still waits.
+    pub left: Duration,
+    /// Whether a part of the answer went to the caller.
+    pub begun: bool,
+    /// Targets that may have run it, and most that may.
+    pub ran: (usize, u32),
+    /// Whether its body is refused.
+    pub quarantined: bool,
     /// Requests that stood before it.
     pub ahead: usize,
     /// Slots of its pool that no process uses, by the last rows.
