--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -347,6 +347,14 @@
     pub wait: Duration,
     /// Targets of its pool that take requests, and those of them where its answer ends in time.
     pub fits: Fits,
+    /// Time that its caller still waits.
+    pub left: Duration,
+    /// Whether a part of the answer went to the caller.
+    pub begun: bool,
+    /// Targets that may have run it, and most that may.
+    pub ran: (usize, u32),
+    /// Whether its body is refused.
+    pub quarantined: bool,
     /// Requests that stood before it.
     pub ahead: usize,
     /// Slots of its pool that no process uses, by the last rows.
