Take an answered read of the list of targets for a sign that the platform answers

Callers could be sent to a target for up to 2.2 s more after it had left: while one read of a large configuration took over 2.8 s, the process took that for an outage of the platform, used targets that vanished from the list on, and offered the list to no other process.

Cause: the end of silence was judged by reads of the configuration alone, of which there is one at a time and whose length grows with the configuration. The list of targets is read several times a second beside it.

Now each answered read of the list ends silence as one of the configuration does. The same closes a hole the other way round: where the list was the first that was read after an outage, the outage wasn't known yet, and living targets that were missing in that list were dropped at once.

Ruled out: a longer silence, since no constant fits all sizes of a configuration. Also that a list that is answered while the configuration's topic alone is down drops more than before: it dropped what vanished then as well, since an outage is known only once it has ended. What is offered to others stays the age of the configuration's proof, which counts from the read's beginning: a process that was frozen would give an old answer out as new.

Conclusion: how long a configuration takes to come says nothing of the platform any more where the list is read. A process that was cut off by itself still takes another's word only by the age of its configuration.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -320,7 +320,7 @@
         }
         Event::Confirmed { boot, version, era } => state.confirm(now, boot, version, era),
         Event::Listed(listing) => state.take_over(now.steady, listing, &mut effects),
-        Event::ListAnswered => state.list_answered = Some(now.steady),
+        Event::ListAnswered => state.list_answered(now),
         Event::Offered { peer, offer } => state.offered(now, peer, offer),
         Event::Fetched { peer, topic, news } => {
             state.fetched(now.steady, (peer, topic), news, &mut effects);
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -40,12 +40,24 @@
         self.next_grant = None;
     }
 
-    /// The platform's newest configuration was of that version.
-    pub(super) fn confirm(&mut self, now: Now, boot: Duration, version: u64, era: Era) {
+    /// The platform answered a read, whatever that was of: one of a large configuration may last longer
+    /// than silence may.
+    fn reach(&mut self, now: Now) {
         if is_silent(self.answered, now) {
             self.outage = Some(now.steady);
         }
         self.answered = Some(now.boot);
+    }
+
+    /// The platform answered a read of its list.
+    pub(super) fn list_answered(&mut self, now: Now) {
+        self.reach(now);
+        self.list_answered = Some(now.steady);
+    }
+
+    /// The platform's newest configuration was of that version.
+    pub(super) fn confirm(&mut self, now: Now, boot: Duration, version: u64, era: Era) {
+        self.reach(now);
         self.enter(now.steady, era);
         if self.proves(now.steady, version) {
             self.confirmed = self.confirmed.max(Some(boot));
--- a/components/scheduler/tests/direct_relay.rs
+++ b/components/scheduler/tests/direct_relay.rs
@@ -288,6 +288,20 @@
     assert!(starts(&reader.arrive(request(1, "/open/"))).is_empty());
 }
 
+/// Guards against living targets that are dropped where the list is the first that is read after an outage.
+#[test]
+fn an_outage_ends_with_an_answer_for_the_list_too() {
+    let (mut reader, _) = pair();
+    reader.pass(OUTAGE);
+    reader.send(Event::ListAnswered);
+
+    reader.list(Vec::new());
+
+    assert_eq!(starts(&reader.arrive(request(1, "/open/"))).len(), 1);
+    reader.pass(RETURN);
+    assert!(starts(&reader.arrive(request(2, "/open/"))).is_empty());
+}
+
 /// Guards against a log from which a target that is used though it vanished can't be told from one that is
 /// listed.
 #[test]
