Regress the work of runs on their time, so that a broken-off answer says little

An agent hears of each run's end, not of whether its answer was whole. A long answer that was broken off after 50 ms (its caller left, the target crashed, the entry died) counted as done work: a slow target (10.5 ms a token) told 3.05 to 3.78 ms and took answers that never end in time there, a fast one 1.33 to 1.56 ms, so that no other counted as fast. Besides, answers that are nearly too long found 1 to 3 of 19 fast targets.

Cause: the ratio of sums has the noisy figure, the work that callers expect, in the place of the exact one. What is exact is the time. The work is regressed on it: sum of time squared by sum of time by work, so that a run weighs by how long it took. The newest run has a part of 1/64 instead of 1/16, and all first runs count alike.

Ruled out: leaving out runs that aren't whole, which agents can't tell.

--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -11,6 +11,8 @@
 pub const STEP: u64 = 256;
 /// Share of the newest run in the averages.
 const WEIGHT: f64 = 1.0 / 16.0;
+/// The same for the time of a unit of work, which callers' guesses of lengths make noisy.
+const UNIT_WEIGHT: f64 = 1.0 / 64.0;
 /// Runs that must have ended before estimates are given.
 const LEARNT: u32 = 8;
 /// A run that takes this many times its estimate speaks against the target before it ends.
@@ -31,13 +33,14 @@
 pub struct Pace {
     /// Seconds that a run takes, on average.
     run: f64,
-    /// Work that a run is, on average.
-    work: f64,
-    /// The least time that a unit of work ever took, in seconds.
+    /// Averages of a run's time, squared, and of its time by its work: see `unit`.
+    squares: f64,
+    products: f64,
+    /// The least that the time of a unit of work ever was, in seconds.
     best: f64,
     /// Seconds from a grant to its start, on average.
     lead: f64,
-    /// Runs that ended, up to `LEARNT`.
+    /// Runs that ended.
     learnt: u32,
     /// When the last run ended.
     heard: Option<Instant>,
@@ -49,7 +52,8 @@
 pub fn open() -> Pace {
     Pace {
         run: 0.0,
-        work: 0.0,
+        squares: 0.0,
+        products: 0.0,
         best: f64::MAX,
         lead: 0.0,
         learnt: 0,
@@ -73,11 +77,14 @@
     pub fn end(&mut self, now: Instant, id: Id, since: Instant, work: u64) {
         self.overdue.retain(|overdue| overdue.id != id);
         let took = now.saturating_duration_since(since).as_secs_f64();
+        let evenly = 1.0 / f64::from(self.learnt.saturating_add(1));
         let weight = if self.learnt == 0 { 1.0 } else { WEIGHT };
         self.run += (took - self.run) * weight;
-        self.work += (work.max(1) as f64 - self.work) * weight;
-        self.learnt = (self.learnt + 1).min(LEARNT);
-        if self.learnt == LEARNT {
+        let weight = UNIT_WEIGHT.max(evenly);
+        self.squares += (took * took - self.squares) * weight;
+        self.products += (took * work.max(1) as f64 - self.products) * weight;
+        self.learnt = self.learnt.saturating_add(1);
+        if self.learnt >= LEARNT {
             self.best = self.best.min(self.unit());
         }
         self.heard = Some(now);
@@ -116,10 +123,11 @@
         idle.ceil() as usize
     }
 
-    /// Seconds for a unit of work. Runs count by their work: a short one spends most of its time on its
-    /// prompt and says little of the time of a token.
+    /// Seconds for a unit of work. The time is what was measured and the work what callers expected, so the
+    /// work is regressed on the time: neither short runs, whose time is their prompt's, nor a long one that
+    /// was broken off weigh much.
     fn unit(&self) -> f64 {
-        self.run / self.work.max(1.0)
+        if self.products > 0.0 { self.squares / self.products } else { 0.0 }
     }
 
     /// The longest overdue run says how slow the target is now.
