Measure which targets are fast by a low quantile instead of the least

Of many noisy figures the least is a lucky one, the luckier the more there are, and the targets that long answers may go to are those within a fifth of it.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -55,6 +55,8 @@
 const LONGER: f64 = 1.6;
 /// How much slower than the fastest a target may be that takes answers which may not end in time there.
 const FASTEST: f64 = 1.2;
+/// Part of the targets that may be faster than what counts as the fastest.
+const FASTEST_PART: f64 = 0.1;
 /// Time to the first event that is assumed of a request before any was seen, in ms a token.
 const FIRST_GUESS: f64 = 0.05;
 
@@ -458,11 +460,15 @@
         places.iter().filter_map(|&place| self.states.get(place))
     }
 
-    /// The shortest time for a token at any target that a request may go to, in ms.
+    /// Time for a token at the fastest targets that a request may go to, in ms: a low quantile, since the
+    /// least of many noisy figures is lower the more there are.
     fn fastest(&self, now: Instant, demand: &Demand<'_>) -> f64 {
         let open = self.pool(demand.pool);
         let open = open.filter(|state| state.lane == demand.lane && state.is_up(now));
-        open.filter_map(|state| state.pace).fold(f64::INFINITY, f64::min)
+        let mut paces: Vec<f64> = open.filter_map(|state| state.pace).collect();
+        let place = (paces.len() as f64 * FASTEST_PART) as usize;
+        paces.sort_unstable_by(f64::total_cmp);
+        paces.get(place).copied().unwrap_or(f64::INFINITY)
     }
 
     /// The mean of what is known of a pool's targets, in ms a token.
