Count a reservation as newer by the wait that its tier has, not by what was added later

The time of promotion is set at arrival and never moves; two thirds of it are half of the wait as before. A pool without targets that take requests closes none.

Not covered by a test of its own.

--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -95,8 +95,8 @@
     let ask = Ask {
         id: Id { request, attempt: reservation.number },
         rank: reservation.rank,
-        // The process that reserves decides when its request has waited for too long; agents go by the
-        // time that remains, the longest of a tier first.
+        // The process that reserves decides when its request has waited for too long; agents only order a
+        // tier by this, the latest deadline first.
         remaining: reservation.wait + reservation.boost + GRACE,
         prefill: reservation.tokens.prompt,
         decode: reservation.tokens.output,
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -374,14 +374,14 @@
     pub fitting: u32,
     /// Those of them that are among the fastest, by what their agents say.
     pub fast: u32,
-    /// The shortest time for a token that an agent says, in ms.
+    /// Time for a token at a target that counts as the fastest, in ms.
     pub fastest: Option<f64>,
 }
 
 impl Fits {
     /// Part of the targets, from 0 to 1, where the answer doesn't end in time.
     pub fn closed(&self) -> f64 {
-        1.0 - f64::from(self.fitting) / f64::from(self.up.max(1))
+        if self.up == 0 { 0.0 } else { 1.0 - f64::from(self.fitting) / f64::from(self.up) }
     }
 }
 
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -21,9 +21,9 @@
 const FIRST: usize = 2;
 /// Most agents at which it is reserved at a time.
 const MOST: usize = 6;
-/// Part of its wait by which a request counts as newer than it is where it ends in time at hardly any target;
-/// it falls to none for one that may go anywhere.
-const BOOST: f64 = 0.5;
+/// Part of the time to its promotion by which a request counts as newer than it is where it ends in time at
+/// hardly any target; it falls to none for one that may go anywhere.
+const BOOST: f64 = 2.0 / 3.0;
 /// Time until it is reserved at one more; doubles with each.
 const STEP: Duration = Duration::from_millis(40);
 /// Highest value of an account's rank in the first place of a packed rank.
@@ -87,7 +87,7 @@
         let (slots, limit) = (state.admits(), state.last_limit(now));
         // The least flexible of a tier go first: the others have their turn elsewhere.
         let closed = capacity.fits(now, demand).closed();
-        let boost = (pending.give_up - pending.arrived).mul_f64(BOOST * closed);
+        let boost = (pending.promote - pending.arrived).mul_f64(BOOST * closed);
         pending.reservations += 1;
         let number = pending.reservations;
         let (name, incarnation) = (target.name.clone(), target.incarnation);
