Revert "Let what may be repeated wait for another target as long as its caller"

It isn't landed, since it widens a fault in the retry budget: a repeat is taken from the bucket when a request begins to look for room, not when it is dispatched, and the bucket refills meanwhile.

What has to come first: repeats that are taken and not dispatched count against the bucket's cap. Then the reverted commit can land as it is.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -88,8 +88,8 @@
 const SILENT: Duration = Duration::from_millis(500);
 /// The same in multiples of the time to the first event that was expected.
 const SILENT_TIMES: u32 = 4;
-/// Time for which a request that is dispatched again waits for another target where its caller can be told
-/// more than that it was lost: the failure that a target answered, or that it has not run.
+/// Time for which a request that may have run waits for another target while nothing of its answer went to
+/// its caller, who may ask again itself after that.
 const REPEAT_WAIT: Duration = Duration::from_millis(1_500);
 /// Time that is assumed where a caller doesn't say how long it waits.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -8,7 +8,6 @@
 use model::id::{AccountName, PoolName, TargetName, ZoneName};
 
 use super::{
-    REPEAT_WAIT,
     allowance::Claim,
     capacity::{Demand, Slot},
     event::{Incarnation, Request, Ticket, Tokens},
@@ -184,17 +183,6 @@
         allowed && ran < self.attempts as usize
     }
 
-    /// Whether its caller can only wait for another target: it may have run, and no failure that a target
-    /// answered can be passed on instead.
-    pub fn is_owed(&self) -> bool {
-        self.begun || (self.ran && !self.failed)
-    }
-
-    /// When it is refused if no other target takes it.
-    pub fn give_up_elsewhere(&self, now: Instant) -> Instant {
-        if self.is_owed() { self.until } else { self.until.min(now + REPEAT_WAIT) }
-    }
-
     /// Its dispatch that hasn't ended.
     pub fn running(&self) -> Option<&Running> {
         match &self.stage {
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,7 +5,7 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    CRASH_WINDOW, CRASHES, Loss, RETRY_MAX, RETRY_PART, State,
+    CRASH_WINDOW, CRASHES, Loss, REPEAT_WAIT, RETRY_MAX, RETRY_PART, State,
     budget::{self, Budget},
     capacity::Slot,
     event::{Effect, Note, Now, Outcome, Reason, Refusal, Ticket},
@@ -166,7 +166,9 @@
         if !ran {
             pending.tried.pop();
         }
-        pending.give_up = pending.give_up_elsewhere(now);
+        if !pending.begun {
+            pending.give_up = pending.until.min(now + REPEAT_WAIT);
+        }
         // Its answer may have begun since it looked for another target.
         let allowed = pending.may_repeat(pending.tried.len());
         let body = pending.request.fingerprint;
@@ -205,7 +207,7 @@
             return;
         };
         let pool = pending.pool.clone();
-        if arrived && pending.is_owed() {
+        if arrived && pending.begun {
             pending.charge = Charge::Due;
         } else if arrived && !self.pay(now.steady, &pool) {
             return self.refuse(now.steady, ticket, Reason::Unserved, false, effects);
@@ -227,12 +229,14 @@
         pending.tried.push(target);
         let allowed = pending.may_repeat(pending.tried.len());
         let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
-        let owed = pending.is_owed();
+        let begun = pending.begun;
         let harmless = !self.is_quarantined(&body);
-        if allowed && harmless && (owed || self.pay(now.steady, &pool)) {
+        // The rest of an answer that has begun is owed for as long as its caller waits.
+        if allowed && harmless && (begun || self.pay(now.steady, &pool)) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
-                pending.charge = if owed { Charge::Due } else { Charge::Paid };
-                pending.give_up = pending.give_up_elsewhere(now.steady);
+                let wait = now.steady + REPEAT_WAIT;
+                pending.charge = if begun { Charge::Due } else { Charge::Paid };
+                pending.give_up = if begun { pending.until } else { pending.until.min(wait) };
             }
             return self.enqueue(ticket);
         }
--- a/components/scheduler/tests/direct_resumed.rs
+++ b/components/scheduler/tests/direct_resumed.rs
@@ -1,4 +1,4 @@
-//! Requests whose connection broke off, most of them streams of which a part went to the caller.
+//! Streams whose connection broke off after a part of them went to the caller.
 
 mod direct_support;
 
@@ -13,12 +13,7 @@
 
 /// A process with so many targets.
 fn entry(count: u16) -> Process {
-    let routes = vec![
-        route("/resume/", Repeat::Resume),
-        route("/safe/", Repeat::Safe),
-        route("/never/", Repeat::Never),
-    ];
-    let mut entry = process(plan(1, routes, None), targets(count));
+    let mut entry = process(plan(1, vec![route("/resume/", Repeat::Resume)], None), targets(count));
     // It earns repeats.
     entry.pass(Duration::from_secs(30));
     entry.confirm();
@@ -95,49 +90,3 @@
 
     assert!(starts(&effects).iter().any(|start| start.ticket == 100), "{effects:?}");
 }
-
-/// Guards against requests that are refused for want of room while their callers still wait.
-#[test_case("/safe/", &[BROKEN]; "a safe request")]
-#[test_case("/resume/", &[BROKEN]; "a stream")]
-#[test_case("/safe/", &[BROKEN, Outcome::Unreached]; "the next wasn't reached")]
-#[test_case("/safe/", &[BROKEN, Outcome::Rejected]; "the next rejected it")]
-fn what_broke_off_before_its_answer_waits_for_another_target(path: &str, outcomes: &[Outcome]) {
-    let mut entry = entry(outcomes.len() as u16);
-    entry.arrive(request(1, path));
-    let mut effects: Vec<Effect> =
-        outcomes.iter().flat_map(|&outcome| entry.end(1, outcome)).collect();
-    entry.list(Vec::new());
-
-    (0..48).for_each(|_| effects.extend(entry.pass(100 * MS)));
-    entry.confirm();
-    let again = entry.list(vec![target(9)]);
-
-    assert!(refusals(&effects).is_empty(), "{effects:?}");
-    assert_eq!(starts(&again).len(), 1);
-}
-
-/// Guards against callers that wait for what no target may run again.
-#[test]
-fn what_can_not_be_repeated_is_refused_at_once_when_it_breaks_off() {
-    let mut entry = entry(2);
-    entry.arrive(request(1, "/never/"));
-
-    let effects = entry.end(1, BROKEN);
-
-    assert_eq!(refusals(&effects).len(), 1);
-}
-
-/// Guards against refusals for want of a repeat, and against more repeats than the budget allows.
-#[test]
-fn what_broke_off_before_its_answer_waits_for_a_repeat() {
-    let mut entry = entry(99);
-    (0..90).for_each(|ticket| drop(entry.arrive(request(ticket, "/safe/"))));
-
-    let mut effects: Vec<Effect> = (0..90).flat_map(|ticket| entry.end(ticket, BROKEN)).collect();
-    let at_once = starts(&effects).len();
-    (0..45).for_each(|_| effects.extend(entry.pass(100 * MS)));
-
-    assert!(refusals(&effects).is_empty(), "{effects:?}");
-    let again = starts(&effects).len();
-    assert!(at_once < again && again <= 68, "{at_once} {again}");
-}
