Keep what tests ask of reservations in one fixture

The list of reservations among effects stood three times, the request that expects so many tokens twice, in direct_agents.rs, direct_lengths.rs and direct_paces.rs.

--- a/components/scheduler/tests/direct_agents.rs
+++ b/components/scheduler/tests/direct_agents.rs
@@ -7,10 +7,12 @@
 
 use std::time::Duration;
 
-use direct_support::{Process, blank, limit, plan, process, request, route, start, starts, target};
+use direct_support::{
+    Process, blank, limit, plan, process, request, reservations, route, start, starts, target,
+};
 use model::reservation::Load;
 use scheduler::direct::{
-    Effect, Event, Lapse, Outcome, Request, Reservation, Target, Ticket,
+    Effect, Event, Lapse, Outcome, Request, Target, Ticket,
     plan::{Repeat, Route},
 };
 use test_case::test_case;
@@ -29,14 +31,6 @@
     process(plan(1, routes, Some(limit(100_000.0))), targets)
 }
 
-fn reservations(effects: &[Effect]) -> Vec<Reservation> {
-    let reservations = effects.iter().filter_map(|effect| match effect {
-        Effect::Reserve(reservation) => Some(reservation.clone()),
-        _ => None,
-    });
-    reservations.collect()
-}
-
 fn withdrawn(effects: &[Effect]) -> Vec<u32> {
     let withdrawn = effects.iter().filter_map(|effect| match effect {
         Effect::Withdraw { number, .. } => Some(*number),
--- a/components/scheduler/tests/direct_lengths.rs
+++ b/components/scheduler/tests/direct_lengths.rs
@@ -7,11 +7,11 @@
 
 use std::time::Duration;
 
-use direct_support::{Process, address, plan, process, request, route, start, starts, target};
-use model::reservation::Load;
-use scheduler::direct::{
-    Effect, Event, Outcome, Request, Reservation, Target, Ticket, plan::Repeat,
+use direct_support::{
+    Process, address, expecting, plan, process, reservations, route, start, starts, target,
 };
+use model::reservation::Load;
+use scheduler::direct::{Effect, Event, Outcome, Request, Reservation, Target, plan::Repeat};
 use test_case::test_case;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -30,19 +30,6 @@
     if is_fast(name) { FAST } else { SLOW }
 }
 
-fn expecting(ticket: Ticket, tokens: u32) -> Request {
-    let spread = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    Request { expected: Some(tokens), draw: spread, ..request(ticket, "/a/") }
-}
-
-fn reservations(effects: &[Effect]) -> Vec<Reservation> {
-    let reservations = effects.iter().filter_map(|effect| match effect {
-        Effect::Reserve(reservation) => Some(reservation.clone()),
-        _ => None,
-    });
-    reservations.collect()
-}
-
 fn grant(process: &mut Process, reserved: &Reservation, step: Duration) -> Vec<Effect> {
     let load = Load { step: Some(step), ..Load::default() };
     let Reservation { ticket, number, .. } = *reserved;
--- a/components/scheduler/tests/direct_paces.rs
+++ b/components/scheduler/tests/direct_paces.rs
@@ -10,12 +10,12 @@
     time::{Duration, Instant},
 };
 
-use direct_support::{Process, address, plan, process, request, route, target};
+use direct_support::{Process, address, expecting, plan, process, reservations, route, target};
 use model::reservation::{Ask, Id, Load};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use scheduler::{
     agent::{self, Policy, Room, State},
-    direct::{Effect, Event, Outcome, Request, Reservation, Target, Ticket, plan::Repeat},
+    direct::{Event, Outcome, Reservation, Target, Ticket, plan::Repeat},
 };
 use test_case::test_case;
 use uuid::Uuid;
@@ -94,19 +94,6 @@
     state.load()
 }
 
-fn expecting(ticket: Ticket, tokens: u32) -> Request {
-    let spread = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    Request { expected: Some(tokens), draw: spread, ..request(ticket, "/a/") }
-}
-
-fn reservations(effects: &[Effect]) -> Vec<Reservation> {
-    let reservations = effects.iter().filter_map(|effect| match effect {
-        Effect::Reserve(reservation) => Some(reservation.clone()),
-        _ => None,
-    });
-    reservations.collect()
-}
-
 fn number(reserved: &Reservation) -> u16 {
     reserved.address.port() - 1_000
 }
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -10,8 +10,8 @@
 };
 
 use scheduler::direct::{
-    self, Effect, Event, Now, Outcome, Refusal, Request, Settings, Start, State, Target, Ticket,
-    Tokens,
+    self, Effect, Event, Now, Outcome, Refusal, Request, Reservation, Settings, Start, State,
+    Target, Ticket, Tokens,
     allowance::Tolerance,
     budget::Rule,
     plan::{Account, Limit, Part, Plan, Repeat, Route},
@@ -188,6 +188,20 @@
     }
 }
 
+/// One whose caller expects so many tokens, with a draw that is spread over requests.
+pub fn expecting(ticket: Ticket, tokens: u32) -> Request {
+    let spread = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Request { expected: Some(tokens), draw: spread, ..request(ticket, "/a/") }
+}
+
+pub fn reservations(effects: &[Effect]) -> Vec<Reservation> {
+    let reservations = effects.iter().filter_map(|effect| match effect {
+        Effect::Reserve(reservation) => Some(reservation.clone()),
+        _ => None,
+    });
+    reservations.collect()
+}
+
 pub fn starts(effects: &[Effect]) -> Vec<Start> {
     let starts = effects.iter().filter_map(|effect| match effect {
         Effect::Start(start) => Some(start.clone()),
