Count reserved retries against the capacity of the retry budget

What callers saw: nothing themselves. Targets got 59 retries at once after agents had granted nothing for 20 s, where the rule allows 50 in a window of 10 s (BUDGET).

Cause: a request takes its retry when it begins to look for a slot, and the bucket refilled up to its whole capacity while those retries were still waiting. What could be dispatched at one moment was the retries that were taken so far plus a full bucket, which grows with the time that agents grant nothing.

Change: the budget counts the retries that are reserved but not dispatched, and refills only up to the capacity less these. Reserved and available retries together never exceed the capacity, so a window holds at most the capacity and one window's refill, whenever the slots come. A dispatch uses its reserved retry; an abandoned one returns it. Slot and reservation are passed on as one `HeldSlot`.

--- a/components/scheduler/src/direct/budget.rs
+++ b/components/scheduler/src/direct/budget.rs
@@ -41,13 +41,21 @@
     request_times: VecDeque<Instant>,
     /// Retries in the bucket; a retry takes 1.
     retries_left: f64,
+    /// Retries that were taken for requests which aren't dispatched yet. They count against the capacity of
+    /// the bucket, since all of them may be dispatched at once.
+    reserved: u32,
     /// Time of the last refill.
     refilled_at: Instant,
 }
 
 /// Creates an empty budget for a process that was started at the given time.
 pub fn open(started: Instant) -> RetryBudget {
-    RetryBudget { request_times: VecDeque::new(), retries_left: 0.0, refilled_at: started }
+    RetryBudget {
+        request_times: VecDeque::new(),
+        retries_left: 0.0,
+        reserved: 0,
+        refilled_at: started,
+    }
 }
 
 impl RetryBudget {
@@ -58,19 +66,26 @@
         self.refill(now, rule, processes);
     }
 
-    /// Takes one retry from the bucket. Returns `false` where less than one is left. `processes` is the
-    /// number of processes that share the extra retries.
-    pub fn take_retry(&mut self, now: Instant, rule: &RetryBudgetRule, processes: u32) -> bool {
+    /// Takes one retry from the bucket for a request that waits to be dispatched again. Returns `false` where
+    /// less than one is left. `processes` is the number of processes that share the extra retries.
+    pub fn reserve_retry(&mut self, now: Instant, rule: &RetryBudgetRule, processes: u32) -> bool {
         self.refill(now, rule, processes);
         let allowed = self.retries_left >= 1.0;
         if allowed {
             self.retries_left -= 1.0;
+            self.reserved += 1;
         }
         allowed
     }
 
-    /// Returns a retry to the bucket that was taken and then not dispatched.
+    /// Counts a reserved retry as dispatched.
+    pub fn use_retry(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Returns a reserved retry to the bucket whose request isn't dispatched.
     pub fn return_retry(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
         self.retries_left += 1.0;
     }
 
@@ -87,6 +102,7 @@
         let capacity = BUCKET_EXTRA_FRACTION * extra_share + BUCKET_EARNED_FRACTION * earned;
         let added =
             (1.0 - BUCKET_EXTRA_FRACTION) * extra_share * passed.div_duration_f64(rule.window);
-        self.retries_left = (self.retries_left + added).min(capacity);
+        let free_capacity = (capacity - f64::from(self.reserved)).max(0.0);
+        self.retries_left = (self.retries_left + added).min(free_capacity);
     }
 }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -3,11 +3,14 @@
 //! There is one queue for each pool, of requests that wait for a slot, and one for each client account, of
 //! requests that wait for units of the account's limit.
 
-use std::time::Instant;
+use std::{collections::BTreeMap, time::Instant};
+
+use model::id::PoolName;
 
 use super::{
-    State, UNRESPONSIVE_TIMEOUT_FACTOR, UNRESPONSIVE_TIMEOUT_MIN, budget,
-    capacity::{Demand, Slot},
+    State, UNRESPONSIVE_TIMEOUT_FACTOR, UNRESPONSIVE_TIMEOUT_MIN,
+    budget::{self, RetryBudget},
+    capacity::Demand,
     event::{Dispatch, Effect, Now, RefusalReason, Ticket},
     pending::{HeldSlot, InFlight, PendingRequest, RetryCharge, Stage},
     plan::Repeat,
@@ -126,7 +129,7 @@
                 if pending.charge == RetryCharge::NotYetTaken {
                     let budget = self.budgets.entry(pool.clone());
                     let budget = budget.or_insert_with(|| budget::open(started));
-                    if !budget.take_retry(now.steady, &rule, processes) {
+                    if !budget.reserve_retry(now.steady, &rule, processes) {
                         continue;
                     }
                     pending.charge = RetryCharge::Taken;
@@ -168,8 +171,9 @@
                         dequeued.push(*key);
                         self.timers.remove(&(pending.next_timer(), key.ticket));
                         pending.withdraw_reservations(effects);
-                        let rollouts = &mut self.rollouts;
-                        let effect = assign_slot(now.steady, pending, slot, None, rollouts);
+                        let (rollouts, budgets) = (&mut self.rollouts, &mut self.budgets);
+                        let held = HeldSlot { slot, reservation: None };
+                        let effect = assign_slot(now.steady, pending, held, rollouts, budgets);
                         if matches!(effect, Effect::CancelDispatch { .. }) {
                             self.timers.insert((pending.deadline, key.ticket));
                         }
@@ -210,17 +214,17 @@
 pub(super) fn assign_slot(
     now: Instant,
     pending: &mut PendingRequest,
-    slot: Slot,
-    reservation: Option<u32>,
+    held: HeldSlot,
     rollouts: &mut Rollouts,
+    budgets: &mut BTreeMap<PoolName, RetryBudget>,
 ) -> Effect {
     match std::mem::replace(&mut pending.stage, Stage::WaitingForSlot) {
         Stage::SeekingOtherTarget(in_flight) => {
-            let target = slot.target.clone();
-            pending.stage = Stage::MovingToOtherTarget(in_flight, HeldSlot { slot, reservation });
+            let target = held.slot.target.clone();
+            pending.stage = Stage::MovingToOtherTarget(in_flight, held);
             Effect::CancelDispatch { ticket: pending.request.ticket, target }
         }
-        _ => Effect::Dispatch(start_dispatch(now, pending, slot, reservation, rollouts)),
+        _ => Effect::Dispatch(start_dispatch(now, pending, held, rollouts, budgets)),
     }
 }
 
@@ -228,12 +232,16 @@
 pub(super) fn start_dispatch(
     now: Instant,
     pending: &mut PendingRequest,
-    slot: Slot,
-    reservation: Option<u32>,
+    HeldSlot { slot, reservation }: HeldSlot,
     rollouts: &mut Rollouts,
+    budgets: &mut BTreeMap<PoolName, RetryBudget>,
 ) -> Dispatch {
     pending.dispatches += 1;
-    pending.charge = RetryCharge::Nothing;
+    if std::mem::replace(&mut pending.charge, RetryCharge::Nothing) == RetryCharge::Taken
+        && let Some(budget) = budgets.get_mut(&pending.pool)
+    {
+        budget.use_retry();
+    }
     // The selection for the ordered version covers one dispatch: any retry goes to a base version.
     pending.deselect_from_rollout(rollouts);
     rollouts.count_dispatch(&pending.pool, &pending.route, slot.is_ordered_version);
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -145,8 +145,9 @@
         self.dequeue(ticket);
         if let Some(pending) = self.requests.get_mut(&ticket) {
             pending.withdraw_reservations(effects);
-            let rollouts = &mut self.rollouts;
-            let effect = queue::assign_slot(now, pending, slot, Some(number), rollouts);
+            let (rollouts, budgets) = (&mut self.rollouts, &mut self.budgets);
+            let held = HeldSlot { slot, reservation: Some(number) };
+            let effect = queue::assign_slot(now, pending, held, rollouts, budgets);
             if matches!(effect, Effect::CancelDispatch { .. }) {
                 self.timers.insert((pending.deadline, ticket));
             }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -218,9 +218,9 @@
             return self.refuse(now, ticket, reason, may_have_run, effects);
         }
         match (held, self.requests.get_mut(&ticket)) {
-            (Some(HeldSlot { slot, reservation }), Some(pending)) => {
-                let dispatch =
-                    queue::start_dispatch(now, pending, slot, reservation, &mut self.rollouts);
+            (Some(held), Some(pending)) => {
+                let (rollouts, budgets) = (&mut self.rollouts, &mut self.budgets);
+                let dispatch = queue::start_dispatch(now, pending, held, rollouts, budgets);
                 effects.push(Effect::Dispatch(dispatch));
             }
             _ => self.enqueue(ticket),
@@ -244,7 +244,7 @@
         let pool = pending.pool.clone();
         if was_delivered && pending.has_begun {
             pending.charge = RetryCharge::NotYetTaken;
-        } else if was_delivered && !self.take_retry(now.steady, &pool) {
+        } else if was_delivered && !self.reserve_retry(now.steady, &pool) {
             return self.refuse(
                 now.steady,
                 ticket,
@@ -275,7 +275,7 @@
         let is_harmless = !self.is_quarantined(&body);
         // A request whose caller already has a part of the answer waits for a retry and a slot until its
         // deadline.
-        if allowed && is_harmless && (begun || self.take_retry(now.steady, &pool)) {
+        if allowed && is_harmless && (begun || self.reserve_retry(now.steady, &pool)) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
                 let wait = now.steady + RETRY_WAIT_MAX;
                 pending.charge = if begun { RetryCharge::NotYetTaken } else { RetryCharge::Taken };
@@ -293,10 +293,10 @@
         self.budget(pool).count_request(now, &rule, processes);
     }
 
-    /// Takes one retry from the budget of a pool. Returns `false` where none is left.
-    pub(super) fn take_retry(&mut self, now: Instant, pool: &PoolName) -> bool {
+    /// Reserves one retry in the budget of a pool. Returns `false` where none is left.
+    pub(super) fn reserve_retry(&mut self, now: Instant, pool: &PoolName) -> bool {
         let (rule, processes) = (self.settings.retry_budget, self.process_index.count);
-        self.budget(pool).take_retry(now, &rule, processes)
+        self.budget(pool).reserve_retry(now, &rule, processes)
     }
 
     /// Returns the retry budget of a pool; a new one holds no retries.
