Let requests that may be repeated wait for another target until their deadline

What callers saw: a request that may be repeated, whose target broke off or was left as unresponsive before any part of the answer was passed on, was refused (target_lost) 1.5 s later, or at once where the retry budget was empty, while its caller still waited.

Cause: RETRY_WAIT_MAX held for every request whose answer had not begun, on the ground that its caller may retry. A caller that is told that its request may have run doesn't.

Change: such a request waits until its deadline, for a slot and for a retry, as a begun stream does already. The 1.5 s stay where the caller can be told more: a target's failure, which is passed on, or that the request did not run.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -101,8 +101,8 @@
 /// earlier than after [`UNRESPONSIVE_TIMEOUT_MIN`], a request that may be repeated waits for a slot at
 /// another target.
 const UNRESPONSIVE_TIMEOUT_FACTOR: u32 = 4;
-/// Time for which a request that may have run waits for another target while no part of its answer was
-/// passed to its caller; after that the caller may retry itself.
+/// Time for which a request that is dispatched again waits for another target where its caller can be told
+/// more than that the request was lost: the failure that a target answered, or that the request did not run.
 const RETRY_WAIT_MAX: Duration = Duration::from_millis(1_500);
 /// Time to the deadline of a request whose caller doesn't state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -8,6 +8,7 @@
 use model::id::{AccountName, PoolName, TargetName, ZoneName};
 
 use super::{
+    RETRY_WAIT_MAX,
     allowance::UnitRequest,
     capacity::{Demand, Slot},
     event::{Incarnation, Request, Ticket, Tokens},
@@ -193,6 +194,21 @@
         allowed && ran < self.max_attempts as usize
     }
 
+    /// Returns whether only another target's answer can help the caller: the request may have run, and no
+    /// target answered with a failure that could be passed on instead.
+    pub fn needs_other_target(&self) -> bool {
+        self.has_begun || (self.may_have_run && !self.has_failed_answer)
+    }
+
+    /// Returns the time at which the request is refused if no other target takes it.
+    pub fn retry_wait_deadline(&self, now: Instant) -> Instant {
+        if self.needs_other_target() {
+            self.deadline
+        } else {
+            self.deadline.min(now + RETRY_WAIT_MAX)
+        }
+    }
+
     /// Returns the dispatch that is in flight; `None` while the request is only queued.
     pub fn in_flight(&self) -> Option<&InFlight> {
         match &self.stage {
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,8 +5,7 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BrokenDispatch, CRASH_WINDOW, QUARANTINE_CRASHES, RETRY_AFTER_MAX, RETRY_AFTER_SHARE,
-    RETRY_WAIT_MAX, State,
+    BrokenDispatch, CRASH_WINDOW, QUARANTINE_CRASHES, RETRY_AFTER_MAX, RETRY_AFTER_SHARE, State,
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
@@ -194,9 +193,7 @@
         if !may_have_run {
             pending.possibly_ran_at.pop();
         }
-        if !pending.has_begun {
-            pending.wait_deadline = pending.deadline.min(now + RETRY_WAIT_MAX);
-        }
+        pending.wait_deadline = pending.retry_wait_deadline(now);
         // The answer may have begun after the search was started, which rules out retries of some routes.
         let allowed = pending.may_retry(pending.possibly_ran_at.len());
         let body = pending.request.fingerprint;
@@ -229,8 +226,8 @@
 
     /// Queues a request again that its target provably didn't run. `was_delivered` is `true` if the target,
     /// or another one at its address, received the request: the next dispatch then takes a retry from the
-    /// budget. If no retry is left, the request is refused or, if its caller already has a part of the
-    /// answer, waits for one.
+    /// budget. If no retry is left, the request is refused or, if only another target can help its caller,
+    /// waits for one.
     pub(super) fn requeue_unexecuted(
         &mut self,
         now: Now,
@@ -242,7 +239,7 @@
             return;
         };
         let pool = pending.pool.clone();
-        if was_delivered && pending.has_begun {
+        if was_delivered && pending.needs_other_target() {
             pending.charge = RetryCharge::NotYetTaken;
         } else if was_delivered && !self.reserve_retry(now.steady, &pool) {
             return self.refuse(
@@ -271,16 +268,13 @@
         pending.possibly_ran_at.push(target);
         let allowed = pending.may_retry(pending.possibly_ran_at.len());
         let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
-        let begun = pending.has_begun;
+        let waits_for_retry = pending.needs_other_target();
         let is_harmless = !self.is_quarantined(&body);
-        // A request whose caller already has a part of the answer waits for a retry and a slot until its
-        // deadline.
-        if allowed && is_harmless && (begun || self.reserve_retry(now.steady, &pool)) {
+        if allowed && is_harmless && (waits_for_retry || self.reserve_retry(now.steady, &pool)) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
-                let wait = now.steady + RETRY_WAIT_MAX;
-                pending.charge = if begun { RetryCharge::NotYetTaken } else { RetryCharge::Taken };
-                pending.wait_deadline =
-                    if begun { pending.deadline } else { pending.deadline.min(wait) };
+                pending.charge =
+                    if waits_for_retry { RetryCharge::NotYetTaken } else { RetryCharge::Taken };
+                pending.wait_deadline = pending.retry_wait_deadline(now.steady);
             }
             return self.enqueue(ticket);
         }
--- a/components/scheduler/tests/direct_resumed.rs
+++ b/components/scheduler/tests/direct_resumed.rs
@@ -1,4 +1,5 @@
-//! Direct dispatch of streams whose connection broke off after a part of them was passed to the caller.
+//! Requests whose connection to the target broke off, most of them streams of which a part was passed to the
+//! caller.
 
 mod direct_support;
 
@@ -17,10 +18,12 @@
 
 /// Returns a process with `target_count` targets and a retry budget that isn't empty.
 fn entry_process(target_count: u16) -> Process {
-    let mut entry = configured_process(
-        configuration(1, vec![route("/resume/", Repeat::Resumable)], None),
-        targets(target_count),
-    );
+    let routes = vec![
+        route("/resume/", Repeat::Resumable),
+        route("/safe/", Repeat::Idempotent),
+        route("/never/", Repeat::Never),
+    ];
+    let mut entry = configured_process(configuration(1, routes, None), targets(target_count));
     // The retry budget fills with time.
     entry.advance(Duration::from_secs(30));
     entry.confirm_configuration();
@@ -97,3 +100,54 @@
 
     assert!(dispatches(&effects).iter().any(|dispatch| dispatch.ticket == 100), "{effects:?}");
 }
+
+/// Guards against requests that are refused since no target has a free slot, while their callers still wait.
+#[test_case("/safe/", &[BROKEN_OFF]; "an idempotent request")]
+#[test_case("/resume/", &[BROKEN_OFF]; "a stream")]
+#[test_case("/safe/", &[BROKEN_OFF, Outcome::Unreachable]; "the next target was unreachable")]
+#[test_case("/safe/", &[BROKEN_OFF, Outcome::Rejected]; "the next target rejected it")]
+fn a_request_that_broke_off_before_its_answer_waits_for_another_target(
+    path: &str,
+    outcomes: &[Outcome],
+) {
+    let mut entry = entry_process(outcomes.len() as u16);
+    entry.arrive(request(1, path));
+    let mut effects: Vec<Effect> =
+        outcomes.iter().flat_map(|&outcome| entry.end_dispatch(1, outcome)).collect();
+    entry.list_targets(Vec::new());
+
+    (0..48).for_each(|_| effects.extend(entry.advance(100 * MS)));
+    entry.confirm_configuration();
+    let retried = entry.list_targets(vec![target(9)]);
+
+    assert!(refusals(&effects).is_empty(), "{effects:?}");
+    assert_eq!(dispatches(&retried).len(), 1);
+}
+
+/// Guards against callers that wait for an answer which no target may give any more.
+#[test]
+fn a_request_that_can_not_be_retried_is_refused_as_soon_as_it_breaks_off() {
+    let mut entry = entry_process(2);
+    entry.arrive(request(1, "/never/"));
+
+    let effects = entry.end_dispatch(1, BROKEN_OFF);
+
+    assert_eq!(refusals(&effects).len(), 1);
+}
+
+/// Guards against refusals since the retry budget is empty for the moment, and against more retries than the
+/// budget allows.
+#[test]
+fn a_request_that_broke_off_before_its_answer_waits_until_the_retry_budget_allows_a_retry() {
+    let mut entry = entry_process(99);
+    (0..90).for_each(|ticket| drop(entry.arrive(request(ticket, "/safe/"))));
+
+    let mut effects: Vec<Effect> =
+        (0..90).flat_map(|ticket| entry.end_dispatch(ticket, BROKEN_OFF)).collect();
+    let retried_at_once = dispatches(&effects).len();
+    (0..45).for_each(|_| effects.extend(entry.advance(100 * MS)));
+
+    assert!(refusals(&effects).is_empty(), "{effects:?}");
+    let retried = dispatches(&effects).len();
+    assert!(retried_at_once < retried && retried <= 68, "{retried_at_once} {retried}");
+}
