Wait for the last byte of each response when a process stops

Cause: a stopping process counted requests, and a request ended when its whole body was handed to the connection. The bytes that the connection still had to write belonged to nobody, and the runtime ended with them.

Change: the drain waits for connections instead, each from its first request until it is closed. Connections close themselves after the answer in progress once the drain has begun, and hyper ends a connection only after its last byte is written. The count of requests is gone, and the log lines of a drain say `connections`. A caller that doesn't read its response can delay the stop until the end of the grace period, as a request in progress does.

Looked for elsewhere: the product's own entry closes its dropshot server, which waits for its connections.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -21,7 +21,6 @@
     control::{self, Command},
     dispatch::{self, EventStream, TargetAnswer, TargetClient, UnreadAnswer},
     events::StreamEvent,
-    ingress::OpenRequest,
 };
 
 /// Timeout of receiving the body of a request.
@@ -59,8 +58,6 @@
     digest: blake3::Hasher,
     /// Whether the control thread knows that the request ended.
     has_ended: bool,
-    /// Counts the request as open until this value is dropped.
-    _open: OpenRequest,
 }
 
 /// Answer to the caller: complete, or the beginning of a stream.
@@ -73,11 +70,7 @@
 
 /// Serves a request and returns the answer. The body of a stream is received from targets while it is sent
 /// to the caller.
-pub async fn serve(
-    context: Arc<Context>,
-    request: Request<Incoming>,
-    open: OpenRequest,
-) -> Response<Body> {
+pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let dialect = context.dialect;
     let (call, fingerprint) = match read(&context, request).await {
         Ok(call) => call,
@@ -96,7 +89,6 @@
         events: 0,
         digest: blake3::Hasher::new(),
         has_ended: false,
-        _open: open,
     };
     match session.start_answer().await {
         Ok(CallerAnswer::Complete(response)) => response.map(full_body),
--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     future::Future,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -46,14 +46,15 @@
     context: Arc<call::Context>,
     /// Whether connections are closed once they have no request.
     is_closing: watch::Sender<bool>,
-    /// Number of requests that haven't ended.
-    open_requests: AtomicUsize,
-    /// Notified each time the number of open requests becomes 0.
+    /// Number of connections that are in use (see [`ConnectionInUse`]).
+    connections_in_use: AtomicUsize,
+    /// Notified each time the number of connections in use becomes 0.
     became_idle: Notify,
 }
 
-/// Counts a request as open until it is dropped, at the end of the answer's body.
-pub struct OpenRequest {
+/// Counts a connection as in use from its first request until the connection is closed. The last answer may
+/// still have bytes to be written after its request has ended, since the caller reads it slowly.
+struct ConnectionInUse {
     shared: Arc<Shared>,
 }
 
@@ -73,7 +74,7 @@
     let shared = Arc::new(Shared {
         context,
         is_closing,
-        open_requests: AtomicUsize::new(0),
+        connections_in_use: AtomicUsize::new(0),
         became_idle: Notify::new(),
     });
     let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
@@ -88,9 +89,9 @@
 }
 
 impl Handle {
-    /// Returns the number of requests that haven't ended.
-    pub fn open_requests(&self) -> usize {
-        self.shared.open_requests.load(Ordering::Relaxed)
+    /// Returns the number of connections that had a request and aren't closed.
+    pub fn connections_in_use(&self) -> usize {
+        self.shared.connections_in_use.load(Ordering::Relaxed)
     }
 
     /// Closes idle connections now, and each other connection after its current answer.
@@ -98,11 +99,11 @@
         self.shared.is_closing.send_replace(true);
     }
 
-    /// Waits until no request is open.
+    /// Waits until all answers are written and their connections closed, after [`Handle::close_idle`].
     pub async fn wait_until_idle(&self) {
         loop {
             let became_idle = self.shared.became_idle.notified();
-            if self.open_requests() == 0 {
+            if self.connections_in_use() == 0 {
                 return;
             }
             became_idle.await;
@@ -111,15 +112,15 @@
 }
 
 impl Shared {
-    fn count_request(self: &Arc<Shared>) -> OpenRequest {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest { shared: Arc::clone(self) }
+    fn use_connection(self: &Arc<Shared>) -> ConnectionInUse {
+        self.connections_in_use.fetch_add(1, Ordering::Relaxed);
+        ConnectionInUse { shared: Arc::clone(self) }
     }
 }
 
-impl Drop for OpenRequest {
+impl Drop for ConnectionInUse {
     fn drop(&mut self) {
-        if self.shared.open_requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+        if self.shared.connections_in_use.fetch_sub(1, Ordering::Relaxed) == 1 {
             self.shared.became_idle.notify_waiters();
         }
     }
@@ -149,11 +150,13 @@
     // Number of requests since the last idle timeout, shared with the service.
     let requests = Arc::new(AtomicUsize::new(0));
     let (service_shared, service_requests) = (Arc::clone(&shared), Arc::clone(&requests));
+    // Dropped with the connection that owns the service.
+    let in_use = OnceLock::new();
     let service = service_fn(move |request: Request<Incoming>| {
         service_requests.fetch_add(1, Ordering::Relaxed);
-        let open = service_shared.count_request();
+        in_use.get_or_init(|| service_shared.use_connection());
         let context = Arc::clone(&service_shared.context);
-        async move { Ok::<Response<Body>, Infallible>(call::serve(context, request, open).await) }
+        async move { Ok::<Response<Body>, Infallible>(call::serve(context, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -237,12 +237,15 @@
     /// allows, and stops.
     pub async fn drain(self) {
         let end = tokio::time::Instant::now() + self.grace - EXIT_MARGIN;
-        info!(open = self.ingress.open_requests(), "leaving: the health check fails from now on");
+        info!(
+            connections = self.ingress.connections_in_use(),
+            "leaving: the health check fails from now on"
+        );
         self.control.fail_health_checks();
         self.ingress.close_idle();
         tokio::time::sleep(BALANCER_DELAY).await;
         info!(
-            open = self.ingress.open_requests(),
+            connections = self.ingress.connections_in_use(),
             "draining: requests that may not end in time are refused"
         );
         self.control.send(direct::Event::Drain { end: end.into_std() });
@@ -252,6 +255,6 @@
         tokio::time::sleep(LEAVING_EXCHANGE_TIME).await;
         let ended = ended.and(tokio::time::timeout_at(end, self.ingress.wait_until_idle()).await);
         self.control.record_close().await;
-        info!(open = self.ingress.open_requests(), whole = ended.is_ok(), "stopped");
+        info!(connections = self.ingress.connections_in_use(), whole = ended.is_ok(), "stopped");
     }
 }
