Bound the time for vanished targets from the earliest end of an outage

Cause: targets that the list lacks after an outage are kept for 2.2 s from the first answer, since living ones are listed again within 2 s. The first answer may come 1.3 s after the outage's end: a call that began just before the end times out after 0.5 s, and the backoff after it is up to 0.8 s. The sum of both was 3.5 s, where 3 s are allowed, and no step owned the sum.

Change: the time is 2.2 s, or 3 s less the longest delay of the first answer where that is shorter. The delay follows from the retries: it grows with the backoff, so with the silence before the first answer.

Who pays: after a long outage, a process whose first call is answered just at the outage's end drops vanished targets 1.7 s after it, up to 0.3 s before the platform lists the living ones again.

--- a/components/scheduler/src/direct/era.rs
+++ b/components/scheduler/src/direct/era.rs
@@ -11,6 +11,7 @@
 
 use super::{
     State,
+    outage::RELISTING_TIME,
     relay::{Era, Listing},
 };
 
@@ -35,7 +36,7 @@
         }
         if self.era.replace(era).is_some() {
             self.era_began = Some(now);
-            self.outage_ended = Some(now);
+            self.relisting_until = Some(now + RELISTING_TIME);
         }
         self.rollouts.enter_era(era);
     }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -18,6 +18,7 @@
 pub mod event;
 mod holds;
 mod limits;
+pub mod outage;
 pub mod peers;
 mod pending;
 pub mod plan;
@@ -62,11 +63,6 @@
 
 /// Hasher with a fixed seed: all entry processes compute the same hashes.
 const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
-/// Time after the end of an outage of the platform for which targets that the platform's list lacks are still
-/// used: all running targets are listed again within two seconds of the outage's end.
-const RELISTING_TIME: Duration = Duration::from_millis(2_200);
-/// Longest time without an answer of the platform that doesn't count as an outage.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_800);
 /// Number of target crashes after which requests with the same fingerprint are refused.
 const QUARANTINE_CRASHES: u32 = 2;
 /// Time after a connection broke off in which a failed connection to the same target, or its restart, is
@@ -160,9 +156,9 @@
     /// Time by the boot clock at which the platform last answered this process or another one that
     /// reported it.
     platform_answered: Option<Duration>,
-    /// Time at which the platform's last outage ended; `None` where there was none, or where another process
-    /// reported that the platform answered it meanwhile.
-    outage_ended: Option<Instant>,
+    /// Time until which the platform's list may lack running targets, after its last outage; `None` where
+    /// there was none, or where another process reported that the platform answered it meanwhile.
+    relisting_until: Option<Instant>,
     /// Last list of targets that was read from the platform or fetched from another process.
     target_list: Listing,
     /// Time at which the platform last answered a read of its list of targets.
@@ -296,7 +292,7 @@
         confirmed: None,
         is_fresh: false,
         platform_answered: None,
-        outage_ended: None,
+        relisting_until: None,
         target_list: Listing::default(),
         list_answered: None,
         offers: BTreeMap::new(),
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -23,9 +23,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    HASHER, OUTAGE_THRESHOLD, State,
+    HASHER, State,
     crashes::CrashCount,
     event::{Effect, Now, Target},
+    outage::OUTAGE_THRESHOLD,
     plan::Configuration,
 };
 
@@ -191,7 +192,7 @@
         if let Some(age) = offer.answered {
             self.platform_answered = self.platform_answered.max(now.boot.checked_sub(age));
             if age < OUTAGE_THRESHOLD {
-                self.outage_ended = None;
+                self.relisting_until = None;
             }
         }
         self.has_received_offer = true;
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -9,19 +9,15 @@
 use model::id::PoolName;
 
 use super::{
-    OUTAGE_THRESHOLD, RELISTING_TIME, State, allowance,
+    State, allowance,
     capacity::ProcessIndex,
     event::{Effect, LogEntry, Now},
+    outage,
     peers::{Row, UsageChange},
     plan::Configuration,
     relay::Era,
 };
 
-/// Returns whether the platform hasn't answered for so long that this counts as an outage.
-fn is_outage(answered: Option<Duration>, now: Now) -> bool {
-    answered.is_none_or(|at| now.boot.saturating_sub(at) > OUTAGE_THRESHOLD)
-}
-
 impl State {
     /// Puts a configuration in force if it is newer than the known one.
     pub(super) fn apply_configuration(
@@ -50,8 +46,10 @@
     /// Records that the platform answered a read of any kind: a single read of a large configuration may
     /// take longer than the time without an answer that counts as an outage.
     fn record_platform_answer(&mut self, now: Now) {
-        if is_outage(self.platform_answered, now) {
-            self.outage_ended = Some(now.steady);
+        if outage::is_outage(self.platform_answered, now) {
+            let silence = self.platform_answered.map(|at| now.boot.saturating_sub(at));
+            let time = silence.map_or(outage::RELISTING_TIME, outage::relisting_time);
+            self.relisting_until = Some(now.steady + time);
         }
         self.platform_answered = Some(now.boot);
     }
@@ -85,7 +83,7 @@
     /// Returns whether an outage of the platform ended so recently that the platform's list may still lack
     /// running targets.
     pub(super) fn is_recovering_from_outage(&self, now: Instant) -> bool {
-        self.outage_ended.is_some_and(|at| now.duration_since(at) < RELISTING_TIME)
+        self.relisting_until.is_some_and(|until| now < until)
     }
 
     /// Replaces the targets in use by those of the last list and, if `keep_vanished` is set, those that are
@@ -125,8 +123,8 @@
         self.update_peers(now, effects);
     }
 
-    /// Removes the targets that were kept after an outage although the platform's list lacks them, once
-    /// [`RELISTING_TIME`] has passed: by then the platform lists every running target again.
+    /// Removes the targets that were kept after an outage although the platform's list lacks them, once the
+    /// platform had time to list every running target again.
     pub(super) fn drop_vanished_targets(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         if self.keeps_vanished && !self.is_recovering_from_outage(now) {
             self.apply_target_list(now, false, effects);
