Limit the weight of one run in a target's time per token

What callers saw: a long answer went to a slow target, where it can't end before its deadline, since that target reported a third of its real time per token. Of 200 slow targets one did.

Cause: the work of runs is regressed on their times, so a run weighs as the square of its time. Lengths vary by far more than a factor of ten, so often one run decides, and its work is what its caller guessed: a guess that is four times too long makes its target look fast.

Change: a run's weight grows with its time only up to four times the mean run time. Ruled out: weights without the square (medians of fast targets 4.1 to 6.1 ms instead of 3.5: the time of prompts counts), means of logarithms (the same).

--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -15,6 +15,9 @@
 /// Weight of the newest run in the moving averages behind the time of a unit of work. Smaller than
 /// [`RUN_AVERAGE_WEIGHT`] because the callers' guesses of answer lengths make the samples noisy.
 const UNIT_TIME_AVERAGE_WEIGHT: f64 = 1.0 / 64.0;
+/// Largest weight of a run in the time of a unit of work, as a multiple of the mean run time. Without a limit
+/// the longest run alone would decide, and with it a caller's wrong guess of its length.
+const MAX_RUN_WEIGHT: f64 = 4.0;
 /// Number of runs that must have ended before estimates are available.
 const MIN_ENDED_RUNS: u32 = 8;
 /// A run that takes more than this many times its estimated time is overdue: it raises the estimates
@@ -37,10 +40,12 @@
 pub struct RunTimeEstimator {
     /// Average run time, in seconds.
     mean_run_time_s: f64,
-    /// Average square of a run's time, in seconds squared; see `unit_time_s`.
-    mean_squared_run_time: f64,
-    /// Average product of a run's time in seconds and its estimated work; see `unit_time_s`.
-    mean_run_time_times_work: f64,
+    /// Average run time over as many runs as the two averages below, in seconds.
+    long_term_run_time_s: f64,
+    /// Average product of a run's weight and its time, both in seconds; see `unit_time_s`.
+    mean_weighted_run_time: f64,
+    /// Average product of a run's weight in seconds and its estimated work; see `unit_time_s`.
+    mean_weighted_work: f64,
     /// Lowest value that `unit_time_s` has had, in seconds; `f64::MAX` before the first estimate.
     best_unit_time_s: f64,
     /// Average time between a grant and its start, in seconds.
@@ -57,8 +62,9 @@
 pub fn new() -> RunTimeEstimator {
     RunTimeEstimator {
         mean_run_time_s: 0.0,
-        mean_squared_run_time: 0.0,
-        mean_run_time_times_work: 0.0,
+        long_term_run_time_s: 0.0,
+        mean_weighted_run_time: 0.0,
+        mean_weighted_work: 0.0,
         best_unit_time_s: f64::MAX,
         mean_start_delay_s: 0.0,
         ended_runs: 0,
@@ -90,10 +96,12 @@
         let weight = if self.ended_runs == 0 { 1.0 } else { RUN_AVERAGE_WEIGHT };
         self.mean_run_time_s += (run_time_s - self.mean_run_time_s) * weight;
         let weight = UNIT_TIME_AVERAGE_WEIGHT.max(equal_weight);
-        self.mean_squared_run_time +=
-            (run_time_s * run_time_s - self.mean_squared_run_time) * weight;
-        self.mean_run_time_times_work +=
-            (run_time_s * work.max(1) as f64 - self.mean_run_time_times_work) * weight;
+        self.long_term_run_time_s += (run_time_s - self.long_term_run_time_s) * weight;
+        let run_weight = run_time_s.min(MAX_RUN_WEIGHT * self.long_term_run_time_s);
+        self.mean_weighted_run_time +=
+            (run_weight * run_time_s - self.mean_weighted_run_time) * weight;
+        self.mean_weighted_work +=
+            (run_weight * work.max(1) as f64 - self.mean_weighted_work) * weight;
         self.ended_runs = self.ended_runs.saturating_add(1);
         if self.ended_runs >= MIN_ENDED_RUNS {
             self.best_unit_time_s = self.best_unit_time_s.min(self.unit_time_s());
@@ -141,10 +149,10 @@
     /// Returns the time of a unit of work, in seconds; zero before the first run has ended. The time of a
     /// run is measured while its work is the caller's estimate, so the work is regressed on the time. This
     /// gives little weight to short runs, whose time is mostly that of the prompt, and to long requests that
-    /// were cancelled early.
+    /// were cancelled early. The weight of a run grows with its time up to [`MAX_RUN_WEIGHT`].
     fn unit_time_s(&self) -> f64 {
-        if self.mean_run_time_times_work > 0.0 {
-            self.mean_squared_run_time / self.mean_run_time_times_work
+        if self.mean_weighted_work > 0.0 {
+            self.mean_weighted_run_time / self.mean_weighted_work
         } else {
             0.0
         }
