Limit the weight of a run by the geometric mean of the run times

The mean run time, to which the limit was relative, follows the longest runs itself.

Change: the limit is twice the geometric mean.

--- a/components/scheduler/src/agent/pace.rs
+++ b/components/scheduler/src/agent/pace.rs
@@ -15,9 +15,11 @@
 /// Weight of the newest run in the moving averages behind the time of a unit of work. Smaller than
 /// [`RUN_AVERAGE_WEIGHT`] because the callers' guesses of answer lengths make the samples noisy.
 const UNIT_TIME_AVERAGE_WEIGHT: f64 = 1.0 / 64.0;
-/// Largest weight of a run in the time of a unit of work, as a multiple of the mean run time. Without a limit
-/// the longest run alone would decide, and with it a caller's wrong guess of its length.
-const MAX_RUN_WEIGHT: f64 = 4.0;
+/// Largest weight of a run in the time of a unit of work, as a multiple of the geometric mean of the run
+/// times. Without a limit the longest run alone would decide, and with it a caller's wrong guess of its length.
+const MAX_RUN_WEIGHT: f64 = 2.0;
+/// Lower bound of a run time whose logarithm is averaged, in seconds.
+const MIN_RUN_TIME_S: f64 = 1e-6;
 /// Number of runs that must have ended before estimates are available.
 const MIN_ENDED_RUNS: u32 = 8;
 /// A run that takes more than this many times its estimated time is overdue: it raises the estimates
@@ -40,8 +42,8 @@
 pub struct RunTimeEstimator {
     /// Average run time, in seconds.
     mean_run_time_s: f64,
-    /// Average run time over as many runs as the two averages below, in seconds.
-    long_term_run_time_s: f64,
+    /// Average logarithm of the run time in seconds.
+    mean_log_run_time: f64,
     /// Average product of a run's weight and its time, both in seconds; see `unit_time_s`.
     mean_weighted_run_time: f64,
     /// Average product of a run's weight in seconds and its estimated work; see `unit_time_s`.
@@ -62,7 +64,7 @@
 pub fn new() -> RunTimeEstimator {
     RunTimeEstimator {
         mean_run_time_s: 0.0,
-        long_term_run_time_s: 0.0,
+        mean_log_run_time: 0.0,
         mean_weighted_run_time: 0.0,
         mean_weighted_work: 0.0,
         best_unit_time_s: f64::MAX,
@@ -96,8 +98,9 @@
         let weight = if self.ended_runs == 0 { 1.0 } else { RUN_AVERAGE_WEIGHT };
         self.mean_run_time_s += (run_time_s - self.mean_run_time_s) * weight;
         let weight = UNIT_TIME_AVERAGE_WEIGHT.max(equal_weight);
-        self.long_term_run_time_s += (run_time_s - self.long_term_run_time_s) * weight;
-        let run_weight = run_time_s.min(MAX_RUN_WEIGHT * self.long_term_run_time_s);
+        self.mean_log_run_time +=
+            (run_time_s.max(MIN_RUN_TIME_S).ln() - self.mean_log_run_time) * weight;
+        let run_weight = run_time_s.min(MAX_RUN_WEIGHT * self.mean_log_run_time.exp());
         self.mean_weighted_run_time +=
             (run_weight * run_time_s - self.mean_weighted_run_time) * weight;
         self.mean_weighted_work +=
