Credit returned units to all processes, and expect what the others admit

What callers saw: an account far below its limit was refused at every other entry process after one process had taken units and returned them, since its requests found no target (0 of 20 requests served). And each row listed every account that ever sent a request anywhere: 199 bytes, 26,590 after 500 accounts.

Cause: rows state what a process admitted as a count, and receivers took only its growth: what was returned stayed charged, and was charged once more when it was taken again.

Change: receivers apply the change of the count with its sign. A row lists only accounts whose count changed within the window of the limit or the lifetime of a row; a count that was left out begins again under a new number, so that a lost row can't turn it into a credit.

--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -6,7 +6,6 @@
 
 use super::{
     DEFAULT_TIMEOUT, MAX_WAIT_FLOOR, MAX_WAIT_SHARE, NOT_READY_RETRY_AFTER, PROMOTION_SHARE, State,
-    allowance,
     event::{Effect, Now, Refusal, RefusalContext, RefusalReason, Request},
     pending::{PendingRequest, RetryCharge, Stage},
     plan::Configuration,
@@ -65,9 +64,7 @@
         if let (Some(name), Some(limit)) = (&account, limit) {
             let unit_request = State::unit_request(&limit, route.rank, &request);
             (units, stage) = (unit_request.units, Stage::WaitingForUnits(unit_request));
-            let started = self.started;
-            let account_entry = self.accounts.entry(name.clone());
-            account_entry.or_insert_with(|| allowance::open(started)).record_request(unit_request);
+            self.allowance(name).record_request(unit_request);
         }
         self.count_for_retry_budget(now.steady, &pool);
         let max_wait =
--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -6,16 +6,31 @@
 //! and that receive rows of no active process from which it gets none itself. Every other process that
 //! uses one of these parts is then known here, so the admitted units add up to the limit in any
 //! partition of the network.
+//!
+//! What the others admitted since their last rows isn't known. Each process assumes that they go on at the
+//! rates that their last rows show. Otherwise many processes would spend the same units at the same time,
+//! the more of them the longer their exchanges take.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::{event::LimitShortage, plan::Limit};
 
 /// Token buckets of one account, as one process keeps them.
 #[derive(Clone, Debug)]
 pub struct Allowance {
-    /// Units that this process admitted since its start, less the units that were returned.
-    pub admitted_units: u64,
+    /// Units that this process admitted since its count began, less the units that were returned.
+    admitted_units: i64,
+    /// Number that identifies the count of `admitted_units`; `None` until the count is reported. The count
+    /// begins again after a time without changes, in which it isn't reported.
+    count: Option<u64>,
+    /// Time of the last change of `admitted_units`; `None` before the first.
+    last_changed: Option<Instant>,
+    /// Units that other processes admit per second.
+    peer_rates: BTreeMap<SocketAddr, PeerRate>,
     /// Units left in the bucket of the parts of all processes whose use is known: at most their burst and
     /// [`BURST_TOLERANCE`], negative after an overshoot.
     shared_units: f64,
@@ -34,6 +49,26 @@
     has_adopted: bool,
 }
 
+/// Rate at which another process admits units of one account.
+#[derive(Clone, Copy, Debug)]
+struct PeerRate {
+    /// Moving average in units a second; negative after units were returned.
+    rate: f64,
+    /// Time at which the row was made that last reported the units.
+    reported_at: Instant,
+}
+
+/// Units of an account that a process admitted by its own count, as it reports them to the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Number that identifies the count.
+    pub count: u64,
+    /// Units that the process admitted since the count began, less the units that were returned.
+    pub admitted_units: i64,
+    /// Units left in the shared bucket.
+    pub units_left: i64,
+}
+
 /// How far a deployment lets an account's use exceed its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tolerance {
@@ -61,6 +96,8 @@
 const RESERVE_PER_RANK: f64 = 0.15;
 /// Number of higher ranks for which a request leaves units; all lower ranks are treated alike.
 const MAX_RESERVED_RANKS: u32 = 1;
+/// Time over which the rates of other processes are averaged.
+const PEER_RATE_TIME: Duration = Duration::from_secs(2);
 /// Fraction of the recent largest size that is kept after each request with stated tokens. While it
 /// lasts, a nearly empty bucket refuses requests of all sizes alike.
 const LARGEST_DECAY: f64 = 0.98;
@@ -97,6 +134,8 @@
     pub usable: u32,
     /// How far use may exceed the limit.
     pub tolerance: Tolerance,
+    /// Age from which a row of another process is stale.
+    pub row_lifetime: Duration,
 }
 
 /// Returns the buckets of an account that hasn't been used since `started`, the start of this process.
@@ -104,6 +143,9 @@
 pub fn open(started: Instant) -> Allowance {
     Allowance {
         admitted_units: 0,
+        count: None,
+        last_changed: None,
+        peer_rates: BTreeMap::new(),
         shared_units: 0.0,
         own_units: 0.0,
         recent_largest: 0.0,
@@ -136,7 +178,8 @@
         }
         self.shared_units -= unit_request.units;
         self.own_units -= unit_request.units;
-        self.admitted_units += unit_request.units as u64;
+        self.admitted_units += unit_request.units as i64;
+        self.last_changed = Some(now);
         Ok(())
     }
 
@@ -150,12 +193,17 @@
     ) -> LimitShortage {
         let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
         let (processes, usable) = (share.processes, share.usable);
-        let (left, fraction) = if usable > 1 || processes == 1 {
-            (self.shared_units, f64::from(usable) / f64::from(processes))
+        let (left, fraction, peer_rate) = if usable > 1 || processes == 1 {
+            let (unreported, peer_rate) = self.expected_of_peers(now, share.row_lifetime);
+            (self.shared_units - unreported, f64::from(usable) / f64::from(processes), peer_rate)
         } else {
-            (self.own_units, 1.0 / f64::from(processes))
+            (self.own_units, 1.0 / f64::from(processes), 0.0)
         };
         let (rate, burst) = (limit.rate * fraction, limit.burst * fraction);
+        let left = left + elapsed * rate;
+        // The others take most of the refill. This process gets at least its own part in the end, as their
+        // rates fall while the bucket is empty.
+        let rate = (rate - peer_rate).max(limit.rate / f64::from(processes));
         let reserve =
             RESERVE_PER_RANK * f64::from(unit_request.rank.min(MAX_RESERVED_RANKS)) * burst;
         let units = if unit_request.is_sized {
@@ -165,19 +213,33 @@
         };
         // A full bucket admits a request that is larger than the burst.
         let needed = (units + reserve).min(burst);
-        LimitShortage { needed, left: left + elapsed * rate, rate, processes, usable }
+        LimitShortage { needed, left, rate, processes, usable }
     }
 
     /// Returns the units of a request that did not run to the buckets.
-    pub fn refund(&mut self, units: f64) {
+    pub fn refund(&mut self, now: Instant, units: f64) {
         self.shared_units += units;
         self.own_units += units;
-        self.admitted_units = self.admitted_units.saturating_sub(units as u64);
+        self.admitted_units -= units as i64;
+        self.last_changed = Some(now);
     }
 
-    /// Returns the units left in the shared bucket, which a process that started later takes over.
-    pub fn shared_units_left(&self) -> i64 {
-        self.shared_units as i64
+    /// Returns the report of this process's own use for its row number `sequence`; `None` if the use hasn't
+    /// changed for longer than `max_idle`. By then all others have received the last report, and a new count
+    /// begins with the next change.
+    pub fn report(&mut self, now: Instant, sequence: u64, max_idle: Duration) -> Option<Report> {
+        self.peer_rates
+            .retain(|_, peer| now.saturating_duration_since(peer.reported_at) < max_idle);
+        if self.last_changed.is_none_or(|at| now.saturating_duration_since(at) > max_idle) {
+            self.admitted_units = 0;
+            self.count = None;
+            return None;
+        }
+        Some(Report {
+            count: *self.count.get_or_insert(sequence),
+            admitted_units: self.admitted_units,
+            units_left: self.shared_units as i64,
+        })
     }
 
     /// Sets the shared bucket to the units left at a process that started earlier, less the units that
@@ -191,9 +253,38 @@
         self.refilled = now;
     }
 
-    /// Subtracts units that another process admitted from the shared bucket.
-    pub fn charge(&mut self, units: f64) {
+    /// Subtracts units that another process admitted from the shared bucket, or adds those that it returned,
+    /// which are negative. `made` is the time of the row that reports them, and `time` the time since the
+    /// row before; `None` if there was none.
+    pub fn charge(&mut self, peer: SocketAddr, units: f64, made: Instant, time: Option<Duration>) {
         self.shared_units -= units;
+        let known = self.peer_rates.get(&peer).map_or(0.0, |known| known.rate);
+        let rate = match time.map(|time| time.as_secs_f64()) {
+            Some(time) if time > 0.0 => {
+                let weight = 1.0 - (-time / PEER_RATE_TIME.as_secs_f64()).exp();
+                known + (units / time - known) * weight
+            }
+            _ => known,
+        };
+        self.peer_rates.insert(peer, PeerRate { rate, reported_at: made });
+    }
+
+    /// Removes the rate of a process that no longer reports any use.
+    pub fn remove_peer(&mut self, peer: &SocketAddr) {
+        self.peer_rates.remove(peer);
+    }
+
+    /// Returns the units that other processes are expected to have admitted since their last rows, and the
+    /// units that they are expected to admit per second. Stale rows don't count.
+    fn expected_of_peers(&self, now: Instant, row_lifetime: Duration) -> (f64, f64) {
+        let expected = self.peer_rates.values().filter_map(|peer| {
+            let age = now.saturating_duration_since(peer.reported_at);
+            let rate = peer.rate.max(0.0);
+            (age < row_lifetime).then_some((rate * age.as_secs_f64(), rate))
+        });
+        expected.fold((0.0, 0.0), |(units, rate), (more_units, more_rate)| {
+            (units + more_units, rate + more_rate)
+        })
     }
 
     /// Adds the units that became available since the last refill to both buckets.
--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -14,8 +14,9 @@
 
 use super::{
     LIMIT_RETRY_MAX_S, LIMIT_WAIT_SHARE, State,
-    allowance::{self, LimitShare, UnitRequest},
+    allowance::{self, Allowance, LimitShare, UnitRequest},
     event::{Effect, LimitShortage, Refusal, RefusalReason, Request, Ticket},
+    peers::AccountUsage,
     pending::{PendingRequest, Stage},
     plan, refusal,
 };
@@ -99,7 +100,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let context = Box::new(self.refusal_context(now, ticket));
-        self.end_request(ticket, effects);
+        self.end_request(now, ticket, effects);
         let refusal = Refusal {
             shortage: Some(shortage),
             ..refusal(RefusalReason::AccountLimit).with_retry_after(wait)
@@ -126,6 +127,18 @@
         Some((shortage, refill_time(&shortage, shortage.needed + ahead)))
     }
 
+    /// Returns the use of accounts by this process's own count that changed recently, for its next row.
+    pub(super) fn own_usages(&mut self, now: Instant) -> Vec<AccountUsage> {
+        let max_idle = self.settings.tolerance.window.max(self.peers.row_lifetime());
+        let sequence = self.sequence;
+        let usages = self.accounts.iter_mut().filter_map(|(account, usage)| {
+            let allowance::Report { count, admitted_units, units_left } =
+                usage.report(now, sequence, max_idle)?;
+            Some(AccountUsage { account: account.clone(), count, admitted_units, units_left })
+        });
+        usages.collect()
+    }
+
     /// Returns an account's limit and the parts of it that this process may use; `None` where the account
     /// has no limit.
     fn limit(&self, account: &AccountName) -> Option<(plan::Limit, LimitShare)> {
@@ -135,6 +148,7 @@
             known: self.current_processes,
             usable: self.usable_parts,
             tolerance: self.settings.tolerance,
+            row_lifetime: self.peers.row_lifetime(),
         };
         Some((limit, share))
     }
@@ -151,9 +165,13 @@
         let Some((limit, share)) = self.limit(account) else {
             return Ok(());
         };
+        self.allowance(account).take(now, &limit, share, unit_request)
+    }
+
+    /// Returns the token buckets of an account.
+    pub(super) fn allowance(&mut self, account: &AccountName) -> &mut Allowance {
         let started = self.started;
-        let usage = self.accounts.entry(account.clone());
-        usage.or_insert_with(|| allowance::open(started)).take(now, &limit, share, unit_request)
+        self.accounts.entry(account.clone()).or_insert_with(|| allowance::open(started))
     }
 
     /// Returns the units that a request waits for; `None` where it doesn't wait for its account's limit.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -55,7 +55,7 @@
     Target, Ticket, Tokens,
 };
 use holds::SlotTimes;
-use peers::{AccountUsage, Peers, Row, TargetLimit};
+use peers::{Peers, Row, TargetLimit};
 use pending::{PendingRequest, QueueKey, Stage};
 use plan::Configuration;
 use relay::{Era, Known, Listing, Topic};
@@ -356,7 +356,7 @@
             state.handle_dispatch_ended(now, ticket, outcome, (begun, events), &mut effects);
         }
         Event::CallerDisconnected { ticket, .. } => {
-            state.end_request(ticket, &mut effects);
+            state.end_request(now.steady, ticket, &mut effects);
         }
         Event::ConfigurationRead(configuration) => {
             state.apply_configuration(configuration, &mut effects)
@@ -526,6 +526,7 @@
     /// Builds a new row about this process, with the next sequence number, to send to the others.
     pub fn next_row(&mut self, now: Instant) -> Row {
         self.sequence += 1;
+        let account_usages = self.own_usages(now);
         Row {
             address: Some(self.settings.address),
             incarnation: self.settings.incarnation,
@@ -534,7 +535,7 @@
             has_drained: self.drain_end.is_some() && self.requests.is_empty(),
             current_peers: self.peers.current_addresses(now),
             uptime: now.saturating_duration_since(self.started),
-            account_usages: self.accounts.iter().map(account_usage).collect(),
+            account_usages,
             target_loads: self.capacity.own_load(now),
             target_limits: self.capacity.limit_reports(now).map(target_limit).collect(),
             rollouts: self.own_rollouts(now),
@@ -547,14 +548,6 @@
     }
 }
 
-fn account_usage((account, usage): (&AccountName, &Allowance)) -> AccountUsage {
-    AccountUsage {
-        account: account.clone(),
-        admitted_units: usage.admitted_units,
-        units_left: usage.shared_units_left(),
-    }
-}
-
 fn target_limit((state, limit): (&TargetState, Limit)) -> TargetLimit {
     let Target { name, incarnation, .. } = &state.target;
     TargetLimit { target: name.clone(), incarnation: *incarnation, limit }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -80,8 +80,10 @@
 pub struct AccountUsage {
     /// Name of the account.
     pub account: AccountName,
-    /// Units that the process admitted since its start.
-    pub admitted_units: u64,
+    /// Number that identifies the count of `admitted_units` in an incarnation of the process.
+    pub count: u64,
+    /// Units that the process admitted since its count began, less the units that were returned.
+    pub admitted_units: i64,
     /// Units that are left for all processes together, by the process's own count; negative where the
     /// limit was exceeded.
     pub units_left: i64,
@@ -106,7 +108,7 @@
     pub current_peers: Vec<SocketAddr>,
     /// Time since the process started.
     pub uptime: Duration,
-    /// Use of each account's limit, by the process's own count.
+    /// Use of the accounts' limits that the process's own count changed recently, sorted by account.
     pub account_usages: Vec<AccountUsage>,
     /// Load that the process puts on each target.
     pub target_loads: Vec<TargetLoad>,
@@ -137,14 +139,29 @@
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
+/// Changes of accounts' use that follow from a row of another process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UsageChanges {
+    /// Address of the other process.
+    pub peer: SocketAddr,
+    /// Time at which the row was made.
+    pub made: Instant,
+    /// Time since the last row of the same incarnation; `None` if this is its first.
+    pub time: Option<Duration>,
+    /// The changes.
+    pub changes: Vec<UsageChange>,
+}
+
 /// Change of an account's use that follows from a row of another process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum UsageChange {
-    /// Units that the other process admitted since its last row.
-    Admitted(AccountName, u64),
+    /// Units that the other process admitted since its last row; negative if it returned more.
+    Admitted(AccountName, i64),
     /// Units that are left by the count of the other process, which started earlier than this one and
     /// whose first row this is.
     Remaining(AccountName, i64),
+    /// The other process no longer reports any use.
+    Ended(AccountName),
 }
 
 impl Peers {
@@ -164,44 +181,39 @@
         }
     }
 
-    /// Stores a row, unless a newer one of its process is known; returns the changes of accounts' use
-    /// that follow from it. `uptime` is the time since this process started.
-    pub fn record_row(&mut self, now: Instant, uptime: Duration, mut row: Row) -> Vec<UsageChange> {
+    /// Stores a row and returns the changes of accounts' use that follow from it; returns `None` where the
+    /// row is not newer than the known one of its process. `uptime` is the time since this process started.
+    pub fn record_row(
+        &mut self,
+        now: Instant,
+        uptime: Duration,
+        mut row: Row,
+    ) -> Option<UsageChanges> {
         row.current_peers.sort_unstable();
-        let Some(address) = row.address else {
-            return Vec::new();
-        };
+        let address = row.address?;
         self.register(now, Registration { address, stamp: 0 });
-        let Some(peer) = self.peers.get_mut(&address) else {
-            return Vec::new();
-        };
+        let peer = self.peers.get_mut(&address)?;
         let made = now.checked_sub(row.age).unwrap_or(now);
         let known = &peer.row;
         let is_same_incarnation = known.incarnation == row.incarnation;
         if is_same_incarnation && known.sequence >= row.sequence {
-            return Vec::new();
+            return None;
         }
         // A row of an older incarnation can arrive late by way of a third process.
         if !is_same_incarnation && peer.row_made.is_some_and(|at| at > made) {
-            return Vec::new();
+            return None;
         }
         let is_first_of_older_process = peer.row_made.is_none() && row.uptime > uptime;
-        let changes = row.account_usages.iter().map(|usage| {
-            let account = usage.account.clone();
-            if is_first_of_older_process {
-                return UsageChange::Remaining(account, usage.units_left);
-            }
-            let previous = known
-                .account_usages
-                .iter()
-                .find(|known| is_same_incarnation && known.account == account);
-            let previous = previous.map_or(0, |previous| previous.admitted_units);
-            UsageChange::Admitted(account, usage.admitted_units.saturating_sub(previous))
-        });
-        let changes = changes.collect();
+        let changes = if is_first_of_older_process {
+            remaining_units(&row)
+        } else {
+            usage_changes(known, &row, is_same_incarnation)
+        };
+        let last_made = peer.row_made.filter(|_| is_same_incarnation);
+        let time = last_made.map(|last| made.saturating_duration_since(last));
         peer.row = row;
         peer.row_made = Some(made);
-        changes
+        Some(UsageChanges { peer: address, made, time, changes })
     }
 
     /// Returns the addresses of all known processes.
@@ -254,8 +266,13 @@
         current.filter_map(|peer| peer.row.address).collect()
     }
 
+    /// Returns the age from which a row is stale.
+    pub fn row_lifetime(&self) -> Duration {
+        exchange_period(self.peers.len()) * STALE_ROW_PERIODS
+    }
+
     fn has_current_row(&self, peer: &Peer, now: Instant) -> bool {
-        let lifetime = exchange_period(self.peers.len()) * STALE_ROW_PERIODS;
+        let lifetime = self.row_lifetime();
         peer.row_made.is_some_and(|made| now.saturating_duration_since(made) < lifetime)
     }
 
@@ -321,3 +338,30 @@
         !self.row.has_drained && now.saturating_duration_since(self.last_seen()) < peer_timeout
     }
 }
+
+/// Returns the units that are left of each account by the first row of an older process.
+fn remaining_units(row: &Row) -> Vec<UsageChange> {
+    let remaining =
+        |usage: &AccountUsage| UsageChange::Remaining(usage.account.clone(), usage.units_left);
+    row.account_usages.iter().map(remaining).collect()
+}
+
+/// Returns the changes of accounts' use between two rows of a process. If the rows are of different
+/// incarnations, all units of the new row were admitted since the last one.
+fn usage_changes(last: &Row, new: &Row, is_same_incarnation: bool) -> Vec<UsageChange> {
+    let last: BTreeMap<&AccountName, &AccountUsage> =
+        last.account_usages.iter().map(|usage| (&usage.account, usage)).collect();
+    let mut ended: BTreeSet<&AccountName> = last.keys().copied().collect();
+    let mut changes = Vec::with_capacity(new.account_usages.len());
+    for usage in &new.account_usages {
+        ended.remove(&usage.account);
+        let known = last
+            .get(&usage.account)
+            .filter(|known| is_same_incarnation && known.count == usage.count)
+            .map_or(0, |known| known.admitted_units);
+        let units = usage.admitted_units - known;
+        changes.push(UsageChange::Admitted(usage.account.clone(), units));
+    }
+    changes.extend(ended.into_iter().map(|account| UsageChange::Ended(account.clone())));
+    changes
+}
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -94,7 +94,7 @@
                 self.release_held_slot(ticket, held, effects);
             }
             if outcome == Outcome::Completed {
-                self.end_request(ticket, effects);
+                self.end_request(now.steady, ticket, effects);
             } else {
                 self.refuse(
                     now.steady,
@@ -379,7 +379,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let context = Box::new(self.refusal_context(now, ticket));
-        let Some(pending) = self.end_request(ticket, effects) else {
+        let Some(pending) = self.end_request(now, ticket, effects) else {
             return;
         };
         if pending.has_failed_answer && !pending.has_begun {
@@ -405,6 +405,7 @@
     /// where it provably didn't run, its quota units. Returns `None` where the request had ended before.
     pub(super) fn end_request(
         &mut self,
+        now: Instant,
         ticket: Ticket,
         effects: &mut Vec<Effect>,
     ) -> Option<PendingRequest> {
@@ -420,16 +421,16 @@
             self.release_held_slot(ticket, held, effects);
         }
         if !pending.may_have_run && matches!(pending.stage, Stage::WaitingForSlot) {
-            self.return_units(&pending);
+            self.return_units(now, &pending);
         }
         Some(pending)
     }
 
     /// Credits the units of a request that didn't run to its account's quota.
-    pub(super) fn return_units(&mut self, pending: &PendingRequest) {
+    pub(super) fn return_units(&mut self, now: Instant, pending: &PendingRequest) {
         let allowance = pending.account.as_ref().and_then(|name| self.accounts.get_mut(name));
         if let Some(allowance) = allowance {
-            allowance.refund(pending.units);
+            allowance.refund(now, pending.units);
         }
     }
 }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -9,11 +9,11 @@
 use model::id::PoolName;
 
 use super::{
-    State, allowance,
+    State,
     capacity::ProcessIndex,
     event::{Effect, LogEntry, Now},
     outage,
-    peers::{Row, UsageChange},
+    peers::{Row, UsageChange, UsageChanges},
     plan::Configuration,
     relay::Era,
 };
@@ -134,25 +134,36 @@
     /// Applies rows that were received from another process: rollouts, rate limits of targets and the use of
     /// accounts' limits.
     pub(super) fn receive_rows(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
-        let (own, started) = (self.settings.address, self.started);
+        let (own, uptime) = (self.settings.address, now.saturating_duration_since(self.started));
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
             self.merge_peer_rollouts(now, row.age, &row.rollouts, effects);
             self.record_peer_limits(now, row.age, &row.target_limits, effects);
-            for change in self.peers.record_row(now, now.saturating_duration_since(started), row) {
-                let (UsageChange::Admitted(account, _) | UsageChange::Remaining(account, _)) =
-                    &change;
-                let usage = self.accounts.entry(account.clone());
-                let usage = usage.or_insert_with(|| allowance::open(started));
-                match change {
-                    UsageChange::Admitted(_, units) => usage.charge(units as f64),
-                    UsageChange::Remaining(_, left) => {
-                        usage.adopt(now, left);
+            if let Some(changes) = self.peers.record_row(now, uptime, row) {
+                self.apply_usage_changes(now, changes);
+            }
+        }
+        self.update_peers(now, effects);
+    }
+
+    /// Applies the changes of accounts' use that another process reported.
+    fn apply_usage_changes(&mut self, now: Instant, reported: UsageChanges) {
+        let UsageChanges { peer, made, time, changes } = reported;
+        for change in changes {
+            match change {
+                UsageChange::Admitted(account, units) => {
+                    self.allowance(&account).charge(peer, units as f64, made, time);
+                    // Returned units may be enough for requests that wait.
+                    if units < 0 {
                         self.next_grant = None;
                     }
                 }
+                UsageChange::Remaining(account, left) => {
+                    self.allowance(&account).adopt(now, left);
+                    self.next_grant = None;
+                }
+                UsageChange::Ended(account) => self.allowance(&account).remove_peer(&peer),
             }
         }
-        self.update_peers(now, effects);
     }
 
     /// Updates everything that is derived from the rows of the other processes and their ages: the share of
