Relay only rows that some process can't get directly

What callers saw: on hosts with links of 10 Mbit/s nothing else got through in time, a configuration least of all. Each of 301 idle processes sent rows of 3,191,475 bytes a second, where the link carries 1,250,000.

Cause: one in 20 exchanges carried the rows of all processes, each of which lists all others: bytes grow with the cube of the processes over the exchanges of a period, which were bounded in number only. Nearly all receivers had those rows already, from the processes themselves.

Change: a row names the processes from which no row came directly for three exchange periods. A process relays the current rows of those, and the rows that some active process doesn't list as current, so processes that are cut from one another and those that just started get what they lack as before. Addresses in a row take 6 bytes instead of 8.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -514,8 +514,8 @@
         });
     }
 
-    /// Returns a new row of this process; if `all` is set, the last rows of the other entry processes
-    /// follow.
+    /// Returns a new row of this process; if `all` is set, the rows of other entry processes that any process
+    /// lacks follow.
     fn rows(&mut self, all: bool) -> Vec<Row> {
         let mut rows = vec![self.state.next_row(Instant::now())];
         if all {
--- a/components/gateway/src/peer.rs
+++ b/components/gateway/src/peer.rs
@@ -40,9 +40,9 @@
 /// Request of an exchange between two entry processes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ExchangeRequest {
-    /// Row of the sender; if `all` is set, the last rows of all other processes that it knows follow.
+    /// Row of the sender; if `all` is set, the rows of other processes that any process lacks follow.
     pub rows: Vec<Row>,
-    /// Whether the sender requests all rows too.
+    /// Whether the sender requests the rows that any process lacks too.
     pub all: bool,
     /// Versions of the data that the sender has.
     pub offer: Offer,
@@ -51,7 +51,8 @@
 /// Answer of an exchange between two entry processes.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ExchangeAnswer {
-    /// Row of the answering process; if the request set `all`, the last rows of all other processes follow.
+    /// Row of the answering process; if the request set `all`, the rows of other processes that any process
+    /// lacks follow.
     pub rows: Vec<Row>,
     /// Versions of the data that the answering process has.
     pub offer: Offer,
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -534,6 +534,7 @@
             age: Duration::ZERO,
             has_drained: self.drain_end.is_some() && self.requests.is_empty(),
             current_peers: self.peers.current_addresses(now),
+            unheard_peers: self.peers.unheard_addresses(now, self.settings.peer_timeout),
             uptime: now.saturating_duration_since(self.started),
             account_usages,
             target_loads: self.capacity.own_load(now),
@@ -542,9 +543,9 @@
         }
     }
 
-    /// Returns the last rows of the other processes with their current ages, to relay them.
+    /// Returns the rows of other processes that are relayed, since some process can't get them directly.
     pub fn peer_rows(&self, now: Instant) -> Vec<Row> {
-        self.peers.rows(now).collect()
+        self.peers.lacked_rows(now, self.settings.peer_timeout)
     }
 }
 
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -3,6 +3,9 @@
 //! A row is *current* while it is younger than ten exchange periods. A process is *active* while it
 //! hasn't drained and its newest row, or the last change of its stamp at the platform's service, is
 //! younger than the setting [`peer_timeout`](super::Settings::peer_timeout).
+//!
+//! All pairs of processes exchange their own rows. A process also relays the rows of others, but only those
+//! that some process can't get directly: all rows of all processes would fill the links of small hosts.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,11 +30,13 @@
 /// Part of the exchange period for each other process: it limits a process to 100 exchanges a second,
 /// which take under a hundredth of a core.
 const EXCHANGE_PERIOD_PER_PEER: Duration = Duration::from_millis(10);
-/// One in so many exchanges with the same process sends all rows; the others send only the sender's own
-/// row.
+/// One in so many exchanges with the same process sends all rows that any process lacks; the others send only
+/// the sender's own row.
 const EXCHANGES_PER_FULL_EXCHANGE: u64 = 20;
 /// Number of exchange periods after which a row is stale.
 const STALE_ROW_PERIODS: u32 = 10;
+/// Number of exchange periods without a row from a process itself after which others relay its rows.
+const RELAY_PERIODS: u32 = 3;
 
 /// Returns the time between two exchanges of rows with the same process, where `others` processes are
 /// known besides this one.
@@ -105,7 +110,12 @@
     pub has_drained: bool,
     /// Addresses of the processes whose rows are current at this process and that haven't drained,
     /// sorted.
+    #[serde(with = "packed_addresses")]
     pub current_peers: Vec<SocketAddr>,
+    /// Addresses of the active processes from which this process got no row directly for
+    /// [`RELAY_PERIODS`]; others relay the rows of these.
+    #[serde(default)]
+    pub unheard_peers: Vec<SocketAddr>,
     /// Time since the process started.
     pub uptime: Duration,
     /// Use of the accounts' limits that the process's own count changed recently, sorted by account.
@@ -126,6 +136,8 @@
     row: Row,
     /// When the row was made, by the clock of this process; `None` before the first row is received.
     row_made: Option<Instant>,
+    /// When a row last came from the process itself, or when the process became known if none did.
+    heard: Instant,
     /// Last known stamp of the process at the platform's service, which changes each time the process
     /// registers there; 0 where no registration is known.
     stamp: u64,
@@ -172,6 +184,7 @@
         let peer = self.peers.entry(address).or_insert_with(|| Peer {
             row: Row { address: Some(address), ..Row::default() },
             row_made: None,
+            heard: now,
             stamp,
             stamp_seen: now,
         });
@@ -181,6 +194,13 @@
         }
     }
 
+    /// Records that the process at this address sent a row itself.
+    pub fn record_heard(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.heard = now;
+        }
+    }
+
     /// Stores a row and returns the changes of accounts' use that follow from it; returns `None` where the
     /// row is not newer than the known one of its process. `uptime` is the time since this process started.
     pub fn record_row(
@@ -259,10 +279,7 @@
     /// Returns the addresses of the processes whose rows are current and that haven't drained, for
     /// [`Row::current_peers`].
     pub fn current_addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        let current = self
-            .peers
-            .values()
-            .filter(|peer| self.has_current_row(peer, now) && !peer.row.has_drained);
+        let current = self.current(now).filter(|peer| !peer.row.has_drained);
         current.filter_map(|peer| peer.row.address).collect()
     }
 
@@ -281,25 +298,51 @@
         self.active(now, peer_timeout).filter_map(|peer| peer.row.address).collect()
     }
 
-    /// Returns the newest row of each process that sent one, stale rows included, with its present age.
-    pub fn rows(&self, now: Instant) -> impl Iterator<Item = Row> {
-        self.peers.values().filter_map(move |peer| {
+    /// Returns the addresses of the active processes that sent no row themselves for [`RELAY_PERIODS`], for
+    /// [`Row::unheard_peers`].
+    pub fn unheard_addresses(&self, now: Instant, peer_timeout: Duration) -> Vec<SocketAddr> {
+        let max_silence = exchange_period(self.peers.len()) * RELAY_PERIODS;
+        let unheard = self
+            .active(now, peer_timeout)
+            .filter(|peer| now.saturating_duration_since(peer.heard) > max_silence);
+        unheard.filter_map(|peer| peer.row.address).collect()
+    }
+
+    /// Returns the current rows that any active process lacks or can't get directly, by its own row. The rows
+    /// have their present ages.
+    pub fn lacked_rows(&self, now: Instant, peer_timeout: Duration) -> Vec<Row> {
+        let current: BTreeSet<SocketAddr> =
+            self.current(now).filter_map(|peer| peer.row.address).collect();
+        let mut lacked = BTreeSet::new();
+        for Peer { row, .. } in self.active(now, peer_timeout) {
+            lacked.extend(row.unheard_peers.iter().copied());
+            // A process that has the rows of all others has as many as there are here: its own row is in
+            // `current`, and this process's row is in its list.
+            if row.current_peers.len() < current.len() {
+                lacked.extend(current.iter().filter(|address| {
+                    Some(**address) != row.address
+                        && row.current_peers.binary_search(address).is_err()
+                }));
+            }
+        }
+        let rows = lacked.iter().filter_map(|address| self.peers.get(address));
+        let rows = rows.filter(|peer| self.has_current_row(peer, now)).filter_map(|peer| {
             let age = now.saturating_duration_since(peer.row_made?);
             Some(Row { age, ..peer.row.clone() })
-        })
+        });
+        rows.collect()
     }
 
     /// Returns the age of the oldest current row; `None` where no row is current.
     pub fn oldest_current_row_age(&self, now: Instant) -> Option<Duration> {
-        let current = self.peers.values().filter(|peer| self.has_current_row(peer, now));
+        let current = self.current(now);
         current.filter_map(|peer| Some(now.saturating_duration_since(peer.row_made?))).max()
     }
 
     /// Returns the load that other processes put on targets, as stated in their rows (the state that each
     /// last sent), if these are current.
     pub fn target_loads(&self, now: Instant) -> impl Iterator<Item = &TargetLoad> {
-        let current = self.peers.values().filter(move |peer| self.has_current_row(peer, now));
-        current.flat_map(|peer| &peer.row.target_loads)
+        self.current(now).flat_map(|peer| &peer.row.target_loads)
     }
 
     /// Returns the states of rollouts from the newest rows of all other processes, stale rows included.
@@ -323,6 +366,11 @@
         self.peers.retain(|_, peer| now.duration_since(peer.last_seen()) < peer_timeout * 10);
     }
 
+    /// Returns the processes whose rows are current.
+    fn current(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| self.has_current_row(peer, now))
+    }
+
     fn active(&self, now: Instant, peer_timeout: Duration) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| peer.is_active(now, peer_timeout))
     }
@@ -365,3 +413,48 @@
     changes.extend(ended.into_iter().map(|account| UsageChange::Ended(account.clone())));
     changes
 }
+
+/// Serialization of addresses, six bytes for each IPv4 address.
+mod packed_addresses {
+    use std::net::{SocketAddr, SocketAddrV4};
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    /// Serialized form of addresses.
+    #[derive(Deserialize, Serialize)]
+    struct Packed {
+        /// IP number and port of each IPv4 address, in network byte order.
+        v4: Vec<[u8; 6]>,
+        /// All other addresses.
+        others: Vec<SocketAddr>,
+    }
+
+    pub fn serialize<S: Serializer>(
+        addresses: &[SocketAddr],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let mut packed = Packed { v4: Vec::new(), others: Vec::new() };
+        for address in addresses {
+            match address {
+                SocketAddr::V4(address) => {
+                    let ([a, b, c, d], [high, low]) =
+                        (address.ip().octets(), address.port().to_be_bytes());
+                    packed.v4.push([a, b, c, d, high, low]);
+                }
+                other => packed.others.push(*other),
+            }
+        }
+        packed.serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<SocketAddr>, D::Error> {
+        let Packed { v4, others } = Packed::deserialize(deserializer)?;
+        let unpack = |[a, b, c, d, high, low]: [u8; 6]| {
+            let port = u16::from_be_bytes([high, low]);
+            SocketAddr::V4(SocketAddrV4::new([a, b, c, d].into(), port))
+        };
+        Ok(v4.into_iter().map(unpack).chain(others).collect())
+    }
+}
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -131,10 +131,11 @@
         }
     }
 
-    /// Applies rows that were received from another process: rollouts, rate limits of targets and the use of
+    /// Applies rows that were received from another process, whose own row is the first: rollouts, rate limits of targets and the use of
     /// accounts' limits.
     pub(super) fn receive_rows(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
         let (own, uptime) = (self.settings.address, now.saturating_duration_since(self.started));
+        let sender = rows.first().and_then(|row| row.address);
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
             self.merge_peer_rollouts(now, row.age, &row.rollouts, effects);
             self.record_peer_limits(now, row.age, &row.target_limits, effects);
@@ -142,6 +143,9 @@
                 self.apply_usage_changes(now, changes);
             }
         }
+        if let Some(sender) = sender {
+            self.peers.record_heard(now, sender);
+        }
         self.update_peers(now, effects);
     }
 
