Charge returned units as far as they are credited

The debt of an account's bucket was cut off at one burst, while one process may take a burst and most of the tolerance at once. Units that were taken and returned were then credited in full but charged in part, so each such round left units that never existed. And a request that waits for units looked again only at the time that the expected rates of the others gave, even where a row showed that they admitted less.

Change: the debt reaches as far as the units that may be in use at once (a burst, or a second of the rate, and the tolerance), and each row that reports use lets waiting requests look again. A lowered limit is carried over by its own, lower figures.

No test failed before this change.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -301,9 +301,10 @@
         let start_units = start_fraction * share.tolerance.units(START_TOLERANCE, limit);
         self.shared_units += start_units;
         self.own_units += start_units / processes;
-        // An overshoot is carried over only up to one burst, or a second of the rate if that is more:
-        // otherwise a lowered limit would lock its account out.
-        let min_units = -limit.burst.max(limit.rate);
+        // An overshoot is carried over only up to the units that may be in use at once: otherwise a lowered
+        // limit would lock its account out. Less would turn units that are charged and then returned into
+        // units that never were.
+        let min_units = -limit.burst.max(limit.rate) - share.tolerance.units(1.0, limit);
         // While this process uses only its own part, the shared bucket gets the parts of all processes
         // whose use is charged to it.
         let charged = if share.usable > 1 { share.usable } else { share.known };
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -131,8 +131,8 @@
         }
     }
 
-    /// Applies rows that were received from another process, whose own row is the first: rollouts, rate limits of targets and the use of
-    /// accounts' limits.
+    /// Applies rows that were received from another process, whose own row is the first: rollouts, rate
+    /// limits of targets and the use of accounts' limits.
     pub(super) fn receive_rows(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
         let (own, uptime) = (self.settings.address, now.saturating_duration_since(self.started));
         let sender = rows.first().and_then(|row| row.address);
@@ -156,10 +156,8 @@
             match change {
                 UsageChange::Admitted(account, units) => {
                     self.allowance(&account).charge(peer, units as f64, made, time);
-                    // Returned units may be enough for requests that wait.
-                    if units < 0 {
-                        self.next_grant = None;
-                    }
+                    // Where fewer units were admitted than expected, more are left for requests that wait.
+                    self.next_grant = None;
                 }
                 UsageChange::Remaining(account, left) => {
                     self.allowance(&account).adopt(now, left);
