Count units that requests hold until a target gets them

What was seen: a new test, in which one process takes eight times the limit in bursts for requests that find no target and the others use the limit in between, passed the limit: 1,054,800 units of 1,002,000 at 4 processes, 1,080,000 at 31.

Causes, by the buckets' contents every 100 ms: (1) A process that had been idle subtracted what a row told from a full bucket and then added the refill of its idle time, which made up for the charge. A bucket is now refilled before each change. (2) While units are held by waiting requests, the bucket fills up beside them, and once they are returned more is there than the bucket may hold. Rows tell the units that are held, and the bucket's limit is less by what all hold. A target's getting the request ends the hold.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -29,8 +29,10 @@
     count: Option<u64>,
     /// Time of the last change of `admitted_units`; `None` before the first.
     last_changed: Option<Instant>,
-    /// Units that other processes admit per second.
-    peer_rates: BTreeMap<SocketAddr, PeerRate>,
+    /// Units of requests that this process admitted and that no target got yet.
+    held_units: f64,
+    /// Use by other processes.
+    peers: BTreeMap<SocketAddr, PeerUse>,
     /// Units left in the bucket of the parts of all processes whose use is known: at most their burst and
     /// [`BURST_TOLERANCE`], negative after an overshoot.
     shared_units: f64,
@@ -49,15 +51,30 @@
     has_adopted: bool,
 }
 
-/// Rate at which another process admits units of one account.
+/// Use of one account's limit by another process.
 #[derive(Clone, Copy, Debug)]
-struct PeerRate {
-    /// Moving average in units a second; negative after units were returned.
+struct PeerUse {
+    /// Moving average of the units that the process admits per second; negative after units were returned.
     rate: f64,
+    /// Units of requests that the process admitted and that no target got yet.
+    held_units: f64,
     /// Time at which the row was made that last reported the units.
     reported_at: Instant,
 }
 
+/// Change of an account's use that a row of another process reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PeerCharge {
+    /// Units that the process admitted since its last row; negative if it returned more.
+    pub units: f64,
+    /// Units of requests that the process admitted and that no target got yet.
+    pub held_units: f64,
+    /// Time at which the row was made.
+    pub made: Instant,
+    /// Time since the last row of the same incarnation; `None` if this is its first.
+    pub time: Option<Duration>,
+}
+
 /// Units of an account that a process admitted by its own count, as it reports them to the others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Report {
@@ -65,6 +82,8 @@
     pub count: u64,
     /// Units that the process admitted since the count began, less the units that were returned.
     pub admitted_units: i64,
+    /// Units of admitted requests that no target got yet.
+    pub held_units: i64,
     /// Units left in the shared bucket.
     pub units_left: i64,
 }
@@ -145,7 +164,8 @@
         admitted_units: 0,
         count: None,
         last_changed: None,
-        peer_rates: BTreeMap::new(),
+        held_units: 0.0,
+        peers: BTreeMap::new(),
         shared_units: 0.0,
         own_units: 0.0,
         recent_largest: 0.0,
@@ -179,6 +199,7 @@
         self.shared_units -= unit_request.units;
         self.own_units -= unit_request.units;
         self.admitted_units += unit_request.units as i64;
+        self.held_units += unit_request.units;
         self.last_changed = Some(now);
         Ok(())
     }
@@ -216,8 +237,18 @@
         LimitShortage { needed, left, rate, processes, usable }
     }
 
-    /// Returns the units of a request that did not run to the buckets.
-    pub fn refund(&mut self, now: Instant, units: f64) {
+    /// Records that a target got a request with these units for the first time.
+    pub fn use_held(&mut self, now: Instant, units: f64) {
+        self.held_units = (self.held_units - units).max(0.0);
+        self.last_changed = Some(now);
+    }
+
+    /// Returns the units of a request that did not run to the buckets. `is_held` is `true` where no target got
+    /// the request.
+    pub fn refund(&mut self, now: Instant, units: f64, is_held: bool) {
+        if is_held {
+            self.held_units = (self.held_units - units).max(0.0);
+        }
         self.shared_units += units;
         self.own_units += units;
         self.admitted_units -= units as i64;
@@ -228,8 +259,7 @@
     /// changed for longer than `max_idle`. By then all others have received the last report, and a new count
     /// begins with the next change.
     pub fn report(&mut self, now: Instant, sequence: u64, max_idle: Duration) -> Option<Report> {
-        self.peer_rates
-            .retain(|_, peer| now.saturating_duration_since(peer.reported_at) < max_idle);
+        self.peers.retain(|_, peer| now.saturating_duration_since(peer.reported_at) < max_idle);
         if self.last_changed.is_none_or(|at| now.saturating_duration_since(at) > max_idle) {
             self.admitted_units = 0;
             self.count = None;
@@ -238,6 +268,7 @@
         Some(Report {
             count: *self.count.get_or_insert(sequence),
             admitted_units: self.admitted_units,
+            held_units: self.held_units as i64,
             units_left: self.shared_units as i64,
         })
     }
@@ -253,12 +284,12 @@
         self.refilled = now;
     }
 
-    /// Subtracts units that another process admitted from the shared bucket, or adds those that it returned,
-    /// which are negative. `made` is the time of the row that reports them, and `time` the time since the
-    /// row before; `None` if there was none.
-    pub fn charge(&mut self, peer: SocketAddr, units: f64, made: Instant, time: Option<Duration>) {
+    /// Subtracts the units that another process admitted from the shared bucket, or adds those that it
+    /// returned, which are negative.
+    pub fn charge(&mut self, peer: SocketAddr, charge: PeerCharge) {
+        let PeerCharge { units, held_units, made, time } = charge;
         self.shared_units -= units;
-        let known = self.peer_rates.get(&peer).map_or(0.0, |known| known.rate);
+        let known = self.peers.get(&peer).map_or(0.0, |known| known.rate);
         let rate = match time.map(|time| time.as_secs_f64()) {
             Some(time) if time > 0.0 => {
                 let weight = 1.0 - (-time / PEER_RATE_TIME.as_secs_f64()).exp();
@@ -266,18 +297,18 @@
             }
             _ => known,
         };
-        self.peer_rates.insert(peer, PeerRate { rate, reported_at: made });
+        self.peers.insert(peer, PeerUse { rate, held_units, reported_at: made });
     }
 
-    /// Removes the rate of a process that no longer reports any use.
+    /// Removes the use by a process that no longer reports any.
     pub fn remove_peer(&mut self, peer: &SocketAddr) {
-        self.peer_rates.remove(peer);
+        self.peers.remove(peer);
     }
 
     /// Returns the units that other processes are expected to have admitted since their last rows, and the
     /// units that they are expected to admit per second. Stale rows don't count.
     fn expected_of_peers(&self, now: Instant, row_lifetime: Duration) -> (f64, f64) {
-        let expected = self.peer_rates.values().filter_map(|peer| {
+        let expected = self.peers.values().filter_map(|peer| {
             let age = now.saturating_duration_since(peer.reported_at);
             let rate = peer.rate.max(0.0);
             (age < row_lifetime).then_some((rate * age.as_secs_f64(), rate))
@@ -288,7 +319,7 @@
     }
 
     /// Adds the units that became available since the last refill to both buckets.
-    fn refill(&mut self, now: Instant, limit: &Limit, share: LimitShare) {
+    pub fn refill(&mut self, now: Instant, limit: &Limit, share: LimitShare) {
         let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         let processes = f64::from(share.processes);
@@ -309,10 +340,17 @@
         // whose use is charged to it.
         let charged = if share.usable > 1 { share.usable } else { share.known };
         let fraction = f64::from(charged) / processes;
-        let max_units = (limit.burst + share.tolerance.units(BURST_TOLERANCE, limit)) * fraction;
-        self.shared_units =
-            (self.shared_units + elapsed * limit.rate * fraction).clamp(min_units, max_units);
+        // Held units are used later or returned. Together with them the bucket holds no more than without.
+        let fresh =
+            |peer: &&PeerUse| now.saturating_duration_since(peer.reported_at) < share.row_lifetime;
+        let peers_held: f64 = self.peers.values().filter(fresh).map(|peer| peer.held_units).sum();
+        let max_units = (limit.burst + share.tolerance.units(BURST_TOLERANCE, limit)) * fraction
+            - self.held_units
+            - peers_held;
+        let max_own_units = limit.burst / processes - self.held_units;
+        self.shared_units = (self.shared_units + elapsed * limit.rate * fraction)
+            .clamp(min_units, max_units.max(min_units));
         self.own_units = (self.own_units + elapsed * limit.rate / processes)
-            .clamp(min_units, limit.burst / processes);
+            .clamp(min_units, max_own_units.max(min_units));
     }
 }
--- a/components/scheduler/src/direct/limits.rs
+++ b/components/scheduler/src/direct/limits.rs
@@ -15,7 +15,7 @@
 use super::{
     LIMIT_RETRY_MAX_S, LIMIT_WAIT_SHARE, State,
     allowance::{self, Allowance, LimitShare, UnitRequest},
-    event::{Effect, LimitShortage, Refusal, RefusalReason, Request, Ticket},
+    event::{Dispatch, Effect, LimitShortage, Refusal, RefusalReason, Request, Ticket},
     peers::AccountUsage,
     pending::{PendingRequest, Stage},
     plan, refusal,
@@ -132,9 +132,10 @@
         let max_idle = self.settings.tolerance.window.max(self.peers.row_lifetime());
         let sequence = self.sequence;
         let usages = self.accounts.iter_mut().filter_map(|(account, usage)| {
-            let allowance::Report { count, admitted_units, units_left } =
+            let allowance::Report { count, admitted_units, held_units, units_left } =
                 usage.report(now, sequence, max_idle)?;
-            Some(AccountUsage { account: account.clone(), count, admitted_units, units_left })
+            let account = account.clone();
+            Some(AccountUsage { account, count, admitted_units, held_units, units_left })
         });
         usages.collect()
     }
@@ -168,6 +169,30 @@
         self.allowance(account).take(now, &limit, share, unit_request)
     }
 
+    /// Adds the units that became available to an account's buckets. This has to precede each change of its
+    /// use: a full bucket would make up for the change by the refill of the time before it.
+    pub(super) fn refill_account(&mut self, now: Instant, account: &AccountName) {
+        if let Some((limit, share)) = self.limit(account) {
+            self.allowance(account).refill(now, &limit, share);
+        }
+    }
+
+    /// Records that targets get requests of accounts with limits for the first time.
+    pub(super) fn use_held_units(&mut self, now: Instant, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Dispatch(Dispatch { ticket, account: Some(account), attempt: 1, .. }) =
+                effect
+            else {
+                continue;
+            };
+            let units = self.requests.get(ticket).map_or(0.0, |pending| pending.units);
+            if units > 0.0 {
+                self.refill_account(now, account);
+                self.allowance(account).use_held(now, units);
+            }
+        }
+    }
+
     /// Returns the token buckets of an account.
     pub(super) fn allowance(&mut self, account: &AccountName) -> &mut Allowance {
         let started = self.started;
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -404,6 +404,7 @@
     state.admit_limited(now.steady);
     state.handle_due_timers(now.steady, &mut effects);
     state.dispatch_waiting(now, &mut effects);
+    state.use_held_units(now.steady, &effects);
     effects
 }
 
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -89,6 +89,8 @@
     pub count: u64,
     /// Units that the process admitted since its count began, less the units that were returned.
     pub admitted_units: i64,
+    /// Units of admitted requests that no target got yet.
+    pub held_units: i64,
     /// Units that are left for all processes together, by the process's own count; negative where the
     /// limit was exceeded.
     pub units_left: i64,
@@ -167,8 +169,9 @@
 /// Change of an account's use that follows from a row of another process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum UsageChange {
-    /// Units that the other process admitted since its last row; negative if it returned more.
-    Admitted(AccountName, i64),
+    /// Units that the other process admitted since its last row, negative if it returned more, and units of
+    /// its admitted requests that no target got yet.
+    Admitted(AccountName, i64, i64),
     /// Units that are left by the count of the other process, which started earlier than this one and
     /// whose first row this is.
     Remaining(AccountName, i64),
@@ -408,7 +411,7 @@
             .filter(|known| is_same_incarnation && known.count == usage.count)
             .map_or(0, |known| known.admitted_units);
         let units = usage.admitted_units - known;
-        changes.push(UsageChange::Admitted(usage.account.clone(), units));
+        changes.push(UsageChange::Admitted(usage.account.clone(), units, usage.held_units));
     }
     changes.extend(ended.into_iter().map(|account| UsageChange::Ended(account.clone())));
     changes
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -428,9 +428,9 @@
 
     /// Credits the units of a request that didn't run to its account's quota.
     pub(super) fn return_units(&mut self, now: Instant, pending: &PendingRequest) {
-        let allowance = pending.account.as_ref().and_then(|name| self.accounts.get_mut(name));
-        if let Some(allowance) = allowance {
-            allowance.refund(now, pending.units);
+        if let Some(account) = pending.account.as_ref() {
+            self.refill_account(now, account);
+            self.allowance(account).refund(now, pending.units, pending.dispatches == 0);
         }
     }
 }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -10,6 +10,7 @@
 
 use super::{
     State,
+    allowance::PeerCharge,
     capacity::ProcessIndex,
     event::{Effect, LogEntry, Now},
     outage,
@@ -154,8 +155,11 @@
         let UsageChanges { peer, made, time, changes } = reported;
         for change in changes {
             match change {
-                UsageChange::Admitted(account, units) => {
-                    self.allowance(&account).charge(peer, units as f64, made, time);
+                UsageChange::Admitted(account, units, held_units) => {
+                    self.refill_account(now, &account);
+                    let (units, held_units) = (units as f64, held_units as f64);
+                    let charge = PeerCharge { units, held_units, made, time };
+                    self.allowance(&account).charge(peer, charge);
                     // Where fewer units were admitted than expected, more are left for requests that wait.
                     self.next_grant = None;
                 }
--- a/components/scheduler/tests/direct_limits_fleet.rs
+++ b/components/scheduler/tests/direct_limits_fleet.rs
@@ -238,3 +238,22 @@
     assert_eq!((limited_before, limited_after), (0, 0));
     assert!(served_after >= 0.58 * RATE * 6.0, "{served_after} units served");
 }
+
+/// Guards against units that come into being where one process takes more than a burst and returns it, while
+/// the others cut off the debt that they charge.
+#[test_case(4; "of 4 processes")]
+#[test_case(31; "of 31 processes")]
+fn units_that_one_process_returns_again_and_again_are_no_more_than_it_took(count: u16) {
+    let mut fleet = fleet(count, 3);
+    let returned = Demand { served: 0.0, unserved: 8.0, processes: 1 };
+    let served = Demand { served: 3.0, unserved: 0.0, processes: usize::from(count) };
+
+    fleet.run(WARM_UP, Demand { unserved: 0.0, ..returned });
+    for _ in 0..20 {
+        fleet.run(Duration::from_millis(400), returned);
+        fleet.run(Duration::from_millis(700), served);
+    }
+
+    let (units, allowed) = (fleet.max_window_units, allowed_units());
+    assert!(units <= allowed, "{units} units of {allowed}");
+}
