Say what a held slot and a relayed row are

Comments only: a held slot is now also how a slot and its reservation reach a dispatch, and the comparison that finds lacked rows says why it is skipped.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -222,8 +222,8 @@
         };
         let (rate, burst) = (limit.rate * fraction, limit.burst * fraction);
         let left = left + elapsed * rate;
-        // The others take most of the refill. This process gets at least its own part in the end, as their
-        // rates fall while the bucket is empty.
+        // The others use a part of the refill. Their rates fall while the bucket is empty, so this process
+        // gets its own part at least.
         let rate = (rate - peer_rate).max(limit.rate / f64::from(processes));
         let reserve =
             RESERVE_PER_RANK * f64::from(unit_request.rank.min(MAX_RESERVED_RANKS)) * burst;
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -311,16 +311,16 @@
         unheard.filter_map(|peer| peer.row.address).collect()
     }
 
-    /// Returns the current rows that any active process lacks or can't get directly, by its own row. The rows
-    /// have their present ages.
+    /// Returns the current rows that some active process lacks or doesn't get directly, as its own row
+    /// reports, with their present ages.
     pub fn lacked_rows(&self, now: Instant, peer_timeout: Duration) -> Vec<Row> {
         let current: BTreeSet<SocketAddr> =
             self.current(now).filter_map(|peer| peer.row.address).collect();
         let mut lacked = BTreeSet::new();
         for Peer { row, .. } in self.active(now, peer_timeout) {
             lacked.extend(row.unheard_peers.iter().copied());
-            // A process that has the rows of all others has as many as there are here: its own row is in
-            // `current`, and this process's row is in its list.
+            // Skips processes that lack nothing: their lists are as long as `current`, since each list has
+            // this process in place of its own.
             if row.current_peers.len() < current.len() {
                 lacked.extend(current.iter().filter(|address| {
                     Some(**address) != row.address
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -43,13 +43,14 @@
     pub reservation: Option<u32>,
 }
 
-/// Slot that is held at a second target for a request whose current target sends nothing.
+/// Slot that was taken for a request and that no dispatch uses yet. It is held for as long as the request is
+/// in flight at another target, which sends nothing.
 #[derive(Clone, Debug)]
 pub struct HeldSlot {
-    /// Slot at the second target.
+    /// Slot at the target.
     pub slot: Slot,
-    /// Number of the reservation that the second target's agent granted for the slot; `None` where the slot
-    /// was taken without an agent.
+    /// Number of the reservation that the target's agent granted for the slot; `None` where the slot was taken
+    /// without an agent.
     pub reservation: Option<u32>,
 }
 
