Use or return the retry that a rejected request reserved

What callers would have seen, had it landed: after 34 requests that a target rejected, no request of the pool was retried any more.

A rejected request reserved its retry without a charge, so the reservation stayed and the bucket's free capacity fell by one each time.

Change: the charge is set where the retry is reserved.

--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -241,14 +241,14 @@
         let pool = pending.pool.clone();
         if was_delivered && pending.needs_other_target() {
             pending.charge = RetryCharge::NotYetTaken;
-        } else if was_delivered && !self.reserve_retry(now.steady, &pool) {
-            return self.refuse(
-                now.steady,
-                ticket,
-                RefusalReason::AllDispatchesFailed,
-                false,
-                effects,
-            );
+        } else if was_delivered {
+            if !self.reserve_retry(now.steady, &pool) {
+                let reason = RefusalReason::AllDispatchesFailed;
+                return self.refuse(now.steady, ticket, reason, false, effects);
+            }
+            if let Some(pending) = self.requests.get_mut(&ticket) {
+                pending.charge = RetryCharge::Taken;
+            }
         }
         self.enqueue(ticket);
     }
--- a/components/scheduler/tests/direct_resumed.rs
+++ b/components/scheduler/tests/direct_resumed.rs
@@ -151,3 +151,21 @@
     let retried = dispatches(&effects).len();
     assert!(retried_at_once < retried && retried <= 68, "{retried_at_once} {retried}");
 }
+
+/// Guards against a retry budget that loses a retry with each request that a target rejected and another
+/// completed.
+#[test]
+fn retries_of_rejected_requests_leave_the_retry_budget_as_it_was() {
+    let mut entry = entry_process(2);
+
+    for ticket in 0..200 {
+        entry.arrive(request(ticket, "/safe/"));
+        let rejected = entry.end_dispatch(ticket, Outcome::Rejected);
+        assert_eq!(dispatches(&rejected).len(), 1, "request {ticket}: {rejected:?}");
+        entry.end_dispatch(ticket, Outcome::Completed);
+        entry.advance(Duration::from_secs(1));
+        entry.confirm_configuration();
+    }
+
+    assert_eq!(entry.state.open_requests(), 0);
+}
