Leave room for the next request beside the units that are held

Cause: by reading the change. The limit of an account's bucket is less by the units that waiting requests hold. Where the burst is small against the rate and requests wait long, what is held exceeds the bucket's limit although the account is below its own, and nothing more would be admitted until something is dispatched.

Change: the limit never falls below what the next request needs, the largest recent size and the reserve for higher ranks.

--- a/components/scheduler/src/direct/allowance.rs
+++ b/components/scheduler/src/direct/allowance.rs
@@ -340,17 +340,27 @@
         // whose use is charged to it.
         let charged = if share.usable > 1 { share.usable } else { share.known };
         let fraction = f64::from(charged) / processes;
-        // Held units are used later or returned. Together with them the bucket holds no more than without.
         let fresh =
             |peer: &&PeerUse| now.saturating_duration_since(peer.reported_at) < share.row_lifetime;
         let peers_held: f64 = self.peers.values().filter(fresh).map(|peer| peer.held_units).sum();
-        let max_units = (limit.burst + share.tolerance.units(BURST_TOLERANCE, limit)) * fraction
-            - self.held_units
-            - peers_held;
-        let max_own_units = limit.burst / processes - self.held_units;
-        self.shared_units = (self.shared_units + elapsed * limit.rate * fraction)
-            .clamp(min_units, max_units.max(min_units));
-        self.own_units = (self.own_units + elapsed * limit.rate / processes)
-            .clamp(min_units, max_own_units.max(min_units));
+        // Held units are used later or returned. Together with them the bucket holds no more than without,
+        // but always enough for the next request.
+        let without_held = |max_units: f64, held_units: f64, burst: f64| {
+            let reserve = RESERVE_PER_RANK * f64::from(MAX_RESERVED_RANKS) * burst;
+            let min_capacity = (self.recent_largest + reserve).min(burst);
+            (max_units - held_units).max(min_capacity)
+        };
+        let burst = limit.burst * fraction;
+        let max_units = without_held(
+            burst + share.tolerance.units(BURST_TOLERANCE, limit) * fraction,
+            self.held_units + peers_held,
+            burst,
+        );
+        let own_burst = limit.burst / processes;
+        let max_own_units = without_held(own_burst, self.held_units, own_burst);
+        self.shared_units =
+            (self.shared_units + elapsed * limit.rate * fraction).clamp(min_units, max_units);
+        self.own_units =
+            (self.own_units + elapsed * limit.rate / processes).clamp(min_units, max_own_units);
     }
 }
