Log the version of the target of a dispatch and the resumed attempt

Change: the adapter reads the header, the request carries it as a Resumption, a slot keeps the version of its target, and dispatched has version and resumes. No decision depends on them yet.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -9,7 +9,9 @@
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use model::id::{self, Fingerprint};
-use scheduler::direct::{self, Dispatch, Event, Outcome, Refusal, RefusalReason, Ticket};
+use scheduler::direct::{
+    self, Dispatch, Event, Outcome, Refusal, RefusalReason, Resumption, Ticket,
+};
 use tokio::{
     select,
     sync::mpsc,
@@ -17,7 +19,7 @@
 };
 
 use crate::{
-    Body, Broken, Dialect, ReceivedRequest,
+    Body, Broken, Dialect, ReceivedRequest, RequestInfo,
     control::{self, Command},
     dispatch::{self, EventStream, TargetAnswer, TargetClient, UnreadAnswer},
     events::StreamEvent,
@@ -145,11 +147,19 @@
         timeout: call.info.remaining_time,
         tokens: call.info.tokens,
         expected_tokens: call.info.expected_tokens,
+        resumption: resumption(&call.info),
         fingerprint,
         spread: u64::from_le_bytes(bytes),
     }
 }
 
+/// Returns what the caller states of the stream that its request resumes; `None` where the request begins an
+/// answer.
+fn resumption(info: &RequestInfo) -> Option<Resumption> {
+    let is_resumed = info.last_event_id.is_some() || info.first_attempt.is_some();
+    is_resumed.then(|| Resumption { first_attempt: info.first_attempt.clone() })
+}
+
 impl Session {
     /// Carries out dispatches until an answer is complete or the first event of a stream is received;
     /// returns a refusal where there is no answer of a target.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -90,6 +90,9 @@
     /// ID of the last event that the caller already received of a resumed stream; the answer contains only
     /// later events. `None` for a stream from its beginning and for other answers.
     pub last_event_id: Option<String>,
+    /// Request ID of the caller's attempt that received the first event of the stream that this attempt
+    /// resumes; `None` where the caller names none.
+    pub first_attempt: Option<String>,
 }
 
 /// A request of which head and body were received completely.
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -28,6 +28,10 @@
                 route = view.route,
                 account = dispatch.account,
                 to = dispatch.target,
+                version = view.version,
+                resumes = view
+                    .resumption
+                    .map(|resumption| { resumption.first_attempt.as_deref().unwrap_or_default() }),
                 attempt = dispatch.attempt,
                 waited_ms = view.waited.as_millis() as u64,
                 running = view.running,
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -255,6 +255,7 @@
             target: self.target.name.clone(),
             incarnation: self.target.incarnation,
             address: self.target.address,
+            version: self.target.version.clone(),
             pending_prefill_tokens: tokens,
             prefill_tokens,
             expected_first_event: Duration::from_secs_f64(first_ms / 1_000.0),
--- a/components/scheduler/src/direct/capacity/demand.rs
+++ b/components/scheduler/src/direct/capacity/demand.rs
@@ -4,7 +4,7 @@
 
 use model::id::{PoolName, TargetName, ZoneName};
 
-use super::{Incarnation, Lane, TargetState};
+use super::{Incarnation, Lane, TargetState, Version};
 
 /// A slot of a target that a request has taken.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +15,8 @@
     pub incarnation: Incarnation,
     /// Address at which the target accepts requests.
     pub address: SocketAddr,
+    /// Version of the target's software when the slot was taken.
+    pub version: Version,
     /// Prompt tokens of the request that the target has still to read; 0 once the answer has begun.
     pub pending_prefill_tokens: f64,
     /// Prompt tokens, those of earlier requests and the fixed cost included, that the target had to read
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -41,6 +41,13 @@
     pub max_output: u32,
 }
 
+/// What a caller states of a stream that it resumes after an earlier attempt received a part of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Resumption {
+    /// Request ID of the attempt that received the first event; `None` where the caller names none.
+    pub first_attempt: Option<String>,
+}
+
 /// A request of which headers and body were received completely.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -60,6 +67,8 @@
     pub tokens: Option<Tokens>,
     /// Number of tokens that the caller expects in the answer; a hint that may be far off.
     pub expected_tokens: Option<u32>,
+    /// Stream that the request resumes; `None` where the caller received nothing of the answer yet.
+    pub resumption: Option<Resumption>,
     /// Fingerprint of path, caller and body; requests with equal fingerprints are counted as the same
     /// content when they crash targets.
     pub fingerprint: Fingerprint,
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -52,7 +52,7 @@
 pub use event::{
     DenialReason, Dispatch, Effect, Event, FittingTargets, Incarnation, LimitShortage, LogEntry,
     Now, Outcome, Refusal, RefusalContext, RefusalReason, Registration, Request, Reservation,
-    Target, Ticket, Tokens,
+    Resumption, Target, Ticket, Tokens,
 };
 use holds::SlotTimes;
 use peers::{Peers, Row, TargetLimit};
@@ -258,6 +258,10 @@
     pub token_ms: Option<f64>,
     /// Time since the dispatch.
     pub running_for: Duration,
+    /// Version of the target's software.
+    pub version: &'a str,
+    /// Stream of an earlier attempt that the request resumes; `None` where the caller received nothing yet.
+    pub resumption: Option<&'a Resumption>,
     /// Time from the dispatch to the first event of the answer; `None` before that.
     pub time_to_first_event: Option<Duration>,
     /// Time from the request's arrival to its deadline.
@@ -462,6 +466,8 @@
             tier: pending.tier,
             token_ms: state.and_then(|state| state.ms_per_token()),
             running_for: now.saturating_duration_since(in_flight.dispatched_at),
+            version: &in_flight.slot.version,
+            resumption: pending.request.resumption.as_ref(),
             time_to_first_event: in_flight.time_to_first_event,
             timeout: pending.deadline.saturating_duration_since(pending.arrived),
             attempt: pending.dispatches,
