Continue a stream only at targets of the version that began it

Cause: the next target was chosen by lane and load. A lane tells a rollout's version from the others, not the version that began this stream. All paths were affected: shared slots, reservations and their grants, and a slot that was held at another target before the first event arrived.

Change: a slot keeps its target's version, the first event fixes the origin of the request, and each of these paths asks accepts or accepts_stream. A target whose version changes counts as started again. A stream whose version no target runs waits to its caller's deadline, takes no retry from the budget meanwhile, blocks no other request and is then refused as version_unavailable. While a rollout shifts traffic, targets of the old version (lane Retiring) continue the streams that they began, until it completes; versions that were rolled back don't.

--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -182,6 +182,7 @@
         RefusalReason::DeadlineExceededMayHaveRun => "timeout",
         RefusalReason::Lost => "target_lost",
         RefusalReason::AllDispatchesFailed => "no_target",
+        RefusalReason::VersionUnavailable => "version_unavailable",
     }
 }
 
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -7,6 +7,7 @@
 use super::{
     DEFAULT_TIMEOUT, MAX_WAIT_FLOOR, MAX_WAIT_SHARE, NOT_READY_RETRY_AFTER, PROMOTION_SHARE, State,
     event::{Effect, Now, Refusal, RefusalContext, RefusalReason, Request},
+    origin::Origin,
     pending::{PendingRequest, RetryCharge, Stage},
     plan::Configuration,
     refusal,
@@ -89,6 +90,7 @@
             charge: RetryCharge::Nothing,
             may_have_run: false,
             has_begun: false,
+            origin: Origin::NotBegun,
             has_failed_answer: false,
             possibly_ran_at: Vec::new(),
             rejected_by: Vec::new(),
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -184,11 +184,36 @@
             || (self.own_requests < self.guaranteed_slots(process) && used <= self.target.slots)
     }
 
-    /// Reports whether the target accepts requests: it is listed and ready, it is not in backoff, and its
-    /// lane isn't closed: a rollout closes the lane of targets that must take no requests.
+    /// Reports whether the target accepts new requests: it is usable, and its lane is open.
     fn is_available(&self, now: Instant) -> bool {
-        let is_open = self.is_listed && self.target.is_ready && self.lane != Lane::Closed;
-        is_open && self.backoff_until.is_none_or(|until| until <= now)
+        matches!(self.lane, Lane::Base | Lane::Ordered) && self.is_usable(now)
+    }
+
+    /// Reports whether the target is listed and ready, and not in backoff.
+    fn is_usable(&self, now: Instant) -> bool {
+        self.is_listed
+            && self.target.is_ready
+            && self.backoff_until.is_none_or(|until| until <= now)
+    }
+
+    /// Reports whether the target may continue a stream that this version began. The version may be one that
+    /// gets no new requests since the traffic is being shifted away from it.
+    fn continues_version(&self, now: Instant, version: &Version) -> bool {
+        self.target.version == *version && self.lane != Lane::Closed && self.is_usable(now)
+    }
+
+    /// Reports whether the target accepts a request of any lane; `version` is the one that began its stream.
+    fn accepts_stream(&self, now: Instant, version: Option<&Version>) -> bool {
+        match version {
+            Some(version) => self.continues_version(now, version),
+            None => self.is_available(now),
+        }
+    }
+
+    /// Reports whether the target accepts the request.
+    fn accepts(&self, now: Instant, demand: &Demand<'_>) -> bool {
+        let is_lane_suitable = demand.version.is_some() || self.lane == demand.lane;
+        is_lane_suitable && self.accepts_stream(now, demand.version)
     }
 
     /// Reports whether requests for the target are reserved at an agent, which must not be in backoff.
@@ -284,7 +309,11 @@
             let state = match previous.remove(&target.name) {
                 // A record of an earlier incarnation may reach the platform after that of a later one.
                 Some(state) if state.target.incarnation > target.incarnation => state,
-                Some(state) if state.target.incarnation == target.incarnation => {
+                // A target changes its version only with its start, also where the platform states no start.
+                Some(state)
+                    if (state.target.incarnation, &state.target.version)
+                        == (target.incarnation, &target.version) =>
+                {
                     TargetState { target, is_listed: true, ..state }
                 }
                 Some(_) => {
@@ -376,8 +405,7 @@
     ) -> Option<Slot> {
         let default_ms_per_token = self.mean_first_event_ms_per_token(demand.pool);
         let candidates = self.pool_targets(demand.pool).filter(|state| {
-            state.lane == demand.lane
-                && state.is_available(now)
+            state.accepts(now, demand)
                 && !state.uses_agent(now)
                 && state.has_free_slot(process, demand)
                 && state.limit_allows(now, process)
@@ -425,7 +453,9 @@
     /// ordered it, the canary phase needs no more targets, or all requests have been shifted to another
     /// version.
     pub fn closed_count(&self) -> usize {
-        let is_closed = |state: &&TargetState| state.target.is_ready && state.lane == Lane::Closed;
+        let is_closed = |state: &&TargetState| {
+            state.target.is_ready && matches!(state.lane, Lane::Closed | Lane::Retiring)
+        };
         self.states.iter().filter(is_closed).count()
     }
 
@@ -445,11 +475,29 @@
         })
     }
 
-    /// Reports whether the target of a slot still accepts requests and hasn't restarted.
-    pub fn is_slot_usable(&self, now: Instant, slot: &Slot) -> bool {
+    /// Reports whether the target of a slot still accepts requests and hasn't restarted, and may continue the
+    /// stream if `version` began one.
+    pub fn is_slot_usable(&self, now: Instant, slot: &Slot, version: Option<&Version>) -> bool {
         let state = self.state(&slot.target);
-        let state = state.filter(|state| state.target.incarnation == slot.incarnation);
-        state.is_some_and(|state| state.is_available(now))
+        let is_same = |target: &Target| {
+            (target.incarnation, &target.version) == (slot.incarnation, &slot.version)
+        };
+        let state = state.filter(|state| is_same(&state.target));
+        state.is_some_and(|state| state.accepts_stream(now, version))
+    }
+
+    /// Reports whether any target may continue a stream of the pool that this version began and that these
+    /// targets may have run.
+    pub fn can_continue(
+        &self,
+        now: Instant,
+        pool: &str,
+        version: &Version,
+        possibly_ran_at: &[TargetName],
+    ) -> bool {
+        self.pool_targets(pool).any(|state| {
+            state.continues_version(now, version) && !possibly_ran_at.contains(&state.target.name)
+        })
     }
 
     /// Releases a slot. Does nothing if the target has restarted since.
@@ -547,8 +595,7 @@
     /// as their number grows.
     fn fastest_ms_per_token(&self, now: Instant, demand: &Demand<'_>) -> f64 {
         let candidates = self.pool_targets(demand.pool);
-        let candidates =
-            candidates.filter(|state| state.lane == demand.lane && state.is_available(now));
+        let candidates = candidates.filter(|state| state.accepts(now, demand));
         let mut ms_per_token: Vec<f64> =
             candidates.filter_map(|state| state.ms_per_token).collect();
         let index = (ms_per_token.len() as f64 * FASTEST_QUANTILE) as usize;
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -10,7 +10,9 @@
 
 use crate::direct::{HASHER, event::FittingTargets};
 
-use super::{Capacity, Demand, QueuedReservation, Slot, Target, TargetState, compare_costs};
+use super::{
+    Capacity, Demand, QueuedReservation, Slot, Target, TargetState, Version, compare_costs,
+};
 
 /// First backoff from an agent that is unreachable; doubles with each repeat.
 const MIN_AGENT_BACKOFF: Duration = Duration::from_millis(250);
@@ -134,9 +136,8 @@
     ) -> Option<&TargetState> {
         let default_ms_per_token = self.mean_first_event_ms_per_token(demand.pool);
         let candidates = self.pool_targets(demand.pool);
-        let candidates = candidates.filter(|state| {
-            state.lane == demand.lane && state.is_available(now) && state.uses_agent(now)
-        });
+        let candidates =
+            candidates.filter(|state| state.accepts(now, demand) && state.uses_agent(now));
         let fastest = self.fastest_ms_per_token(now, demand);
         let candidates = candidates.filter(|state| state.finishes_in_time(demand, fastest));
         let unreserved = candidates.filter(|state| {
@@ -161,8 +162,7 @@
     pub fn count_fitting(&self, now: Instant, demand: &Demand<'_>) -> FittingTargets {
         let fastest = self.fastest_ms_per_token(now, demand);
         let candidates = self.pool_targets(demand.pool);
-        let candidates =
-            candidates.filter(|state| state.lane == demand.lane && state.is_available(now));
+        let candidates = candidates.filter(|state| state.accepts(now, demand));
         let none = FittingTargets {
             fastest_token_ms: Some(fastest).filter(|ms_per_token| ms_per_token.is_finite()),
             ..FittingTargets::default()
@@ -176,12 +176,18 @@
     }
 
     /// Reports whether a reservation may stay: its target and agent are usable, neither has changed, and the
-    /// reservation states correctly whether the target is rate-limited.
-    pub fn is_reservation_valid(&self, now: Instant, reserved: &QueuedReservation) -> bool {
+    /// reservation states correctly whether the target is rate-limited. If `version` began the request's
+    /// stream, the target must be one that may continue it.
+    pub fn is_reservation_valid(
+        &self,
+        now: Instant,
+        reserved: &QueuedReservation,
+        version: Option<&Version>,
+    ) -> bool {
         let state = self.state(&reserved.target);
         let state = state.filter(|state| state.target.incarnation == reserved.incarnation);
         state.is_some_and(|state| {
-            let is_usable = state.is_available(now) && state.uses_agent(now);
+            let is_usable = state.accepts_stream(now, version) && state.uses_agent(now);
             // A new reservation informs an agent of a limit that has been set or lifted since.
             is_usable
                 && state.agent == Some(reserved.agent)
@@ -202,7 +208,8 @@
             self.fastest_ms_per_token(now, demand),
         );
         let state = self.state_mut(&reserved.target, reserved.incarnation)?;
-        let fits = state.is_available(now) && state.finishes_in_time(demand, fastest);
+        let fits =
+            state.accepts_stream(now, demand.version) && state.finishes_in_time(demand, fastest);
         fits.then(|| state.occupy(demand.prompt_tokens, default_ms_per_token))
     }
 
@@ -236,7 +243,11 @@
 
     /// Starts or doubles the backoff from a target that its agent can't reach.
     pub fn mark_unreachable_by_agent(&mut self, now: Instant, reserved: &QueuedReservation) {
-        if self.is_reservation_valid(now, reserved) {
+        let state = self.state_mut(&reserved.target, reserved.incarnation);
+        let is_reported_by_agent = state.is_some_and(|state| {
+            state.is_usable(now) && state.uses_agent(now) && state.agent == Some(reserved.agent)
+        });
+        if is_reported_by_agent {
             self.back_off_unreachable(now, &reserved.target, reserved.incarnation);
         }
     }
--- a/components/scheduler/src/direct/capacity/demand.rs
+++ b/components/scheduler/src/direct/capacity/demand.rs
@@ -54,8 +54,11 @@
     pub possibly_ran_at: &'a [TargetName],
     /// Targets that rejected the request; any other target is preferred.
     pub rejected_by: &'a [TargetName],
-    /// Lane of the targets that the request may go to.
+    /// Lane of the targets that the request may go to, unless `version` is set.
     pub lane: Lane,
+    /// Version that began the request's stream: only targets of this version may continue it, in any lane but a
+    /// closed one. `None` where any version may begin the answer.
+    pub version: Option<&'a Version>,
     /// Whether the request belongs to the pool's lowest tier and that tier holds its slots the longest, so
     /// that a part of each target's slots isn't available to the request.
     pub is_lowest_tier: bool,
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -313,6 +313,8 @@
     Lost,
     /// Every dispatch failed before the request ran.
     AllDispatchesFailed,
+    /// No target of the version that began the stream had a free slot before the deadline.
+    VersionUnavailable,
 }
 
 /// Shortage of an account's limit that led to a refusal.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -18,6 +18,7 @@
 pub mod event;
 mod holds;
 mod limits;
+pub mod origin;
 pub mod outage;
 pub mod peers;
 mod pending;
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -12,8 +12,9 @@
     allowance::UnitRequest,
     capacity::{Demand, Slot},
     event::{Incarnation, Request, Ticket, Tokens},
+    origin::Origin,
     plan::Repeat,
-    rollout::{Lane, Rollouts},
+    rollout::{Lane, Rollouts, Version},
 };
 
 /// Sort key of a queued request; the lowest key of a queue is dispatched first.
@@ -143,6 +144,9 @@
     pub may_have_run: bool,
     /// Whether a part of the answer was sent to the caller.
     pub has_begun: bool,
+    /// Version that began the answer. Only streams have one: of any other answer the caller receives nothing
+    /// before it is complete.
+    pub origin: Origin,
     /// Whether a target answered with a failure; it is passed to the caller if no other target answers.
     pub has_failed_answer: bool,
     /// Targets that may have run the request; it isn't dispatched to them again.
@@ -240,8 +244,16 @@
         was_selected
     }
 
+    /// Records that a target of this version sent the first event of the answer. The first version is kept.
+    pub fn record_origin(&mut self, version: &Version) {
+        if self.is_stream && self.origin == Origin::NotBegun {
+            self.origin = Origin::Begun(version.clone());
+        }
+    }
+
     /// Returns what the request requires of a target, for a request that goes to a base version and may use
-    /// all slots. Callers overwrite `lane` and `is_lowest_tier` for other requests.
+    /// all slots. Callers overwrite `lane` and `is_lowest_tier` for other requests, and set `version` for
+    /// streams that have begun.
     pub fn demand<'a>(
         &self,
         now: Instant,
@@ -259,6 +271,7 @@
             possibly_ran_at,
             rejected_by,
             lane: Lane::Base,
+            version: None,
             is_lowest_tier: false,
         }
     }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -97,6 +97,9 @@
                 continue;
             }
             let reason = match self.requests.get(&ticket) {
+                Some(pending) if pending.origin.version().is_some() => {
+                    RefusalReason::VersionUnavailable
+                }
                 Some(pending) if pending.deadline <= now => RefusalReason::DeadlineExceeded,
                 _ => RefusalReason::NoFreeSlot,
             };
@@ -126,6 +129,15 @@
                     dequeued.push(*key);
                     continue;
                 };
+                let version = pending.origin.version().cloned();
+                // A stream whose version no target runs now takes no retry from the budget while it waits.
+                if let Some(version) = &version {
+                    let ran_at = &pending.possibly_ran_at;
+                    if !self.capacity.can_continue(now.steady, pool, version, ran_at) {
+                        pending.withdraw_reservations(effects);
+                        continue;
+                    }
+                }
                 if pending.charge == RetryCharge::NotYetTaken {
                     let budget = self.budgets.entry(pool.clone());
                     let budget = budget.or_insert_with(|| budget::open(started));
@@ -155,6 +167,7 @@
                     (pending.possibly_ran_at.clone(), pending.rejected_by.clone());
                 let demand = Demand {
                     lane,
+                    version: version.as_ref(),
                     is_lowest_tier: is_lowest,
                     ..pending.demand(
                         now.steady,
@@ -163,7 +176,7 @@
                         (&possibly_ran_at, &rejected_by),
                     )
                 };
-                let may_fit = has_room || lane == Lane::Ordered;
+                let may_fit = has_room || lane == Lane::Ordered || version.is_some();
                 if may_fit && (!is_lowest || has_room_for_lowest) {
                     if let Some(slot) =
                         self.capacity.take_slot(now.steady, self.process_index, &demand)
@@ -181,8 +194,9 @@
                         continue;
                     }
                     // This request found no slot. Other requests may still find one if this one is of the
-                    // lowest tier, which may not use all slots, or must avoid targets that may have run it.
-                    if lane == Lane::Base {
+                    // lowest tier, which may not use all slots, must avoid targets that may have run it, or
+                    // needs the version that began its stream.
+                    if lane == Lane::Base && version.is_none() {
                         has_room_for_lowest &= !is_lowest;
                         has_room = is_lowest || !pending.possibly_ran_at.is_empty();
                     }
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -81,7 +81,7 @@
     let (valid, invalid) = pending
         .reservations
         .drain(..)
-        .partition(|reserved| capacity.is_reservation_valid(now, reserved));
+        .partition(|reserved| capacity.is_reservation_valid(now, reserved, demand.version));
     pending.reservations = valid;
     effects.extend(invalid.iter().map(|QueuedReservation { number, .. }| {
         Effect::WithdrawReservation { ticket, number: *number }
@@ -174,7 +174,8 @@
         );
         let avoided = (&*pending.possibly_ran_at, &*pending.rejected_by);
         let demand = pending.demand(now, &pending.pool, &self.settings.zone, avoided);
-        self.capacity.take_granted_slot(now, &reserved, &Demand { lane, ..demand })
+        let demand = Demand { lane, version: pending.origin.version(), ..demand };
+        self.capacity.take_granted_slot(now, &reserved, &demand)
     }
 
     /// Handles a reservation that ended without a grant. If the agent can't reach its target, starts a
--- a/components/scheduler/src/direct/rollout.rs
+++ b/components/scheduler/src/direct/rollout.rs
@@ -460,7 +460,7 @@
             (old.count() as f64 * CANARY_TARGET_FRACTION).ceil().max(1.0) as usize;
         let lane = |&(version, is_ready): &(&Version, bool)| {
             if base_versions.contains(version) {
-                return if is_shifted { Lane::Closed } else { Lane::Base };
+                return if is_shifted { Lane::Retiring } else { Lane::Base };
             }
             let is_ordered = active.is_some_and(|rollout| rollout.order.version == *version);
             if !is_ordered || (!is_shifting && canaries_left == 0) {
--- a/components/scheduler/src/direct/rollout/message.rs
+++ b/components/scheduler/src/direct/rollout/message.rs
@@ -78,6 +78,9 @@
     Base,
     /// Targets of the ordered version.
     Ordered,
+    /// Targets of a base version from which all requests were shifted: they take no new requests, but continue
+    /// the streams that their version began.
+    Retiring,
     /// Targets that take no requests.
     Closed,
 }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -39,6 +39,9 @@
         let time_to_first_event = now.saturating_duration_since(in_flight.dispatched_at);
         in_flight.time_to_first_event = Some(time_to_first_event);
         let InFlight { mut slot, dispatched_at, has_rate_limit, .. } = in_flight.clone();
+        if let Some(pending) = self.requests.get_mut(&ticket) {
+            pending.record_origin(&slot.version);
+        }
         self.capacity.record_first_event(&mut slot, time_to_first_event);
         if !has_rate_limit {
             self.handle_no_rate_limit(now, &slot, dispatched_at, effects);
@@ -79,6 +82,9 @@
         };
         let target = in_flight.slot.target.clone();
         pending.has_begun |= begun || events > 0;
+        if pending.has_begun {
+            pending.record_origin(&in_flight.slot.version);
+        }
         pending.may_have_run |= outcome.may_have_run();
         pending.has_failed_answer |= outcome == Outcome::Failed;
         let (pool, tier) = (pending.pool.clone(), pending.tier);
@@ -197,12 +203,14 @@
         // The answer may have begun after the search was started, which rules out retries of some routes.
         let allowed = pending.may_retry(pending.possibly_ran_at.len());
         let body = pending.request.fingerprint;
+        let version = pending.origin.version().cloned();
         let allowed = allowed && !self.is_quarantined(&body);
-        // The other target may have stopped taking requests since the slot was taken.
+        // Since the slot was taken, the other target may have stopped taking requests, or the answer may have
+        // begun at another version.
+        let is_usable =
+            |slot: &Slot| allowed && self.capacity.is_slot_usable(now, slot, version.as_ref());
         let held = match search {
-            Search::Found(held) if allowed && self.capacity.is_slot_usable(now, &held.slot) => {
-                Some(held)
-            }
+            Search::Found(held) if is_usable(&held.slot) => Some(held),
             Search::Found(held) => {
                 self.release_held_slot(ticket, &held, effects);
                 None
--- a/components/scheduler/tests/direct_versions.rs
+++ b/components/scheduler/tests/direct_versions.rs
@@ -7,7 +7,8 @@
 use direct_support::{Process, address, configuration, dispatches, empty_process, request, target};
 use model::reservation::Load;
 use scheduler::direct::{
-    Dispatch, Effect, Event, Outcome, Request, Target, Ticket, plan::Repeat, rollout::Version,
+    Dispatch, Effect, Event, Outcome, RefusalReason, Request, Target, Ticket, plan::Repeat,
+    rollout::Version,
 };
 use test_case::test_case;
 
@@ -112,3 +113,110 @@
     assert_eq!(joined.count(), 0, "{versions:?}");
     assert!(versions.values().all(|of| of.len() == 3), "{versions:?}");
 }
+
+/// Returns a process with these targets, and the target of a stream that began there and broke off.
+fn process_with_broken_stream(targets: Vec<Target>) -> (Process, Target, Vec<Effect>) {
+    let mut entry = entry_process(targets.clone());
+    let effects = entry.arrive(stream(1));
+    let sent = dispatches(&effects);
+    let first = targets.into_iter().find(|target| target.name == sent[0].target);
+    entry.send(Event::AnswerBegan { ticket: 1 });
+    let ended = Event::DispatchEnded { ticket: 1, outcome: BROKEN_OFF, begun: true, events: 3 };
+    let effects = entry.send(ended);
+    (entry, first.expect("a listed target"), effects)
+}
+
+/// Returns one target of each version.
+fn one_target_of_each_version() -> Vec<Target> {
+    versioned_targets(Admission::Shared).into_iter().take(3).collect()
+}
+
+/// Guards against streams that move to a slot that was taken at another version before their answer began.
+#[test]
+fn a_stream_that_begins_while_a_slot_is_held_at_another_version_does_not_move_there() {
+    let targets = one_target_of_each_version();
+    let mut entry = entry_process(targets.clone());
+    let effects = entry.arrive(stream(1));
+    let first = version_of(&targets, &direct_support::only_dispatch(&effects));
+    let moved = entry.send(Event::TargetUnresponsive { ticket: 1, begun: false });
+    assert!(moved.iter().any(|effect| matches!(effect, Effect::CancelDispatch { .. })));
+
+    let mut effects = entry.send(Event::AnswerBegan { ticket: 1 });
+    let outcome = Outcome::Unresponsive;
+    let ended = Event::DispatchEnded { ticket: 1, outcome, begun: true, events: 1 };
+    effects.extend(entry.send(ended));
+    (0..40).for_each(|_| effects.extend(entry.advance(100 * MS)));
+
+    let versions: Vec<_> = dispatches(&effects).iter().map(|d| version_of(&targets, d)).collect();
+    assert!(versions.iter().all(|version| *version == first), "{first}: {versions:?}");
+}
+
+/// Guards against streams that go on at a target that started again, or that has the name of an earlier one,
+/// with another version.
+#[test_case(1; "its start isn't known")]
+#[test_case(2; "it started again")]
+fn a_stream_does_not_go_on_at_a_target_that_has_another_version_now(incarnation: u64) {
+    let (mut entry, first, effects) = process_with_broken_stream(one_target_of_each_version());
+    assert!(dispatches(&effects).is_empty(), "{effects:?}");
+    let other = Target { name: "target-9".into(), ..first.clone() };
+    let upgraded = Target { version: "v2".into(), incarnation, ..other.clone() };
+
+    entry.list_targets(vec![upgraded.clone()]);
+    let waiting = entry.advance(100 * MS);
+    let listed = entry.list_targets(vec![upgraded, Target { name: "target-10".into(), ..other }]);
+
+    assert!(dispatches(&waiting).is_empty(), "{waiting:?}");
+    assert_eq!(direct_support::only_dispatch(&listed).target, "target-10");
+}
+
+/// Guards against callers that wait past their deadline, or get no reason, while no target of the version that
+/// began their stream serves.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_its_deadline() {
+    let (mut entry, _, mut effects) = process_with_broken_stream(one_target_of_each_version());
+    (0..49).for_each(|_| effects.extend(entry.advance(100 * MS)));
+    assert!(direct_support::refusals(&effects).is_empty(), "{effects:?}");
+
+    let effects = entry.advance(100 * MS);
+
+    let refusal = direct_support::only_refusal(&effects);
+    assert_eq!(refusal.reason, RefusalReason::VersionUnavailable);
+    assert!(!refusal.not_run);
+    assert_eq!(entry.state.open_requests(), 0);
+}
+
+/// Returns how many of 60 streams that break off before their first event are dispatched again, while `waiting`
+/// streams wait for versions that no target runs.
+fn retries_beside(waiting: u64) -> usize {
+    let mut entry = entry_process(versioned_targets(Admission::Shared));
+    for ticket in 0..waiting {
+        assert_eq!(dispatches(&entry.arrive(stream(ticket))).len(), 1, "stream {ticket}");
+        entry.send(Event::AnswerBegan { ticket });
+    }
+    let target = |number| Target { version: "v2".into(), slots: 60, ..target(number) };
+    entry.list_targets((20..30).map(target).collect());
+    for ticket in 0..waiting {
+        let ended = Event::DispatchEnded { ticket, outcome: BROKEN_OFF, begun: true, events: 1 };
+        assert!(dispatches(&entry.send(ended)).is_empty());
+    }
+    let mut sent = 0;
+    for ticket in 100..160 {
+        let arrived = dispatches(&entry.arrive(stream(ticket)));
+        assert!(arrived.iter().any(|dispatch| dispatch.ticket == ticket), "stream {ticket}");
+        let ended = Event::DispatchEnded { ticket, outcome: BROKEN_OFF, begun: false, events: 0 };
+        sent += arrived.len() + dispatches(&entry.send(ended)).len();
+    }
+    sent - 60
+}
+
+/// Guards against streams that take the retry budget, or the places of other requests, while they wait for a
+/// version that no target runs.
+#[test]
+fn streams_that_wait_for_their_version_take_nothing_from_others() {
+    let alone = retries_beside(0);
+
+    let beside = retries_beside(40);
+
+    // Each waiting stream was a request, which adds a fraction of a retry to the budget.
+    assert!(alone > 20 && beside >= alone, "{alone} {beside}");
+}
