Record which version began a stream, and look it up when a caller resumes it

Cause: the process that a caller returns to gets the caller's position in the stream and the name of the earlier attempt, and nothing that says which version began it. It sent the request to any target of the pool.

Ruled out: telling every process (49 streams a second to 1,800 processes); homes among the entry processes, which are killed together with the one whose streams are resumed; a version that both compute from the request's id, since a home that is lost can't be told from a stream that followed the rule.

Change: with the first event a process records the version at two agents that a hash ring of the listed agents chooses, in two availability zones where it can. A process at which a stream is resumed asks four agents of the ring and dispatches nothing before it knows. A home that is unreachable or leaves the list is replaced while the stream runs. A record expires with the caller's deadline. If no agent knows the stream the request is refused as version_unknown and hasn't run; agents that don't answer are asked three times. Without any agent the stream goes on only if one version is listed.

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -7,13 +7,16 @@
     time::{Duration, Instant},
 };
 
-use model::reservation::{Ask, Fate, Id, Limit};
-use scheduler::agent::Event;
+use model::{
+    id::StreamKey,
+    reservation::{Ask, Fate, Id, Limit},
+};
+use scheduler::{agent::Event, origins::Origins};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{MissedTickBehavior, interval, sleep_until, timeout},
 };
-use wire::admission::Target;
+use wire::admission::{OriginRecord, Target};
 
 use super::{
     Look, Seen,
@@ -46,6 +49,8 @@
         address: SocketAddr,
         result: Seen,
     },
+    RecordOrigin(OriginRecord, oneshot::Sender<bool>),
+    FindOrigin(StreamKey, oneshot::Sender<Option<String>>),
     Drain,
 }
 
@@ -68,6 +73,8 @@
     /// Queues by the address of the target: the one on this host, and those without an agent of
     /// their own.
     queues: HashMap<SocketAddr, Queue>,
+    /// Versions that began streams, as entry processes recorded them.
+    origins: Origins,
     is_draining: bool,
     control: Handle,
     look: Look,
@@ -77,7 +84,13 @@
 pub fn spawn(look: Look) -> Handle {
     let (messages, inbox) = mpsc::unbounded_channel();
     let handle = Handle { messages };
-    let task = Task { queues: HashMap::new(), is_draining: false, control: handle.clone(), look };
+    let task = Task {
+        queues: HashMap::new(),
+        origins: Origins::default(),
+        is_draining: false,
+        control: handle.clone(),
+        look,
+    };
     tokio::spawn(task.run(inbox));
     handle
 }
@@ -112,6 +125,20 @@
         }
     }
 
+    /// Records the version that began a stream. Returns whether it was recorded.
+    pub async fn record_origin(&self, record: OriginRecord) -> bool {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::RecordOrigin(record, reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Returns the version that began a stream; `None` where it isn't recorded.
+    pub async fn find_origin(&self, key: StreamKey) -> Option<String> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::FindOrigin(key, reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Denies all waiting and all future reservations.
     pub fn drain(&self) {
         self.send(Message::Drain);
@@ -182,6 +209,15 @@
             Message::Probed { address, result } => {
                 self.with_queue(address, |queue| queue.apply_probe(result));
             }
+            Message::RecordOrigin(record, reply) => {
+                let OriginRecord { key, version, lifetime_ms } = record;
+                let lifetime = Duration::from_millis(lifetime_ms.into());
+                // The caller may have disconnected.
+                let _ = reply.send(self.origins.record(Instant::now(), key, version, lifetime));
+            }
+            Message::FindOrigin(key, reply) => {
+                let _ = reply.send(self.origins.find(Instant::now(), &key).cloned());
+            }
             Message::Drain => {
                 self.is_draining = true;
                 self.reduce_all(&Event::Drain);
@@ -202,6 +238,7 @@
     /// Removes idle queues and probes every target on this host.
     fn probe_all(&mut self) {
         let now = Instant::now();
+        self.origins.remove_expired(now);
         self.queues.retain(|_, queue| !queue.is_idle(now));
         let local = self.queues.values().map(Queue::target).filter(|target| target.beside);
         local.for_each(|target| self.probe(target.address));
--- a/components/agent/src/admission/service.rs
+++ b/components/agent/src/admission/service.rs
@@ -4,6 +4,7 @@
 
 use futures::{StreamExt, future};
 use model::{
+    id::StreamKey,
     refusal::Reason,
     reservation::{Ask, Denial, Fate, Grant, Id, Limit, Load},
 };
@@ -13,7 +14,7 @@
     tokio_serde::formats::Bincode,
 };
 use wire::{
-    admission::{Admission, Target},
+    admission::{Admission, OriginRecord, Target},
     ending, socket,
 };
 
@@ -67,4 +68,12 @@
     async fn hold(self, _: Context, id: Id, address: SocketAddr) -> Fate {
         self.control.hold(id, address).await
     }
+
+    async fn record_origin(self, _: Context, record: OriginRecord) -> bool {
+        self.control.record_origin(record).await
+    }
+
+    async fn find_origin(self, _: Context, key: StreamKey) -> Option<String> {
+        self.control.find_origin(key).await
+    }
 }
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -44,9 +44,18 @@
     metrics: Arc<Gateway>,
 }
 
-/// Builds the set of reservations, empty and without connections.
-pub fn open(incarnation: u64, on_ended: OnReservationEnded, metrics: Arc<Gateway>) -> Reservations {
-    let pool = Arc::new(pool::open(CONNECT_TIMEOUT, admission::connect));
+/// Returns a pool without connections to agents.
+pub fn open_pool() -> Arc<Pool<AdmissionClient>> {
+    Arc::new(pool::open(CONNECT_TIMEOUT, admission::connect))
+}
+
+/// Builds the set of reservations, empty. They use the connections of the pool.
+pub fn open(
+    incarnation: u64,
+    pool: Arc<Pool<AdmissionClient>>,
+    on_ended: OnReservationEnded,
+    metrics: Arc<Gateway>,
+) -> Reservations {
     Reservations { pool, incarnation, tasks: HashMap::new(), on_ended, metrics }
 }
 
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -30,12 +30,14 @@
     time::{sleep_until, timeout},
 };
 use tracing::{error, info};
+use wire::admission::OriginRecord;
 
 use crate::{
     Feed, Records, Settings,
     agents::{self, Reservations},
     dispatch,
     links::{self, CallResult, Links},
+    origins::{self, Origins},
     peer::{self, ExchangeAnswer, ExchangeRequest},
     proof::{self, Recorder},
     record,
@@ -115,6 +117,7 @@
     request_ids: HashMap<Ticket, String>,
     links: Links,
     reservations: Reservations,
+    origins: Origins,
     messages: mpsc::UnboundedSender<Message>,
     status: watch::Sender<Status>,
     /// Address at which this process listens for other entry processes.
@@ -150,13 +153,18 @@
     let sender = messages.clone();
     let on_reservation_ended: agents::OnReservationEnded =
         Arc::new(move |event| drop(sender.send(Message::ReservationEnded(event))));
+    let sender = messages.clone();
+    let on_origin_call_ended: origins::OnEnded =
+        Arc::new(move |event| drop(sender.send(Message::Event(event))));
     let incarnation = settings.direct.incarnation;
+    let pool = agents::open_pool();
     let thread = ControlThread {
         state: direct::open(Instant::now(), settings.direct.clone()),
         commands: HashMap::new(),
         request_ids: HashMap::new(),
         links: links::open(on_call_ended, Arc::clone(&metrics)),
-        reservations: agents::open(incarnation, on_reservation_ended, Arc::clone(&metrics)),
+        origins: origins::open(Arc::clone(&pool), on_origin_call_ended, Arc::clone(&metrics)),
+        reservations: agents::open(incarnation, pool, on_reservation_ended, Arc::clone(&metrics)),
         messages,
         status,
         own_address: settings.direct.address,
@@ -459,6 +467,11 @@
             }
             Effect::Fetch { peer, topic } => self.links.fetch(peer, topic),
             Effect::Reserve(reservation) => self.reservations.reserve(reservation),
+            Effect::RecordOrigin { ticket, agent, key, version, lifetime } => {
+                let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
+                self.origins.record(ticket, agent, OriginRecord { key, version, lifetime_ms });
+            }
+            Effect::FindOrigin { ticket, key, agents } => self.origins.find(ticket, key, agents),
             Effect::WithdrawReservation { ticket, number } => {
                 self.reservations.withdraw(ticket, number)
             }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod events;
 mod ingress;
 mod links;
+mod origins;
 mod peer;
 pub mod proof;
 pub mod record;
--- a/components/gateway/src/proof.rs
+++ b/components/gateway/src/proof.rs
@@ -165,8 +165,8 @@
         direct::RefusalReason::DeadlineExceeded
         | direct::RefusalReason::DeadlineExceededMayHaveRun => Reason::Deadline,
         direct::RefusalReason::Lost => Reason::TargetLost,
-        direct::RefusalReason::AllDispatchesFailed | direct::RefusalReason::VersionUnavailable => {
-            Reason::NoTarget
-        }
+        direct::RefusalReason::AllDispatchesFailed
+        | direct::RefusalReason::VersionUnavailable
+        | direct::RefusalReason::VersionUnknown => Reason::NoTarget,
     }
 }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -63,7 +63,9 @@
             info!(to = target, "probing whether the target accepts connections")
         }
         Effect::Fetch { .. }
+        | Effect::FindOrigin { .. }
         | Effect::PassFailure { .. }
+        | Effect::RecordOrigin { .. }
         | Effect::Refuse { .. }
         | Effect::Reserve(_)
         | Effect::WithdrawReservation { .. } => {}
@@ -104,14 +106,17 @@
         Effect::Log(LogEntry::RateLimitChanged { .. }) => set_limited_targets(state, metrics),
         Effect::Log(
             LogEntry::Crashed { .. }
+            | LogEntry::OriginLookedUp { .. }
             | LogEntry::Quarantined(_)
             | LogEntry::Restarted(_)
             | LogEntry::Rollout(_),
         )
         | Effect::Fetch { .. }
         | Effect::CancelDispatch { .. }
+        | Effect::FindOrigin { .. }
         | Effect::PassFailure { .. }
         | Effect::Probe { .. }
+        | Effect::RecordOrigin { .. }
         | Effect::Reserve(_)
         | Effect::WithdrawReservation { .. } => {}
     }
@@ -183,6 +188,7 @@
         RefusalReason::Lost => "target_lost",
         RefusalReason::AllDispatchesFailed => "no_target",
         RefusalReason::VersionUnavailable => "version_unavailable",
+        RefusalReason::VersionUnknown => "version_unknown",
     }
 }
 
@@ -330,6 +336,14 @@
                 "the entry processes with current rows changed"
             );
         }
+        LogEntry::OriginLookedUp { request, version, lookups, unanswered, waited } => info!(
+            request,
+            version,
+            lookups,
+            unanswered,
+            waited_ms = millis(*waited),
+            "the version that began a resumed stream was looked up"
+        ),
         LogEntry::Restarted(target) => info!(to = target, "a target restarted under its name"),
         LogEntry::RateLimitChanged { target, per_second: Some(per_second) } => {
             info!(to = target, per_second, "a target states a rate limit");
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -61,6 +61,8 @@
     dispatches: Family<ReasonLabel, Counter>,
     exchanges: Family<ReasonLabel, Counter>,
     reservations: Family<ReasonLabel, Counter>,
+    /// Records and lookups of versions that began streams, by outcome.
+    origins: Family<DataLabel, Counter>,
     relayed: Family<DataLabel, Counter>,
     /// Number of requests that haven't ended.
     pub open_requests: Gauge,
@@ -99,6 +101,7 @@
         dispatches: Family::default(),
         exchanges: Family::default(),
         reservations: Family::default(),
+        origins: Family::default(),
         relayed: Family::default(),
         open_requests: Gauge::default(),
         configuration_version: Gauge::default(),
@@ -124,6 +127,8 @@
     registry.register("exchanges", exchanges_help, metrics.exchanges.clone());
     let reservations_help = "Reservations at agents that ended, by outcome";
     registry.register("reservations", reservations_help, metrics.reservations.clone());
+    let origins_help = "Records and lookups at agents of versions that began streams, by outcome";
+    registry.register("origins", origins_help, metrics.origins.clone());
     let relayed_help = "Times that something was given to another entry process that lacks it";
     registry.register("relayed", relayed_help, metrics.relayed.clone());
     let gauges = [
@@ -210,6 +215,11 @@
         self.reservations.get_or_create(&ReasonLabel { reason: outcome.to_owned() }).inc();
     }
 
+    /// Counts a record or a lookup of the version that began a stream.
+    pub fn count_origin(&self, what: &'static str) {
+        self.origins.get_or_create(&DataLabel { what }).inc();
+    }
+
     /// Counts a piece of data that was sent to a peer which lacked it, by the kind of data.
     pub fn relayed(&self, what: &'static str) {
         self.relayed.get_or_create(&DataLabel { what }).inc();
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -7,7 +7,7 @@
 use super::{
     DEFAULT_TIMEOUT, MAX_WAIT_FLOOR, MAX_WAIT_SHARE, NOT_READY_RETRY_AFTER, PROMOTION_SHARE, State,
     event::{Effect, Now, Refusal, RefusalContext, RefusalReason, Request},
-    origin::Origin,
+    origin::{self, Origin},
     pending::{PendingRequest, RetryCharge, Stage},
     plan::Configuration,
     refusal,
@@ -23,6 +23,7 @@
                 self.requests.insert(ticket, pending);
                 self.enqueue(ticket);
                 self.refuse_if_units_too_late(now.steady, ticket, effects);
+                self.start_lookup(now.steady, ticket, effects);
             }
             Err(refusal) => effects.push(Effect::Refuse { ticket, refusal, context }),
         }
@@ -68,8 +69,12 @@
             self.allowance(name).record_request(unit_request);
         }
         self.count_for_retry_budget(now.steady, &pool);
+        let stream_key = origin::stream_key(account.as_deref(), &request);
         let max_wait =
             timeout.min(MAX_WAIT_FLOOR.max(route.target_latency.mul_f64(MAX_WAIT_SHARE)));
+        // A part of a resumed stream is worth nothing without the rest, however late that comes.
+        let origin = Origin::of_arrival(&request, route.is_stream, route.repeat);
+        let wait_deadline = now.steady + if origin.is_unknown() { timeout } else { max_wait };
         Ok(PendingRequest {
             account_rank: account_settings.map_or(0, |account| account.rank),
             lowest_account_rank: self.lowest_account_rank,
@@ -78,7 +83,7 @@
             is_promoted: false,
             arrived: now.steady,
             deadline: now.steady + timeout,
-            wait_deadline: now.steady + max_wait,
+            wait_deadline,
             units,
             route: route.name.clone(),
             account,
@@ -90,7 +95,10 @@
             charge: RetryCharge::Nothing,
             may_have_run: false,
             has_begun: false,
-            origin: Origin::NotBegun,
+            origin,
+            has_first_event: false,
+            stream_key,
+            homes: Vec::new(),
             has_failed_answer: false,
             possibly_ran_at: Vec::new(),
             rejected_by: Vec::new(),
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -7,7 +7,7 @@
 };
 
 use model::{
-    id::{AccountName, Fingerprint, PoolName, Rank, TargetName, ZoneName},
+    id::{AccountName, Fingerprint, PoolName, Rank, StreamKey, TargetName, ZoneName},
     reservation::{Limit, Load},
 };
 
@@ -219,6 +219,22 @@
         /// Number of events of a stream that were received in this dispatch.
         events: u32,
     },
+    /// A lookup of the version that began a stream ended.
+    OriginAnswered {
+        /// Request that resumes the stream.
+        ticket: Ticket,
+        /// Version that an agent knows; `None` where none does.
+        version: Option<Version>,
+        /// Number of agents that didn't answer.
+        unanswered: u32,
+    },
+    /// An agent couldn't record the version that began a stream.
+    OriginUnrecorded {
+        /// Request whose stream was to be recorded.
+        ticket: Ticket,
+        /// Address at which the agent listens.
+        agent: SocketAddr,
+    },
     /// The caller closed its connection before the request ended.
     CallerDisconnected {
         /// Request of that caller.
@@ -313,6 +329,8 @@
     Lost,
     /// Every dispatch failed before the request ran.
     AllDispatchesFailed,
+    /// The version that began the stream isn't known, so that no target can continue it.
+    VersionUnknown,
     /// No target of the version that began the stream had a free slot before the deadline.
     VersionUnavailable,
 }
@@ -511,6 +529,28 @@
         /// Topic to fetch.
         topic: Topic,
     },
+    /// Record at an agent which version began a stream. A failure comes back as [`Event::OriginUnrecorded`].
+    RecordOrigin {
+        /// Request of the stream.
+        ticket: Ticket,
+        /// Address at which the agent listens.
+        agent: SocketAddr,
+        /// Key of the stream.
+        key: StreamKey,
+        /// Version that began the stream.
+        version: Version,
+        /// Time for which the record is needed.
+        lifetime: Duration,
+    },
+    /// Ask agents which version began a stream. The result comes back as [`Event::OriginAnswered`].
+    FindOrigin {
+        /// Request that resumes the stream.
+        ticket: Ticket,
+        /// Key of the stream.
+        key: StreamKey,
+        /// Addresses at which the agents listen.
+        agents: Vec<SocketAddr>,
+    },
     /// End a request by passing the error answer of a target on to the caller.
     PassFailure {
         /// Request that ends.
@@ -570,6 +610,19 @@
     },
     /// Requests with this fingerprint are refused from now on, since they crashed targets.
     Quarantined(Fingerprint),
+    /// The version that began a resumed stream was looked up.
+    OriginLookedUp {
+        /// Request ID of the attempt that resumes the stream.
+        request: String,
+        /// Version that began the stream; `None` where it isn't known.
+        version: Option<Version>,
+        /// Number of lookups.
+        lookups: u32,
+        /// Number of agents that didn't answer the last one.
+        unanswered: u32,
+        /// Time since the request arrived.
+        waited: Duration,
+    },
     /// A rollout made a step.
     Rollout(Box<Step>),
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -56,6 +56,7 @@
     Resumption, Target, Ticket, Tokens,
 };
 use holds::SlotTimes;
+use origin::Homes;
 use peers::{Peers, Row, TargetLimit};
 use pending::{PendingRequest, QueueKey, Stage};
 use plan::Configuration;
@@ -203,6 +204,10 @@
     budgets: BTreeMap<PoolName, RetryBudget>,
     /// Mean times for which requests hold their slots, by pool and tier.
     slot_times: SlotTimes,
+    /// Agents at which the versions of begun streams are recorded.
+    homes: Homes,
+    /// Times at which the versions of resumed streams are looked up again.
+    lookups: BTreeSet<(Instant, Ticket)>,
     rollouts: Rollouts,
     peers: Peers,
     /// Index of this process among the entry processes that may take requests, and their number.
@@ -317,6 +322,8 @@
         accounts: BTreeMap::new(),
         budgets: BTreeMap::new(),
         slot_times: SlotTimes::default(),
+        homes: Homes::default(),
+        lookups: BTreeSet::new(),
         rollouts: Rollouts::default(),
         peers: Peers::default(),
         process_index: ProcessIndex { index: 0, count: 1 },
@@ -343,7 +350,7 @@
             state.handle_grant(now.steady, ticket, number, load, &mut effects);
         }
         Event::Denied { ticket, number, reason } => {
-            state.handle_denial(now.steady, ticket, number, reason)
+            state.handle_denial(now.steady, ticket, number, reason, &mut effects)
         }
         Event::AnswerBegan { ticket } => {
             state.handle_answer_began(now.steady, ticket, &mut effects)
@@ -360,6 +367,12 @@
         Event::DispatchEnded { ticket, outcome, begun, events } => {
             state.handle_dispatch_ended(now, ticket, outcome, (begun, events), &mut effects);
         }
+        Event::OriginAnswered { ticket, version, unanswered } => {
+            state.handle_origin_answer(now.steady, ticket, version, unanswered, &mut effects);
+        }
+        Event::OriginUnrecorded { ticket, agent } => {
+            state.replace_home(now.steady, ticket, agent, &mut effects);
+        }
         Event::CallerDisconnected { ticket, .. } => {
             state.end_request(now.steady, ticket, &mut effects);
         }
@@ -406,6 +419,7 @@
     state.update_freshness(now, &mut effects);
     state.drop_vanished_targets(now.steady, &mut effects);
     state.start_fetches(now.steady, &mut effects);
+    state.repeat_lookups(now.steady, &mut effects);
     state.admit_limited(now.steady);
     state.handle_due_timers(now.steady, &mut effects);
     state.dispatch_waiting(now, &mut effects);
@@ -420,7 +434,9 @@
     let has_waiting = state.waiting.values().any(|queue| !queue.is_empty());
     let next_up = if has_waiting { state.capacity.next_available(now) } else { None };
     let next_reservation = state.reserve_at.first().copied();
-    next_timer.into_iter().chain(next_up).chain(state.next_grant).chain(next_reservation).min()
+    let next_lookup = state.lookups.first().map(|&(at, _)| at);
+    let others = state.next_grant.into_iter().chain(next_reservation).chain(next_lookup);
+    next_timer.into_iter().chain(next_up).chain(others).min()
 }
 
 impl State {
--- a/components/scheduler/src/direct/origin.rs
+++ b/components/scheduler/src/direct/origin.rs
@@ -1,7 +1,41 @@
 //! The versions that begin streams. What targets of two versions write doesn't fit together, so that a stream
 //! of which the caller has received a part continues only at targets of the version that began it.
+//!
+//! A caller may resume its stream through any entry process. So each process records the version of each
+//! stream that it begins at two agents, which are chosen by a hash of the stream and called its homes. A
+//! process at which a stream is resumed computes the same homes and asks them. Since the lists of targets of
+//! the two processes may differ, and a home may be unreachable, the next agents of the hash ring are asked
+//! too. Agents answer also after the process that recorded the stream has stopped.
 
-use super::rollout::Version;
+use std::{
+    collections::BTreeSet,
+    hash::BuildHasher,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use model::id::{self, StreamKey, ZoneName};
+
+use super::{
+    HASHER, State,
+    event::{Effect, LogEntry, RefusalReason, Request, Ticket},
+    pending::PendingRequest,
+    plan::Repeat,
+    rollout::Version,
+};
+
+/// Number of homes at which a stream is recorded.
+const HOMES: usize = 2;
+/// Number of agents that are asked for a stream; a home that is unreachable is replaced by one of them.
+const ASKED_AGENTS: usize = 4;
+/// Number of points of each agent on the hash ring.
+const POINTS_PER_AGENT: u32 = 4;
+/// Number of times that the agents are asked for a stream while some of them don't answer.
+const MAX_LOOKUPS: u32 = 3;
+/// Time between two lookups of the same stream.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a stream is recorded whose caller states no deadline.
+const DEFAULT_LIFETIME: Duration = Duration::from_secs(30);
 
 /// What is known of the version that began the answer to a request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -9,16 +43,298 @@
     /// The caller has received nothing of the answer, so that a target of any version may begin it.
     #[default]
     NotBegun,
+    /// An earlier attempt of the caller received the first event. The request isn't dispatched until the
+    /// version is found.
+    Unknown {
+        /// Number of lookups that were started.
+        lookups: u32,
+    },
     /// A target of this version began the answer, which only targets of the same version may continue.
     Begun(Version),
 }
 
+/// An agent to which the record of a stream's version was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Home {
+    /// Address at which the agent listens.
+    pub agent: SocketAddr,
+    /// Whether the agent was unreachable, so that another one was chosen in its place.
+    pub is_lost: bool,
+}
+
+/// Agents that may be homes of streams, on a hash ring.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    /// All agents, sorted by address.
+    agents: Vec<(SocketAddr, ZoneName)>,
+    /// Points on the ring in ascending order, each with the index of its agent.
+    points: Vec<(u64, u32)>,
+}
+
 impl Origin {
-    /// Returns the version that targets need to continue the answer; `None` where any target may begin it.
+    /// Returns what is known of the version when a request arrives.
+    pub fn of_arrival(request: &Request, is_stream: bool, policy: Repeat) -> Origin {
+        if is_stream && policy == Repeat::Resumable && request.resumption.is_some() {
+            Origin::Unknown { lookups: 0 }
+        } else {
+            Origin::NotBegun
+        }
+    }
+
+    /// Returns the version that targets need to continue the answer; `None` where any target may begin it, or
+    /// where the version isn't known yet.
     pub fn version(&self) -> Option<&Version> {
         match self {
-            Origin::NotBegun => None,
+            Origin::NotBegun | Origin::Unknown { .. } => None,
             Origin::Begun(version) => Some(version),
         }
     }
+
+    /// Returns whether the version that began the answer isn't known yet.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self, Origin::Unknown { .. })
+    }
+}
+
+impl Homes {
+    /// Replaces the agents. Returns whether they changed.
+    pub fn replace(&mut self, mut agents: Vec<(SocketAddr, ZoneName)>) -> bool {
+        agents.sort_unstable();
+        agents.dedup_by_key(|(address, _)| *address);
+        if agents == self.agents {
+            return false;
+        }
+        let points = agents.iter().zip(0_u32..).flat_map(|((address, _), index)| {
+            (0..POINTS_PER_AGENT).map(move |point| (HASHER.hash_one((address, point)), index))
+        });
+        self.points = points.collect();
+        self.points.sort_unstable();
+        self.agents = agents;
+        true
+    }
+
+    /// Returns the agents to ask for a stream, its homes first. The second one is in another availability zone
+    /// than the first if any of them is.
+    pub fn candidates(&self, key: &StreamKey) -> Vec<SocketAddr> {
+        let hash = HASHER.hash_one(key);
+        let start = self.points.partition_point(|&(point, _)| point < hash);
+        let mut chosen: Vec<u32> = Vec::new();
+        for &(_, agent) in self.points[start..].iter().chain(&self.points[..start]) {
+            if chosen.len() == ASKED_AGENTS {
+                break;
+            }
+            if !chosen.contains(&agent) {
+                chosen.push(agent);
+            }
+        }
+        let chosen = chosen.iter().filter_map(|&agent| self.agents.get(agent as usize));
+        let mut chosen: Vec<&(SocketAddr, ZoneName)> = chosen.collect();
+        let other_zone = chosen.iter().position(|(_, zone)| *zone != chosen[0].1);
+        if let Some(other_zone) = other_zone {
+            chosen[1..=other_zone].rotate_right(1);
+        }
+        chosen.into_iter().map(|&(address, _)| address).collect()
+    }
+}
+
+/// Returns the key of the stream that a request begins or resumes: the attempt that received the first event,
+/// within its account.
+pub fn stream_key(account: Option<&str>, request: &Request) -> StreamKey {
+    let resumed = request.resumption.as_ref().and_then(|known| known.first_attempt.as_ref());
+    let first_attempt = resumed.unwrap_or(&request.id);
+    id::fingerprint(&[account.unwrap_or_default().as_bytes(), first_attempt.as_bytes()])
+}
+
+impl PendingRequest {
+    /// Records that a target of this version sent the first event of the answer. The first version is kept.
+    pub(super) fn record_origin(&mut self, version: &Version) {
+        if self.is_stream && self.origin == Origin::NotBegun {
+            self.origin = Origin::Begun(version.clone());
+        }
+    }
+
+    /// Adds an agent to the homes of the stream, and returns the effect that records the version there.
+    fn record_at(&mut self, now: Instant, agent: SocketAddr, version: Version) -> Effect {
+        self.homes.push(Home { agent, is_lost: false });
+        let (ticket, key) = (self.request.ticket, self.stream_key);
+        Effect::RecordOrigin { ticket, agent, key, version, lifetime: self.record_lifetime(now) }
+    }
+
+    /// Returns the time for which the stream's record is kept: until the caller's deadline, which may be later
+    /// than that of this request and limits all its attempts.
+    fn record_lifetime(&self, now: Instant) -> Duration {
+        let end = self.arrived + self.request.timeout.unwrap_or(DEFAULT_LIFETIME);
+        end.saturating_duration_since(now)
+    }
+}
+
+impl State {
+    /// Starts to look up the version that began a request's stream, if it isn't known yet. Without a list of
+    /// targets the agents aren't known either, so the lookup starts with the first list.
+    pub(super) fn start_lookup(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let has_list = self.target_list.position != Default::default();
+        let Some(pending) = self.requests.get_mut(&ticket).filter(|_| has_list) else {
+            return;
+        };
+        let Origin::Unknown { lookups } = &mut pending.origin else {
+            return;
+        };
+        let resumption = pending.request.resumption.as_ref();
+        let agents = match resumption.and_then(|known| known.first_attempt.as_ref()) {
+            Some(_) => self.homes.candidates(&pending.stream_key),
+            None => Vec::new(),
+        };
+        *lookups += 1;
+        if agents.is_empty() {
+            let version = self.only_version(ticket);
+            return self.end_lookup(now, ticket, version, 0, effects);
+        }
+        let key = pending.stream_key;
+        effects.push(Effect::FindOrigin { ticket, key, agents });
+    }
+
+    /// Starts the lookups that wait for the first list of targets, and records begun streams at agents that
+    /// have become their homes.
+    pub(super) fn update_homes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let ready = self.capacity.listed_targets().filter(|target| target.is_ready);
+        let agents = ready.filter_map(|target| Some((target.agent_address?, target.zone.clone())));
+        let has_changed = self.homes.replace(agents.collect());
+        let mut tickets: Vec<Ticket> = self.requests.keys().copied().collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            match self.requests.get(&ticket).map(|pending| &pending.origin) {
+                Some(Origin::Unknown { lookups: 0 }) => self.start_lookup(now, ticket, effects),
+                Some(Origin::Begun(_)) if has_changed => self.record_stream(now, ticket, effects),
+                _ => {}
+            }
+        }
+    }
+
+    /// Starts the lookups that are due again.
+    pub(super) fn repeat_lookups(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(&(at, ticket)) = self.lookups.first().filter(|(at, _)| *at <= now) {
+            self.lookups.remove(&(at, ticket));
+            self.start_lookup(now, ticket, effects);
+        }
+    }
+
+    /// Handles the answers to a lookup. If no agent knows the stream and `unanswered` of them didn't answer, the
+    /// lookup is repeated.
+    pub(super) fn handle_origin_answer(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        version: Option<Version>,
+        unanswered: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(Origin::Unknown { lookups }) =
+            self.requests.get(&ticket).map(|pending| &pending.origin)
+        else {
+            return;
+        };
+        if version.is_none() && unanswered > 0 && *lookups < MAX_LOOKUPS {
+            self.lookups.insert((now + LOOKUP_PAUSE, ticket));
+            return;
+        }
+        self.end_lookup(now, ticket, version, unanswered, effects);
+    }
+
+    /// Ends the lookup of a stream; refuses the request where the version wasn't found.
+    fn end_lookup(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        version: Option<Version>,
+        unanswered: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Origin::Unknown { lookups } = pending.origin else {
+            return;
+        };
+        effects.push(Effect::Log(LogEntry::OriginLookedUp {
+            request: pending.request.id.clone(),
+            version: version.clone(),
+            lookups,
+            unanswered,
+            waited: now.saturating_duration_since(pending.arrived),
+        }));
+        match version {
+            Some(version) => pending.origin = Origin::Begun(version),
+            None => self.refuse(now, ticket, RefusalReason::VersionUnknown, false, effects),
+        }
+    }
+
+    /// Returns the version of all listed targets of a request's pool; `None` where there are several versions or
+    /// no targets.
+    fn only_version(&self, ticket: Ticket) -> Option<Version> {
+        let pool = &self.requests.get(&ticket)?.pool;
+        let targets = self.capacity.listed_targets().filter(|target| target.pool == *pool);
+        let versions: BTreeSet<&Version> = targets.map(|target| &target.version).collect();
+        let mut versions = versions.into_iter();
+        versions.next().filter(|_| versions.next().is_none()).cloned()
+    }
+
+    /// Records the version of a stream that has begun at those of its homes where it isn't recorded yet.
+    pub(super) fn record_stream(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let is_recorded = pending.retry_policy == Repeat::Resumable && pending.has_first_event;
+        let Some(version) = pending.origin.version().filter(|_| is_recorded).cloned() else {
+            return;
+        };
+        let homes = self.homes.candidates(&pending.stream_key).into_iter().take(HOMES);
+        for agent in homes.collect::<Vec<_>>() {
+            if pending.homes.iter().all(|home| home.agent != agent) {
+                effects.push(pending.record_at(now, agent, version.clone()));
+            }
+        }
+    }
+
+    /// Records the streams whose home is unreachable at other agents.
+    pub(super) fn leave_home(
+        &mut self,
+        now: Instant,
+        unreachable: SocketAddr,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_home = |home: &Home| home.agent == unreachable && !home.is_lost;
+        let streams = self.requests.iter().filter(|(_, pending)| pending.homes.iter().any(is_home));
+        let mut tickets: Vec<Ticket> = streams.map(|(&ticket, _)| ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            self.replace_home(now, ticket, unreachable, effects);
+        }
+    }
+
+    /// Records a stream at the next agent in place of one that is unreachable.
+    pub(super) fn replace_home(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        unreachable: SocketAddr,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let home = pending.homes.iter_mut().find(|home| home.agent == unreachable);
+        if home.is_none_or(|home| std::mem::replace(&mut home.is_lost, true)) {
+            return;
+        }
+        let is_new = |agent: &SocketAddr| pending.homes.iter().all(|home| home.agent != *agent);
+        let next = self.homes.candidates(&pending.stream_key).into_iter().find(is_new);
+        if let (Some(agent), Some(version)) = (next, pending.origin.version().cloned()) {
+            effects.push(pending.record_at(now, agent, version));
+        }
+    }
 }
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -5,16 +5,16 @@
     time::{Duration, Instant},
 };
 
-use model::id::{AccountName, PoolName, TargetName, ZoneName};
+use model::id::{AccountName, PoolName, StreamKey, TargetName, ZoneName};
 
 use super::{
     RETRY_WAIT_MAX,
     allowance::UnitRequest,
     capacity::{Demand, Slot},
     event::{Incarnation, Request, Ticket, Tokens},
-    origin::Origin,
+    origin::{Home, Origin},
     plan::Repeat,
-    rollout::{Lane, Rollouts, Version},
+    rollout::{Lane, Rollouts},
 };
 
 /// Sort key of a queued request; the lowest key of a queue is dispatched first.
@@ -147,6 +147,12 @@
     /// Version that began the answer. Only streams have one: of any other answer the caller receives nothing
     /// before it is complete.
     pub origin: Origin,
+    /// Whether this process received an event of the answer, so that it records which version began the stream.
+    pub has_first_event: bool,
+    /// Key under which the stream's version is recorded.
+    pub stream_key: StreamKey,
+    /// Agents to which the record of the stream's version was sent.
+    pub homes: Vec<Home>,
     /// Whether a target answered with a failure; it is passed to the caller if no other target answers.
     pub has_failed_answer: bool,
     /// Targets that may have run the request; it isn't dispatched to them again.
@@ -244,13 +250,6 @@
         was_selected
     }
 
-    /// Records that a target of this version sent the first event of the answer. The first version is kept.
-    pub fn record_origin(&mut self, version: &Version) {
-        if self.is_stream && self.origin == Origin::NotBegun {
-            self.origin = Origin::Begun(version.clone());
-        }
-    }
-
     /// Returns what the request requires of a target, for a request that goes to a base version and may use
     /// all slots. Callers overwrite `lane` and `is_lowest_tier` for other requests, and set `version` for
     /// streams that have begun.
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -97,6 +97,7 @@
                 continue;
             }
             let reason = match self.requests.get(&ticket) {
+                Some(pending) if pending.origin.is_unknown() => RefusalReason::VersionUnknown,
                 Some(pending) if pending.origin.version().is_some() => {
                     RefusalReason::VersionUnavailable
                 }
@@ -129,6 +130,9 @@
                     dequeued.push(*key);
                     continue;
                 };
+                if pending.origin.is_unknown() {
+                    continue;
+                }
                 let version = pending.origin.version().cloned();
                 // A stream whose version no target runs now takes no retry from the budget while it waits.
                 if let Some(version) = &version {
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -188,13 +188,17 @@
         ticket: Ticket,
         number: u32,
         reason: DenialReason,
+        effects: &mut Vec<Effect>,
     ) {
         let pending = self.requests.get_mut(&ticket);
         let Some(reserved) = pending.and_then(|pending| pending.take_reservation(number)) else {
             return;
         };
         match reason {
-            DenialReason::AgentUnreachable => self.capacity.mark_agent_unreachable(now, &reserved),
+            DenialReason::AgentUnreachable => {
+                self.capacity.mark_agent_unreachable(now, &reserved);
+                self.leave_home(now, reserved.agent, effects);
+            }
             DenialReason::TargetUnreachable => {
                 self.capacity.mark_unreachable_by_agent(now, &reserved)
             }
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -41,7 +41,9 @@
         let InFlight { mut slot, dispatched_at, has_rate_limit, .. } = in_flight.clone();
         if let Some(pending) = self.requests.get_mut(&ticket) {
             pending.record_origin(&slot.version);
+            pending.has_first_event = true;
         }
+        self.record_stream(now, ticket, effects);
         self.capacity.record_first_event(&mut slot, time_to_first_event);
         if !has_rate_limit {
             self.handle_no_rate_limit(now, &slot, dispatched_at, effects);
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -121,6 +121,7 @@
             self.count_crashes(now, &target, true, effects);
             effects.push(Effect::Log(LogEntry::Restarted(target)));
         }
+        self.update_homes(now, effects);
         self.update_peers(now, effects);
     }
 
--- a/components/scheduler/src/lib.rs
+++ b/components/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limit;
 pub mod membership;
 pub mod order;
+pub mod origins;
 pub mod placement;
 pub mod presence;
 pub mod rate;
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -141,7 +141,10 @@
                     assert!(!request.has_ended && request.running_at.is_none(), "{request:?}");
                     request.has_ended = true;
                 }
-                Effect::Reserve(_) | Effect::WithdrawReservation { .. } => {
+                Effect::FindOrigin { .. }
+                | Effect::RecordOrigin { .. }
+                | Effect::Reserve(_)
+                | Effect::WithdrawReservation { .. } => {
                     panic!("no target has an agent: {effect:?}")
                 }
                 Effect::CancelDispatch { ticket, target } => {
--- a/components/wire/src/admission.rs
+++ b/components/wire/src/admission.rs
@@ -3,7 +3,10 @@
 
 use std::net::SocketAddr;
 
-use model::reservation::{Ask, Denial, Fate, Grant, Id, Limit};
+use model::{
+    id::StreamKey,
+    reservation::{Ask, Denial, Fate, Grant, Id, Limit},
+};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client::{self, NewClient},
@@ -23,6 +26,17 @@
     pub beside: bool,
 }
 
+/// Record of the version that began a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginRecord {
+    /// Key of the stream.
+    pub key: StreamKey,
+    /// Version of the target that sent the first event.
+    pub version: String,
+    /// Time in milliseconds for which the record is needed.
+    pub lifetime_ms: u32,
+}
+
 /// Calls to an agent that only performs admission control.
 #[tarpc::service]
 pub trait Admission {
@@ -32,6 +46,11 @@
     /// Holds the granted slot at the target with this address until the call is dropped or its
     /// connection ends. It returns only if the reservation has no grant, with the reservation's state.
     async fn hold(id: Id, address: SocketAddr) -> Fate;
+    /// Records which version began a stream, until the caller of the stream can't resume it any more. Returns
+    /// whether it was recorded.
+    async fn record_origin(record: OriginRecord) -> bool;
+    /// Returns the version that began a stream; `None` if the agent has no record of it.
+    async fn find_origin(key: StreamKey) -> Option<String>;
 }
 
 /// Connects to the agent at an address.
