Let versions without an order serve side by side

What callers saw: refusals while most of a pool stood idle. A process that knew v1 before v1.1 was listed gave v1.1 nothing (one target of v1, eight of v1.1: 2 of 18 slots), one that started later used both. So the two sent the same stream to different versions.

Cause: the base versions of a pool were those of the first list, which stands for what nobody ordered only as long as no target is replaced without an order.

Change: a version becomes a base version once the operator's records were read a second after it was first listed and no order names it, not while a rollout of the pool runs, and not if a rollout moved the traffic away from it. design/0054 has the ways weighed.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -173,6 +173,8 @@
     /// Whether targets that the platform's list lacks are still used, because an outage of the platform just
     /// ended.
     keeps_vanished: bool,
+    /// Number of ready targets that get no requests because of their version, when it was last logged.
+    unordered: usize,
     /// Era of the platform's service, which changes when the service is restored from a backup; `None` before
     /// the first answer of the service.
     era: Option<Era>,
@@ -308,6 +310,7 @@
         offers: BTreeMap::new(),
         fetching: BTreeSet::new(),
         keeps_vanished: false,
+        unordered: 0,
         era: None,
         era_began: None,
         departed: BTreeMap::new(),
@@ -394,7 +397,7 @@
             }
         }
         Event::ConfigurationConfirmed { boot, version, era } => {
-            state.confirm(now, boot, version, era)
+            state.confirm(now, boot, version, era, &mut effects)
         }
         Event::TargetsListed(listing) => state.apply_read_list(now.steady, listing, &mut effects),
         Event::TargetListAnswered => state.record_list_answer(now),
--- a/components/scheduler/src/direct/rollout.rs
+++ b/components/scheduler/src/direct/rollout.rs
@@ -1,8 +1,8 @@
 //! Rollouts: shift a pool's requests to targets of another version, after a canary phase that exposes
 //! a small share of them.
 //!
-//! The version that the rollout order names is the ordered version; the versions that served the pool
-//! before the order are its base versions.
+//! The version that the rollout order names is the ordered version; the versions that serve the pool without
+//! an order, side by side, are its base versions.
 //!
 //! Each entry process limits the share of its own dispatches that go to the ordered version. The limit
 //! therefore holds for the sum over all processes, also while some of them can't reach each other. The
@@ -14,6 +14,7 @@
 
 mod evidence;
 mod message;
+mod versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,6 +28,7 @@
 pub use message::{Action, Lane, Order, PeerRollout, Progress, Report, Step, Version};
 
 use super::relay::{Era, Position};
+use versions::PoolVersions;
 
 /// Fraction of the allowed share of requests that the ordered version gets in the canary phase. The
 /// rest is kept for the traffic shift, where a version that turns bad is detected only after it got
@@ -80,8 +82,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rollouts {
     rollouts: BTreeMap<PoolName, Rollout>,
-    /// Base versions by pool: those whose targets take requests without a running rollout.
-    base_versions: BTreeMap<PoolName, BTreeSet<Version>>,
+    /// Versions by pool that need no running rollout.
+    versions: BTreeMap<PoolName, PoolVersions>,
+    /// Time up to which this process knows all orders of the operator; `None` before the first read.
+    orders_confirmed: Option<Instant>,
     /// Current era of the platform service.
     era: Era,
 }
@@ -188,9 +192,10 @@
             }
         }
         let pool = order.pool.clone();
-        let base_versions = self.base_versions.entry(pool.clone()).or_default();
-        base_versions.remove(&order.version);
         let previous = self.rollouts.get(&pool);
+        let replaced = previous.filter(|previous| previous.progress != Progress::Completed);
+        let replaced = replaced.map(|previous| previous.order.version.clone());
+        self.versions.entry(pool.clone()).or_default().order(&order.version, replaced);
         let replaces_report = previous.is_some_and(|previous| {
             previous.order.version == order.version && previous.progress != Progress::Running
         });
@@ -243,7 +248,17 @@
         }
         rollout.replaces_report = false;
         rollout.reported = Some(report.progress);
-        adopt_decision(rollout, now, report.progress, &mut self.base_versions)
+        adopt_decision(rollout, now, report.progress, &mut self.versions)
+    }
+
+    /// Records that this process knows all orders that the operator gave up to a time.
+    pub fn confirm_orders(&mut self, at: Instant) {
+        self.orders_confirmed = self.orders_confirmed.max(Some(at));
+    }
+
+    /// Returns whether any version waits until it is certain that no order for it was written.
+    pub fn has_candidates(&self) -> bool {
+        self.versions.values().any(PoolVersions::has_candidates)
     }
 
     /// Merges the state of a rollout that a peer sent `age` ago. Returns the steps to log.
@@ -267,9 +282,8 @@
             _ => peer.reported,
         };
         steps.extend(
-            decision.and_then(|decision| {
-                adopt_decision(rollout, now, decision, &mut self.base_versions)
-            }),
+            decision
+                .and_then(|decision| adopt_decision(rollout, now, decision, &mut self.versions)),
         );
         steps
     }
@@ -310,8 +324,8 @@
                 Action::StartShift => rollout.shift_started = Some(now),
                 Action::Complete => {
                     let pool = rollout.order.pool.clone();
-                    let base_versions = self.base_versions.entry(pool).or_default();
-                    *base_versions = BTreeSet::from([rollout.order.version.clone()]);
+                    let versions = self.versions.entry(pool).or_default();
+                    versions.complete(&rollout.order.version);
                     rollout.progress = Progress::Completed;
                 }
                 _ => rollout.progress = Progress::RolledBack,
@@ -433,9 +447,7 @@
     }
 
     /// Returns the lane of each listed target of a pool; `targets` holds the version of each target and
-    /// whether the target is ready. Base versions are those that the pool had first, or the one whose rollout
-    /// completed last. If no listed target runs one of them, all listed versions except the latest ordered
-    /// one become base versions.
+    /// whether the target is ready.
     pub fn target_lanes(
         &mut self,
         now: Instant,
@@ -444,22 +456,19 @@
     ) -> Vec<Lane> {
         let rollout = self.rollouts.get(pool);
         let ordered_version = rollout.map(|rollout| &rollout.order.version);
-        let base_versions = self.base_versions.entry(pool.clone()).or_default();
-        let versions = targets.iter().map(|&(version, _)| version);
-        if !versions.clone().any(|version| base_versions.contains(version)) {
-            base_versions
-                .extend(versions.filter(|&version| ordered_version != Some(version)).cloned());
-        }
         let active = rollout.filter(|rollout| rollout.is_active());
+        let versions = self.versions.entry(pool.clone()).or_default();
+        let listed: BTreeSet<&Version> = targets.iter().map(|&(version, _)| version).collect();
+        let (is_running, confirmed) = (active.is_some(), self.orders_confirmed);
+        versions.update(now, &listed, ordered_version, is_running, confirmed);
         let is_shifting = active.is_some_and(|rollout| rollout.shift_started.is_some());
         let is_shifted = active.is_some_and(|rollout| rollout.is_shift_complete(now));
-        let old = targets
-            .iter()
-            .filter(|(version, is_ready)| *is_ready && base_versions.contains(*version));
+        let old =
+            targets.iter().filter(|(version, is_ready)| *is_ready && versions.is_base(version));
         let mut canaries_left =
             (old.count() as f64 * CANARY_TARGET_FRACTION).ceil().max(1.0) as usize;
         let lane = |&(version, is_ready): &(&Version, bool)| {
-            if base_versions.contains(version) {
+            if versions.is_base(version) {
                 return if is_shifted { Lane::Retiring } else { Lane::Base };
             }
             let is_ordered = active.is_some_and(|rollout| rollout.order.version == *version);
@@ -479,16 +488,16 @@
     rollout: &mut Rollout,
     now: Instant,
     decision: Progress,
-    base_versions: &mut BTreeMap<PoolName, BTreeSet<Version>>,
+    versions: &mut BTreeMap<PoolName, PoolVersions>,
 ) -> Option<Step> {
     if decision == Progress::Running || rollout.progress == decision {
         return None;
     }
     let Order { pool, version, .. } = &rollout.order;
-    let base_versions = base_versions.entry(pool.clone()).or_default();
+    let versions = versions.entry(pool.clone()).or_default();
     match decision {
-        Progress::Completed => *base_versions = BTreeSet::from([version.clone()]),
-        _ => drop(base_versions.remove(version)),
+        Progress::Completed => versions.complete(version),
+        _ => versions.roll_back(version),
     }
     rollout.progress = decision;
     Some(rollout.step(now, Action::AdoptDecision(decision)))
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -63,11 +63,38 @@
 
     /// Records that at the time `boot`, by the boot clock, the platform's newest configuration had this
     /// version and its service this era.
-    pub(super) fn confirm(&mut self, now: Now, boot: Duration, version: u64, era: Era) {
+    pub(super) fn confirm(
+        &mut self,
+        now: Now,
+        boot: Duration,
+        version: u64,
+        era: Era,
+        effects: &mut Vec<Effect>,
+    ) {
         self.record_platform_answer(now);
         self.enter_era(now.steady, era);
-        if self.confirms_configuration(now.steady, version) {
-            self.confirmed = self.confirmed.max(Some(boot));
+        if !self.confirms_configuration(now.steady, version) {
+            return;
+        }
+        self.confirmed = self.confirmed.max(Some(boot));
+        // The same read returned the orders of rollouts.
+        if let Some(at) = now.steady.checked_sub(now.boot.saturating_sub(boot)) {
+            self.rollouts.confirm_orders(at);
+        }
+        if self.rollouts.has_candidates() {
+            self.assign_lanes(now.steady);
+            self.log_targets(effects);
+        }
+    }
+
+    /// Logs the targets in use if any of them get no requests because of their version, or no longer do.
+    fn log_targets(&mut self, effects: &mut Vec<Effect>) {
+        let unordered = self.capacity.closed_count();
+        if std::mem::replace(&mut self.unordered, unordered) != unordered {
+            let listed = self.capacity.listed_targets().count();
+            let ready = self.capacity.listed_targets().filter(|target| target.is_ready).count();
+            let kept = listed - listed.min(self.target_list.targets.len());
+            effects.push(Effect::Log(LogEntry::TargetsChanged { ready, listed, kept, unordered }));
         }
     }
 
@@ -115,6 +142,7 @@
         let restarted = self.capacity.replace_targets(used);
         self.assign_lanes(now);
         let unordered = self.capacity.closed_count();
+        self.unordered = unordered;
         effects.push(Effect::Log(LogEntry::TargetsChanged { ready, listed, kept, unordered }));
         for target in restarted {
             // Requests whose connection broke off shortly before the restart ran when the target crashed.
