Refuse a stream of an unavailable version only where no target runs it

Cause: a stream that waited for a busy target of its version, or for the retry budget, was refused as version_unavailable as well, which sends an operator to the wrong cause. And one whose version nobody knows was told to come back after a quarter of its time, while another process may reach the agents at once.

Change: version_unavailable says that no target accepts the version; the other waits end as before (overloaded, deadline, target_lost). version_unknown has the short Retry-After of a process that isn't ready.

--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -331,7 +331,7 @@
     AllDispatchesFailed,
     /// The version that began the stream isn't known, so that no target can continue it.
     VersionUnknown,
-    /// No target of the version that began the stream had a free slot before the deadline.
+    /// No target of the version that began the stream accepts requests, and the deadline passed.
     VersionUnavailable,
 }
 
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -97,17 +97,31 @@
                 continue;
             }
             let reason = match self.requests.get(&ticket) {
-                Some(pending) if pending.origin.is_unknown() => RefusalReason::VersionUnknown,
-                Some(pending) if pending.origin.version().is_some() => {
-                    RefusalReason::VersionUnavailable
-                }
-                Some(pending) if pending.deadline <= now => RefusalReason::DeadlineExceeded,
-                _ => RefusalReason::NoFreeSlot,
+                Some(pending) => self.end_of_wait_reason(now, pending),
+                None => RefusalReason::NoFreeSlot,
             };
             self.refuse(now, ticket, reason, false, effects);
         }
     }
 
+    /// Returns the reason for which a request is refused whose wait for a slot is over.
+    fn end_of_wait_reason(&self, now: Instant, pending: &PendingRequest) -> RefusalReason {
+        let PendingRequest { origin, pool, possibly_ran_at, .. } = pending;
+        if origin.is_unknown() {
+            return RefusalReason::VersionUnknown;
+        }
+        let can_continue =
+            |version| self.capacity.can_continue(now, pool, version, possibly_ran_at);
+        if origin.version().is_some_and(|version| !can_continue(version)) {
+            return RefusalReason::VersionUnavailable;
+        }
+        if pending.deadline <= now {
+            RefusalReason::DeadlineExceeded
+        } else {
+            RefusalReason::NoFreeSlot
+        }
+    }
+
     /// Dispatches waiting requests in queue order while slots are free, and reserves slots at agents for the
     /// rest.
     pub(super) fn dispatch_waiting(&mut self, now: Now, effects: &mut Vec<Effect>) {
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,7 +5,8 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BrokenDispatch, CRASH_WINDOW, QUARANTINE_CRASHES, RETRY_AFTER_MAX, RETRY_AFTER_SHARE, State,
+    BrokenDispatch, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_CRASHES, RETRY_AFTER_MAX,
+    RETRY_AFTER_SHARE, State,
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
@@ -406,7 +407,12 @@
             _ => reason,
         };
         let left = pending.deadline.saturating_duration_since(now);
-        let retry_after = not_run.then_some(left.mul_f64(RETRY_AFTER_SHARE).min(RETRY_AFTER_MAX));
+        let retry_after = match reason {
+            // Another process may reach the agents that know the version.
+            RefusalReason::VersionUnknown => NOT_READY_RETRY_AFTER,
+            _ => left.mul_f64(RETRY_AFTER_SHARE).min(RETRY_AFTER_MAX),
+        };
+        let retry_after = not_run.then_some(retry_after);
         let refusal = Refusal { reason, not_run, retry_after, shortage: None };
         effects.push(Effect::Refuse { ticket, refusal, context });
     }
--- a/components/scheduler/tests/direct_versions.rs
+++ b/components/scheduler/tests/direct_versions.rs
@@ -2,13 +2,13 @@
 
 mod direct_support;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use direct_support::{Process, address, configuration, dispatches, empty_process, request, target};
 use model::reservation::Load;
 use scheduler::direct::{
-    Dispatch, Effect, Event, Outcome, RefusalReason, Request, Target, Ticket, plan::Repeat,
-    rollout::Version,
+    Dispatch, Effect, Event, Outcome, RefusalReason, Request, Resumption, Target, Ticket,
+    origin::stream_key, plan::Repeat, rollout::Version,
 };
 use test_case::test_case;
 
@@ -220,3 +220,117 @@
     // Each waiting stream was a request, which adds a fraction of a retry to the budget.
     assert!(alone > 20 && beside >= alone, "{alone} {beside}");
 }
+
+/// Returns a request that resumes the stream of an earlier attempt.
+fn resumed_stream(ticket: Ticket) -> Request {
+    let first_attempt = Some("first-attempt".into());
+    Request { resumption: Some(Resumption { first_attempt }), ..stream(ticket) }
+}
+
+/// Returns the agents that the effects ask for the version of a stream.
+fn asked_agents(effects: &[Effect]) -> Vec<SocketAddr> {
+    let asked = effects.iter().filter_map(|effect| match effect {
+        Effect::FindOrigin { agents, .. } => Some(agents.clone()),
+        _ => None,
+    });
+    asked.flatten().collect()
+}
+
+/// Returns the agents at which the effects record the version of a stream.
+fn homes(effects: &[Effect]) -> Vec<SocketAddr> {
+    let homes = effects.iter().filter_map(|effect| match effect {
+        Effect::RecordOrigin { agent, .. } => Some(*agent),
+        _ => None,
+    });
+    homes.collect()
+}
+
+/// Guards against streams that go on anywhere, or callers that wait to their deadlines, while the agents that
+/// may know the version don't answer.
+#[test]
+fn a_stream_is_refused_once_its_version_can_not_be_found() {
+    let mut entry = entry_process(versioned_targets(Admission::Agents));
+    let mut effects = entry.arrive(resumed_stream(1));
+    let mut lookups = 0;
+
+    while !asked_agents(&effects).is_empty() {
+        lookups += 1;
+        assert!(dispatches(&effects).is_empty(), "{effects:?}");
+        effects = entry.send(Event::OriginAnswered { ticket: 1, version: None, unanswered: 2 });
+        effects.extend(entry.advance(200 * MS));
+    }
+
+    let refusal = direct_support::only_refusal(&effects);
+    assert_eq!(
+        (lookups, refusal.reason, refusal.not_run),
+        (3, RefusalReason::VersionUnknown, true)
+    );
+    assert!(refusal.retry_after.is_some_and(|wait| wait < 1_000 * MS), "{refusal:?}");
+}
+
+/// Guards against a process that has just started and refuses streams, or sends them anywhere, since it doesn't
+/// know the agents yet.
+#[test]
+fn a_stream_waits_for_the_first_list_of_targets_before_its_version_is_looked_up() {
+    let mut entry = empty_process(1);
+    let route = direct_support::route("/resume/", Repeat::Resumable);
+    let configuration = configuration(1, vec![route], None);
+    entry.send(Event::ConfigurationRead(Arc::new(configuration)));
+    entry.confirm_configuration();
+    let early = entry.arrive(resumed_stream(1));
+    let targets = versioned_targets(Admission::Agents);
+
+    let listed = entry.list_targets(targets.clone());
+    let version = Some("v1.1".to_owned());
+    let found = entry.send(Event::OriginAnswered { ticket: 1, version, unanswered: 0 });
+
+    assert!(asked_agents(&early).is_empty() && direct_support::refusals(&early).is_empty());
+    assert_eq!(asked_agents(&listed).len(), 4);
+    let sent = granted_dispatches(&mut entry, found);
+    assert_eq!(version_of(&targets, &sent[0]), "v1.1");
+}
+
+/// Guards against records that are lost with the agents that keep them, while their stream still runs.
+#[test]
+fn a_stream_is_recorded_at_other_agents_when_its_homes_leave_or_are_unreachable() {
+    let targets = versioned_targets(Admission::Agents);
+    let mut entry = entry_process(targets.clone());
+    let effects = entry.arrive(stream(1));
+    assert_eq!(granted_dispatches(&mut entry, effects).len(), 1);
+    let first = homes(&entry.send(Event::AnswerBegan { ticket: 1 }));
+    assert_eq!(first.len(), 2);
+
+    let unrecorded = Event::OriginUnrecorded { ticket: 1, agent: first[0] };
+    let replaced = homes(&entry.send(unrecorded.clone()));
+    let repeated = homes(&entry.send(unrecorded));
+    let is_left = |target: &&Target| target.agent_address == Some(first[1]);
+    let left =
+        targets.iter().map(|target| Target { is_ready: !is_left(&target), ..target.clone() });
+    let listed = homes(&entry.list_targets(left.collect()));
+    let asked = asked_agents(&entry.arrive(Request {
+        resumption: Some(Resumption { first_attempt: Some("request-1".into()) }),
+        ..stream(2)
+    }));
+
+    assert_eq!((replaced.len(), repeated.len()), (1, 0));
+    assert!(!first.contains(&replaced[0]) && !listed.contains(&first[1]), "{first:?} {listed:?}");
+    assert!(asked.contains(&replaced[0]), "{asked:?} {replaced:?}");
+}
+
+/// Guards against records of one account that decide about the streams of another one.
+#[test]
+fn attempts_with_the_same_id_of_two_accounts_are_different_streams() {
+    let key = |account| stream_key(account, &stream(1));
+
+    assert_ne!(key(Some("one")), key(Some("two")));
+    assert_eq!(
+        key(Some("one")),
+        stream_key(
+            Some("one"),
+            &Request {
+                resumption: Some(Resumption { first_attempt: Some("request-1".into()) }),
+                ..stream(2)
+            }
+        )
+    );
+}
