Forget at an agent what was learnt of an earlier target at the same address

What callers see: requests that wait at an idle target, since its agent still spaces them by a rate limit that an earlier target at the address stated, or that the same target stated before it started again.

Agents key the reservations of a target by its address only. Entry processes drop a limit with the target's start and so never report it as lifted; the agent keeps it, and the earlier target's pace, for as long as reservations come.

Change: a reservation names the target's start, a hash of its name and incarnation. With a new start the agent forgets rate limit, pacer and run times; what is reported of an earlier start, by processes with an older list, is ignored. Held slots stay held.

Result: the new case of agent/admission fails without the reset (false false) and passes with it. scheduler's direct_agents, direct_target_limits, agent and agent_admission, platform's agents and limits pass.

--- a/components/agent/src/admission/control.rs
+++ b/components/agent/src/admission/control.rs
@@ -189,8 +189,10 @@
                 if !is_known && self.is_draining {
                     queue.reduce(Event::Drain);
                 }
-                limit.into_iter().for_each(|limit| queue.limit(limit));
-                queue.reserve(ask, target, reply);
+                if queue.update_target(target) {
+                    limit.into_iter().for_each(|limit| queue.limit(limit));
+                }
+                queue.reserve(ask, reply);
                 if !is_known && target.beside {
                     self.probe(target.address);
                 }
--- a/components/agent/src/admission/queue.rs
+++ b/components/agent/src/admission/queue.rs
@@ -2,7 +2,7 @@
 //! events and carries out the effects that it returns.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -28,6 +28,9 @@
 /// have taken over its admission.
 const IDLE_TTL: Duration = Duration::from_secs(10);
 
+/// Number of starts of earlier targets that are remembered.
+const MAX_EARLIER_STARTS: usize = 8;
+
 /// Answer to a reservation.
 pub type ReserveAnswer = Result<Grant, Denial>;
 
@@ -37,6 +40,8 @@
     /// Reply channels of the waiting reservations.
     replies: HashMap<Id, oneshot::Sender<ReserveAnswer>>,
     target: Target,
+    /// Starts of targets that listened at the address before, the latest last.
+    earlier_starts: VecDeque<u64>,
     /// Requests at the target beyond those with a slot held here, by the last probe.
     unreserved: usize,
     /// Whether the last probe reached the target; `true` before the first probe.
@@ -68,6 +73,7 @@
         ),
         replies: HashMap::new(),
         target,
+        earlier_starts: VecDeque::new(),
         unreserved: 0,
         is_reachable: true,
         last_reserved: Instant::now(),
@@ -103,14 +109,32 @@
         }
     }
 
-    /// Enqueues a reservation. The reply is sent once the reservation is granted or denied.
-    pub fn reserve(&mut self, ask: Ask, target: Target, reply: oneshot::Sender<ReserveAnswer>) {
-        self.last_reserved = Instant::now();
-        if self.target != target {
-            self.target = target;
+    /// Applies the description of the target in a reservation, and forgets what was learnt of the earlier target
+    /// if another one has started at the address. Returns `false` if the description is of an earlier target,
+    /// which entry processes with an older list still send.
+    pub fn update_target(&mut self, target: Target) -> bool {
+        if self.earlier_starts.contains(&target.start) {
+            return false;
+        }
+        let previous = std::mem::replace(&mut self.target, target);
+        if previous.start != target.start {
+            info!(address = %target.address, "another target has started at the address");
+            if self.earlier_starts.len() == MAX_EARLIER_STARTS {
+                self.earlier_starts.pop_front();
+            }
+            self.earlier_starts.push_back(previous.start);
+            self.reduce(Event::TargetReplaced);
+        }
+        if previous.slots != target.slots {
             info!(address = %target.address, slots = target.slots, "the target's size changed");
             self.reduce(Event::SlotsChanged(target.slots as usize));
         }
+        true
+    }
+
+    /// Enqueues a reservation. The reply is sent once the reservation is granted or denied.
+    pub fn reserve(&mut self, ask: Ask, reply: oneshot::Sender<ReserveAnswer>) {
+        self.last_reserved = Instant::now();
         self.replies.insert(ask.id, reply);
         self.reduce(Event::Reserve(ask));
     }
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -15,7 +15,7 @@
 use agent::admission::{self, Handle, Look, Settings};
 use model::{
     refusal::Reason,
-    reservation::{Ask, Fate, Id},
+    reservation::{Ask, Fate, Id, Limit},
 };
 use tokio::{
     task::JoinHandle,
@@ -40,6 +40,7 @@
     address: SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9),
     slots: 1,
     beside: true,
+    start: 1,
 };
 
 /// A target on another host, with one slot and no agent of its own.
@@ -47,6 +48,7 @@
     address: SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 10),
     slots: 1,
     beside: false,
+    start: 1,
 };
 
 /// An agent and the load of the target on its host.
@@ -252,3 +254,27 @@
 
     assert_eq!(other, Ok(()));
 }
+
+/// Guards against a target that is throttled by the rate limit of an earlier target at its address, or of its own
+/// earlier start, which nobody reports as lifted.
+#[tokio::test]
+async fn a_rate_limit_ends_with_the_start_of_the_target_that_stated_it() {
+    let site = site().await;
+    let entry = entry(&site).await;
+    let reserve = async |request, start, interval: Option<Duration>| {
+        let limit =
+            interval.map(|interval| Limit { interval: Some(interval), age: Duration::ZERO });
+        let target = Target { start, slots: 9, ..LOCAL };
+        let call = entry.client.reserve(context(TEST_TIMEOUT), ask(request), target, limit);
+        timeout(AFTER_GRANT_TTL, call).await.is_ok_and(|answer| matches!(answer, Ok(Ok(_))))
+    };
+    let one_an_hour = Some(Duration::from_secs(3_600));
+    assert!(!reserve(1, 1, one_an_hour).await, "the limit is in force");
+
+    let restarted = reserve(2, 2, None).await;
+    // An entry process with an older list still reports the limit of the earlier start.
+    reserve(3, 1, one_an_hour).await;
+    let after_old_report = reserve(4, 2, None).await;
+
+    assert!(restarted && after_old_report, "{restarted} {after_old_report}");
+}
--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -120,8 +120,9 @@
         offset: 0,
         body: Body::default(),
     };
-    let Reservation { address, slots, is_local_agent, limit, .. } = *reservation;
-    let target = admission::Target { address, slots, beside: is_local_agent };
+    let Reservation { address, slots, is_local_agent, limit, incarnation, .. } = *reservation;
+    let start = admission::start_number(&reservation.target, incarnation);
+    let target = admission::Target { address, slots, beside: is_local_agent, start };
     let call_start = Instant::now();
     match client.reserve(context(reservation.timeout + ANSWER_GRACE), ask, target, limit).await {
         Ok(Ok(grant)) => Ok((client, grant.load)),
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -32,6 +32,8 @@
     OffsetReceived(Offset),
     /// Number of requests that the target can run at the same time; 0 counts as 1.
     SlotsChanged(usize),
+    /// Another target, or another incarnation of the same one, has started in the target's place.
+    TargetReplaced,
     /// Whether the target accepts requests; while it doesn't, nothing is granted and all waiting and
     /// new reservations are denied.
     ReachabilityChanged(bool),
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -182,6 +182,7 @@
         Event::TargetStillRunning => state.suspects.clear_broken_runs(),
         Event::Ended(id) => state.end(now, id),
         Event::OffsetReceived(offset) => state.highest_offset = state.highest_offset.max(offset),
+        Event::TargetReplaced => state.forget_target(),
         Event::SlotsChanged(slots) => state.capacity.slots = slots.max(1),
         Event::ReachabilityChanged(is_reachable) => {
             state.set_reachable(now, is_reachable, &mut effects)
@@ -237,6 +238,15 @@
         self.is_draining
     }
 
+    /// Forgets what was learnt of the target: its run times and its rate limit. Slots that are held stay held
+    /// until their requests end.
+    fn forget_target(&mut self) {
+        self.run_times = pace::new();
+        self.rate_limit = None;
+        self.pacer = None;
+        self.next_grant_at = None;
+    }
+
     /// Applies a report about the target's rate limit unless a report at least as new is known. Reports
     /// from different entries can arrive out of order.
     fn update_rate_limit(&mut self, now: Instant, limit: Limit) {
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -462,6 +462,8 @@
     pub agent: SocketAddr,
     /// Target whose slot is reserved.
     pub target: TargetName,
+    /// Last known start of the target.
+    pub incarnation: Incarnation,
     /// Address at which the target listens.
     pub address: SocketAddr,
     /// Number of requests that the target may have concurrently.
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -115,6 +115,7 @@
             number,
             agent,
             target: target.name,
+            incarnation,
             address: target.address,
             slots,
             is_local_agent: target.agent_address == Some(agent),
--- a/components/wire/src/admission.rs
+++ b/components/wire/src/admission.rs
@@ -24,6 +24,18 @@
     pub slots: u32,
     /// Whether the agent runs on the target's host, so that it can probe the target's load.
     pub beside: bool,
+    /// Number of the target's start (see [`start_number`]): another target, or the same one after a restart,
+    /// may listen at the same address.
+    pub start: u64,
+}
+
+/// Returns the number of a target's start, which is the same in all processes.
+pub fn start_number(name: &str, incarnation: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&incarnation.to_be_bytes()).update(name.as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_be_bytes(bytes)
 }
 
 /// Record of the version that began a stream.
