Limit the agents that record streams to some of two availability zones

Cause: with homes among all agents a process would keep a connection to each of 10,000 agents at design size (24 to 30 KB each, 64 MB for all control), and each agent to 1,800 processes.

Change: a stream is recorded at an agent of the process's own zone and one of the next zone, among at most 128 agents of each, chosen by hash so that they stay when others join or leave. A process asks the agents near it first, since callers mostly return to their zone, and those of all zones before it refuses.

--- a/components/scheduler/src/direct/origin.rs
+++ b/components/scheduler/src/direct/origin.rs
@@ -2,13 +2,17 @@
 //! of which the caller has received a part continues only at targets of the version that began it.
 //!
 //! A caller may resume its stream through any entry process. So each process records the version of each
-//! stream that it begins at two agents, which are chosen by a hash of the stream and called its homes. A
-//! process at which a stream is resumed computes the same homes and asks them. Since the lists of targets of
-//! the two processes may differ, and a home may be unreachable, the next agents of the hash ring are asked
-//! too. Agents answer also after the process that recorded the stream has stopped.
+//! stream that it begins at two agents, which are chosen by a hash of the stream and called its homes: one in
+//! its own availability zone, the other one in the next zone. Most callers return to the same zone, where a
+//! process computes the same homes and asks them. Since the lists of targets of the two processes may differ,
+//! and a home may be unreachable, the next agents of each hash ring are asked too, and then those of all
+//! zones. Agents answer also after the process that recorded the stream has stopped.
+//!
+//! Each zone has a limited number of agents that may be homes, so that the connections of a process to
+//! agents, and those of an agent to processes, don't grow with the number of targets.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     hash::BuildHasher,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -26,8 +30,11 @@
 
 /// Number of homes at which a stream is recorded.
 const HOMES: usize = 2;
-/// Number of agents that are asked for a stream; a home that is unreachable is replaced by one of them.
-const ASKED_AGENTS: usize = 4;
+/// Number of agents near a process at which it records a stream, if others are unreachable, and which it asks
+/// first.
+const NEAR_AGENTS: usize = 4;
+/// Maximum number of agents of a zone that may be homes.
+const MAX_HOMES_PER_ZONE: usize = 128;
 /// Number of points of each agent on the hash ring.
 const POINTS_PER_AGENT: u32 = 4;
 /// Number of times that the agents are asked for a stream while some of them don't answer.
@@ -62,11 +69,19 @@
     pub is_lost: bool,
 }
 
-/// Agents that may be homes of streams, on a hash ring.
+/// Agents that may be homes of streams, by availability zone.
 #[derive(Clone, Debug, Default)]
 pub struct Homes {
-    /// All agents, sorted by address.
-    agents: Vec<(SocketAddr, ZoneName)>,
+    /// All agents of the list of targets, sorted.
+    listed: Vec<(ZoneName, SocketAddr)>,
+    rings: BTreeMap<ZoneName, Ring>,
+}
+
+/// Agents of one availability zone on a hash ring.
+#[derive(Clone, Debug, Default)]
+struct Ring {
+    /// At most [`MAX_HOMES_PER_ZONE`] agents.
+    agents: Vec<SocketAddr>,
     /// Points on the ring in ascending order, each with the index of its agent.
     points: Vec<(u64, u32)>,
 }
@@ -97,43 +112,76 @@
 }
 
 impl Homes {
-    /// Replaces the agents. Returns whether they changed.
-    pub fn replace(&mut self, mut agents: Vec<(SocketAddr, ZoneName)>) -> bool {
-        agents.sort_unstable();
-        agents.dedup_by_key(|(address, _)| *address);
-        if agents == self.agents {
+    /// Replaces the agents, each given with its availability zone. Returns whether they changed.
+    pub fn replace(&mut self, mut listed: Vec<(ZoneName, SocketAddr)>) -> bool {
+        listed.sort_unstable();
+        listed.dedup();
+        if listed == self.listed {
             return false;
         }
-        let points = agents.iter().zip(0_u32..).flat_map(|((address, _), index)| {
-            (0..POINTS_PER_AGENT).map(move |point| (HASHER.hash_one((address, point)), index))
-        });
-        self.points = points.collect();
-        self.points.sort_unstable();
-        self.agents = agents;
+        let mut zones: BTreeMap<ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for (zone, agent) in &listed {
+            zones.entry(zone.clone()).or_default().push(*agent);
+        }
+        self.rings = zones.into_iter().map(|(zone, agents)| (zone, Ring::new(agents))).collect();
+        self.listed = listed;
         true
     }
 
-    /// Returns the agents to ask for a stream, its homes first. The second one is in another availability zone
-    /// than the first if any of them is.
-    pub fn candidates(&self, key: &StreamKey) -> Vec<SocketAddr> {
+    /// Returns the agents at which a process in the zone `own` records a stream, in the order in which they are
+    /// used, and which another process in that zone asks first: agents of the zone and of the next one.
+    pub fn near(&self, own: &ZoneName, key: &StreamKey) -> Vec<SocketAddr> {
+        let rings: Vec<&Ring> = self.rings_from(own).take(HOMES).collect();
+        let per_ring = if rings.len() < HOMES { NEAR_AGENTS } else { NEAR_AGENTS / HOMES };
+        let nearest: Vec<Vec<SocketAddr>> =
+            rings.into_iter().map(|ring| ring.nearest(key, per_ring)).collect();
+        let by_rank = (0..per_ring)
+            .flat_map(|rank| nearest.iter().filter_map(move |agents| agents.get(rank).copied()));
+        by_rank.collect()
+    }
+
+    /// Returns the agents of all zones at which any process may have recorded a stream.
+    pub fn all(&self, own: &ZoneName, key: &StreamKey) -> Vec<SocketAddr> {
+        self.rings_from(own).flat_map(|ring| ring.nearest(key, NEAR_AGENTS / HOMES)).collect()
+    }
+
+    /// Returns the rings of all zones in cyclic order from the zone `own` on.
+    fn rings_from(&self, own: &ZoneName) -> impl Iterator<Item = &Ring> {
+        let following = self.rings.range::<ZoneName, _>(own..);
+        following.chain(self.rings.range::<ZoneName, _>(..own)).map(|(_, ring)| ring)
+    }
+}
+
+impl Ring {
+    fn new(mut agents: Vec<SocketAddr>) -> Ring {
+        // The same agents stay in use when others join or leave.
+        agents.sort_unstable_by_key(|agent| HASHER.hash_one(agent));
+        agents.truncate(MAX_HOMES_PER_ZONE);
+        let points = agents.iter().zip(0_u32..).flat_map(|(agent, index)| {
+            (0..POINTS_PER_AGENT).map(move |point| (HASHER.hash_one((agent, point)), index))
+        });
+        let mut points: Vec<(u64, u32)> = points.collect();
+        points.sort_unstable();
+        Ring { agents, points }
+    }
+
+    /// Returns the first `count` agents that follow a stream on the ring.
+    fn nearest(&self, key: &StreamKey, count: usize) -> Vec<SocketAddr> {
         let hash = HASHER.hash_one(key);
         let start = self.points.partition_point(|&(point, _)| point < hash);
-        let mut chosen: Vec<u32> = Vec::new();
-        for &(_, agent) in self.points[start..].iter().chain(&self.points[..start]) {
-            if chosen.len() == ASKED_AGENTS {
+        let mut nearest: Vec<SocketAddr> = Vec::new();
+        for &(_, index) in self.points[start..].iter().chain(&self.points[..start]) {
+            let Some(agent) = self.agents.get(index as usize) else {
+                continue;
+            };
+            if nearest.len() == count {
                 break;
             }
-            if !chosen.contains(&agent) {
-                chosen.push(agent);
+            if !nearest.contains(agent) {
+                nearest.push(*agent);
             }
         }
-        let chosen = chosen.iter().filter_map(|&agent| self.agents.get(agent as usize));
-        let mut chosen: Vec<&(SocketAddr, ZoneName)> = chosen.collect();
-        let other_zone = chosen.iter().position(|(_, zone)| *zone != chosen[0].1);
-        if let Some(other_zone) = other_zone {
-            chosen[1..=other_zone].rotate_right(1);
-        }
-        chosen.into_iter().map(|&(address, _)| address).collect()
+        nearest
     }
 }
 
@@ -180,11 +228,13 @@
             return;
         };
         let resumption = pending.request.resumption.as_ref();
+        *lookups += 1;
+        let (zone, key) = (&self.settings.zone, &pending.stream_key);
         let agents = match resumption.and_then(|known| known.first_attempt.as_ref()) {
-            Some(_) => self.homes.candidates(&pending.stream_key),
+            Some(_) if *lookups == 1 => self.homes.near(zone, key),
+            Some(_) => self.homes.all(zone, key),
             None => Vec::new(),
         };
-        *lookups += 1;
         if agents.is_empty() {
             let version = self.only_version(ticket);
             return self.end_lookup(now, ticket, version, 0, effects);
@@ -197,7 +247,7 @@
     /// have become their homes.
     pub(super) fn update_homes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let ready = self.capacity.listed_targets().filter(|target| target.is_ready);
-        let agents = ready.filter_map(|target| Some((target.agent_address?, target.zone.clone())));
+        let agents = ready.filter_map(|target| Some((target.zone.clone(), target.agent_address?)));
         let has_changed = self.homes.replace(agents.collect());
         let mut tickets: Vec<Ticket> = self.requests.keys().copied().collect();
         tickets.sort_unstable();
@@ -218,8 +268,8 @@
         }
     }
 
-    /// Handles the answers to a lookup. If no agent knows the stream and `unanswered` of them didn't answer, the
-    /// lookup is repeated.
+    /// Handles the answers to a lookup. If no agent near this process knows the stream, those of all zones are
+    /// asked. If none of these does and `unanswered` of them didn't answer, the lookup is repeated.
     pub(super) fn handle_origin_answer(
         &mut self,
         now: Instant,
@@ -233,6 +283,9 @@
         else {
             return;
         };
+        if version.is_none() && *lookups == 1 {
+            return self.start_lookup(now, ticket, effects);
+        }
         if version.is_none() && unanswered > 0 && *lookups < MAX_LOOKUPS {
             self.lookups.insert((now + LOOKUP_PAUSE, ticket));
             return;
@@ -292,8 +345,8 @@
         let Some(version) = pending.origin.version().filter(|_| is_recorded).cloned() else {
             return;
         };
-        let homes = self.homes.candidates(&pending.stream_key).into_iter().take(HOMES);
-        for agent in homes.collect::<Vec<_>>() {
+        let near = self.homes.near(&self.settings.zone, &pending.stream_key);
+        for agent in near.into_iter().take(HOMES) {
             if pending.homes.iter().all(|home| home.agent != agent) {
                 effects.push(pending.record_at(now, agent, version.clone()));
             }
@@ -332,7 +385,8 @@
             return;
         }
         let is_new = |agent: &SocketAddr| pending.homes.iter().all(|home| home.agent != *agent);
-        let next = self.homes.candidates(&pending.stream_key).into_iter().find(is_new);
+        let near = self.homes.near(&self.settings.zone, &pending.stream_key);
+        let next = near.into_iter().find(is_new);
         if let (Some(agent), Some(version)) = (next, pending.origin.version().cloned()) {
             effects.push(pending.record_at(now, agent, version));
         }
--- a/components/scheduler/tests/direct_versions_fleet.rs
+++ b/components/scheduler/tests/direct_versions_fleet.rs
@@ -10,11 +10,14 @@
     time::Duration,
 };
 
-use direct_support::{Process, address, configuration, empty_process, request, route, target};
+use direct_support::{
+    Process, address, configuration, empty_process, request, route, settings, target,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use scheduler::{
     direct::{
-        Effect, Event, Outcome, RefusalReason, Registration, Request, Resumption, Target, Ticket,
+        self, Effect, Event, Outcome, RefusalReason, Registration, Request, Resumption, Settings,
+        Target, Ticket,
         plan::Repeat,
         relay::{Listing, Position},
         rollout::Version,
@@ -138,6 +141,8 @@
 
 fn start_process(number: usize, targets: &[Target], now: u64) -> Process {
     let mut process = empty_process(number as u16 + 1);
+    let settings = Settings { zone: ZONES[number % 3].into(), ..settings(number as u16 + 1) };
+    process.state = direct::open(process.now.steady, settings);
     process.now.steady += Duration::from_millis(now);
     process.now.boot += Duration::from_millis(now);
     let mut route = route("/resume/", Repeat::Resumable);
