--- a/components/scheduler/tests/direct_versions.rs
+++ b/components/scheduler/tests/direct_versions.rs
@@ -334,3 +334,22 @@
         )
     );
 }
+
+/// Guards against callers that are told that their resumed stream may have run, or that wait past their deadline,
+/// while no target of its version serves.
+#[test]
+fn a_resumed_stream_of_a_version_that_is_gone_has_not_run() {
+    let mut entry = entry_process(versioned_targets(Admission::Agents));
+    entry.arrive(resumed_stream(1));
+    let version = Some("v0.9".to_owned());
+    let found = Event::OriginAnswered { ticket: 1, version, unanswered: 0 };
+    let mut effects = entry.send(found);
+    (0..49).for_each(|_| effects.extend(entry.advance(100 * MS)));
+    assert!(direct_support::refusals(&effects).is_empty(), "{effects:?}");
+    assert!(dispatches(&effects).is_empty() && direct_support::reservations(&effects).is_empty());
+
+    let effects = entry.advance(100 * MS);
+
+    let refusal = direct_support::only_refusal(&effects);
+    assert_eq!((refusal.reason, refusal.not_run), (RefusalReason::VersionUnavailable, true));
+}
