Soak real processes while three versions serve

Guards against streams joined from two versions by kills, freezes and stops of real entry processes and kills of agents in series: 4 gateways, 9 agents, 9 runners of three versions, callers that keep their connections and come back through any process.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -55,6 +55,14 @@
     start(command, file)
 }
 
+/// Starts `wagtailhill gateway`.
+pub fn gateway(settings: &Value) -> Process {
+    let file = write(settings);
+    let mut command = Command::new(ENTRY);
+    command.arg("gateway").arg(file.path());
+    start(command, file)
+}
+
 /// Writes settings to a file that lives as long as the handle.
 pub fn write(settings: &impl Serialize) -> NamedTempFile {
     let file = NamedTempFile::new().unwrap();
