Separate the choice of homes from the origins of streams

Cause: origin.rs did two jobs, and the soak named fields and topics of the platform outside platform/. Change: the hash rings of agents are direct/homes.rs; settings files, records and requests of the platform's form are built in platform/tests/support.

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod era;
 pub mod event;
 mod holds;
+pub mod homes;
 mod limits;
 pub mod origin;
 pub mod outage;
@@ -56,7 +57,7 @@
     Resumption, Target, Ticket, Tokens,
 };
 use holds::SlotTimes;
-use origin::Homes;
+use homes::Homes;
 use peers::{Peers, Row, TargetLimit};
 use pending::{PendingRequest, QueueKey, Stage};
 use plan::Configuration;
--- a/components/scheduler/tests/direct_origins.rs
+++ b/components/scheduler/tests/direct_origins.rs
@@ -7,7 +7,7 @@
 };
 
 use model::id::{StreamKey, ZoneName};
-use scheduler::{direct::origin::Homes, origins::Origins};
+use scheduler::{direct::homes::Homes, origins::Origins};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Number of availability zones of the largest deployment.
--- a/tests/versions_soak.rs
+++ b/tests/versions_soak.rs
@@ -15,7 +15,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
@@ -27,7 +27,7 @@
     store,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde_json::{Value, json};
+use serde_json::json;
 use support::Process;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -98,17 +98,15 @@
         let store = store::bind().await;
         let mut config = platform_support::config(1, &["key"]);
         config["routes"][0]["max_attempts"] = json!(4);
-        store.write("keyed.op", "config", &config.to_string());
+        store.write_config(&config);
         let mut runners = Vec::new();
         for number in 0..RUNNERS {
             let (ip, name) = (host(ENTRIES + number), format!("i-{number}"));
             let runner = runner::bind_at(ip, &name, Behavior::EndlessStream).await;
-            let record = runner.record_with_version(VERSIONS[number % 3], "ready");
-            let mut record: Value = serde_json::from_str(&record).expect("valid JSON");
-            record["models"] = json!([{"name": "m", "version": 1, "adapters": []}]);
-            record["zone"] = json!(ZONES[number / 3]);
-            record["slots"] = json!(20);
-            store.write("keyed.servers", &name, &record.to_string());
+            store.write_runner(
+                &name,
+                &runner.model_record(VERSIONS[number % 3], ZONES[number / 3], 20),
+            );
             runners.push(runner);
         }
         let (agents, entries) = (Vec::new(), Vec::new());
@@ -130,22 +128,14 @@
     }
 
     fn start_agent(&self, number: usize) -> Process {
-        support::admission(&json!({
-            "node_name": format!("side-{number}"), "ip": host(ENTRIES + number),
-            "internal_port_range": [self.port, self.port + 1],
-        }))
+        let (name, ip) = (format!("side-{number}"), host(ENTRIES + number));
+        support::admission(&platform_support::agent_settings(&name, ip, self.port))
     }
 
     fn start_entry(&self, number: usize) -> Process {
-        let any = SocketAddr::new(host(number), 0);
-        support::gateway(&json!({
-            "node_name": format!("entry-{number}"),
-            "zone": ZONES[number % 3],
-            "listen": {"frontend": any, "ready": any, "control_plane": any},
-            "internal_port_range": [self.port, self.port + 1],
-            "bounds": {"grace_period_s": 4, "retry_budget_slack": 1_000},
-            "platform": {"address": self.store.address},
-        }))
+        let (name, zone) = (format!("entry-{number}"), ZONES[number % 3]);
+        let (ip, store) = (host(number), self.store.address);
+        support::gateway(&platform_support::entry_settings(&name, zone, ip, self.port, store))
     }
 
     /// Publishes the addresses of the entry processes but those that are away.
@@ -203,10 +193,8 @@
         let mut versions: BTreeMap<String, BTreeSet<&'static str>> = BTreeMap::new();
         for (number, runner) in self.runners.iter().enumerate() {
             for request in runner.received() {
-                // Agents ask their runners for reports, without an ID.
-                if let Some(id) = request.headers.get("request-id") {
-                    let id = id.to_str().expect("text").to_owned();
-                    versions.entry(id).or_default().insert(VERSIONS[number % 3]);
+                if let Some(id) = request.id() {
+                    versions.entry(id.to_owned()).or_default().insert(VERSIONS[number % 3]);
                 }
             }
         }
@@ -254,18 +242,9 @@
     left: Duration,
     stream: &mut Stream,
 ) {
-    let mut request = Request::post(format!("http://{entry}/resume/"))
-        .header("host", "host.example")
-        .header("request-id", id)
-        .header("deadline-remaining-ms", left.as_millis().to_string())
-        .header("authorization", "Bearer key")
-        .header("token-usage", "100,10");
-    let is_resumed = stream.first_attempt.is_some();
-    if let Some(first) = &stream.first_attempt {
-        request =
-            request.header("resumes", first).header("last-event-id", stream.last_event.to_string());
-    }
-    let request = request.body(Full::default()).expect("a valid request");
+    let resumed = stream.first_attempt.as_deref().map(|first| (first, stream.last_event));
+    let is_resumed = resumed.is_some();
+    let request = platform_support::stream_request(entry, id, left, resumed);
     let Ok(Ok(answer)) = timeout(GAP, client.request(request)).await else {
         return;
     };
