Resume a stream in the pool that began it

What callers could see: events of two pools in one stream, where a route splits its requests by weight. Found by reading what else joins the output of two targets. Change: a resumed attempt derives its choices from the id of the attempt that received the first event, and the key of the record has the pool, so that a version of another pool is never found.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -135,7 +135,8 @@
     ticket: Ticket,
     fingerprint: Fingerprint,
 ) -> direct::Request {
-    let hash = blake3::hash(call.info.id.as_bytes());
+    let first_attempt = call.info.first_attempt.as_ref().unwrap_or(&call.info.id);
+    let hash = blake3::hash(first_attempt.as_bytes());
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&hash.as_bytes()[..8]);
     direct::Request {
--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -38,7 +38,8 @@
 pub type ModelName = String;
 /// Position of a record in a stream of the platform's log; the first record has offset 1.
 pub type Offset = u64;
-/// Hash of a client account's name and the ID of the attempt that received the first event of a stream.
+/// Hash of a client account's name, a pool's name and the ID of the attempt that received the first event of a
+/// stream.
 pub type StreamKey = Fingerprint;
 /// Name of a target pool; a lower-case DNS label.
 pub type PoolName = String;
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -69,7 +69,7 @@
             self.allowance(name).record_request(unit_request);
         }
         self.count_for_retry_budget(now.steady, &pool);
-        let stream_key = origin::stream_key(account.as_deref(), &request);
+        let stream_key = origin::stream_key(account.as_deref(), &pool, &request);
         let max_wait =
             timeout.min(MAX_WAIT_FLOOR.max(route.target_latency.mul_f64(MAX_WAIT_SHARE)));
         // A part of a resumed stream is worth nothing without the rest, however late that comes.
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -73,7 +73,8 @@
     /// content when they crash targets.
     pub fingerprint: Fingerprint,
     /// Number derived from the request ID, distributed evenly over requests. It replaces a random number
-    /// in all choices that split requests, such as the choice of a pool by weight.
+    /// in all choices that split requests, such as the choice of a pool by weight. For a resumed stream it is
+    /// derived from the ID of the attempt that received the first event, so that the choices are the same.
     pub spread: u64,
 }
 
--- a/components/scheduler/src/direct/origin.rs
+++ b/components/scheduler/src/direct/origin.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use model::id::{self, StreamKey};
+use model::id::{self, PoolName, StreamKey};
 
 use super::{
     State,
@@ -85,12 +85,13 @@
     }
 }
 
-/// Returns the key of the stream that a request begins or resumes: the attempt that received the first event,
-/// within its account.
-pub fn stream_key(account: Option<&str>, request: &Request) -> StreamKey {
+/// Returns the key of the stream that a request begins or resumes in a pool: the attempt that received the first
+/// event, within its account and pool.
+pub fn stream_key(account: Option<&str>, pool: &PoolName, request: &Request) -> StreamKey {
     let resumed = request.resumption.as_ref().and_then(|known| known.first_attempt.as_ref());
     let first_attempt = resumed.unwrap_or(&request.id);
-    id::fingerprint(&[account.unwrap_or_default().as_bytes(), first_attempt.as_bytes()])
+    let account = account.unwrap_or_default();
+    id::fingerprint(&[account.as_bytes(), pool.as_bytes(), first_attempt.as_bytes()])
 }
 
 impl PendingRequest {
--- a/components/scheduler/tests/direct_versions.rs
+++ b/components/scheduler/tests/direct_versions.rs
@@ -7,7 +7,7 @@
 use direct_support::{Process, address, configuration, dispatches, empty_process, request, target};
 use model::reservation::Load;
 use scheduler::direct::{
-    Dispatch, Effect, Event, Outcome, RefusalReason, Request, Resumption, Target, Ticket,
+    self, Dispatch, Effect, Event, Outcome, RefusalReason, Request, Resumption, Target, Ticket,
     origin::stream_key, plan::Repeat, rollout::Version,
 };
 use test_case::test_case;
@@ -317,12 +317,16 @@
     assert!(asked.contains(&replaced[0]), "{asked:?} {replaced:?}");
 }
 
-/// Guards against records of one account that decide about the streams of another one.
+/// Guards against records that decide about the stream of another account, or about one that another pool began.
 #[test]
-fn attempts_with_the_same_id_of_two_accounts_are_different_streams() {
+fn attempts_with_the_same_id_are_different_streams_in_other_accounts_and_pools() {
+    let pool = "pool".to_owned();
+    let stream_key = |account, request: &Request| stream_key(account, &pool, request);
     let key = |account| stream_key(account, &stream(1));
 
     assert_ne!(key(Some("one")), key(Some("two")));
+    let other_pool = direct::origin::stream_key(Some("one"), &"other".to_owned(), &stream(1));
+    assert_ne!(key(Some("one")), other_pool);
     assert_eq!(
         key(Some("one")),
         stream_key(
