Log the shared parts of a prompt, and the requests of a crash

'dispatched' has 'parts', 'a target crashed while it ran requests' has 'requests' and 'silent', the parts of those of them of which no event had come. No decision uses them yet.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -148,6 +148,7 @@
         timeout: call.info.remaining_time,
         tokens: call.info.tokens,
         expected_tokens: call.info.expected_tokens,
+        shared_parts: call.info.shared_parts.clone(),
         resumption: resumption(&call.info),
         fingerprint,
         spread: u64::from_le_bytes(bytes),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 use http::{request, response};
 use http_body_util::{Full, combinators::UnsyncBoxBody};
 use metrics::Gateway;
+use model::id::PartId;
 use scheduler::direct::{self, Dispatch, Refusal, Tokens};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -88,6 +89,9 @@
     pub tokens: Option<Tokens>,
     /// Number of tokens that the caller expects in the answer; `None` where it gave no hint.
     pub expected_tokens: Option<u32>,
+    /// Parts of the prompt that other requests may share, in order, without the last part, which is the
+    /// request's own.
+    pub shared_parts: Vec<PartId>,
     /// ID of the last event that the caller already received of a resumed stream; the answer contains only
     /// later events. `None` for a stream from its beginning and for other answers.
     pub last_event_id: Option<String>,
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -6,6 +6,7 @@
 };
 
 use metrics::Gateway;
+use model::id::PartId;
 use scheduler::direct::{
     DispatchView, Effect, LogEntry, Now, Outcome, Refusal, RefusalContext, RefusalReason, State,
     relay::Topic,
@@ -29,6 +30,7 @@
                 account = dispatch.account,
                 to = dispatch.target,
                 version = view.version,
+                parts = part_names(view.shared_parts),
                 resumes = view
                     .resumption
                     .map(|resumption| { resumption.first_attempt.as_deref().unwrap_or_default() }),
@@ -316,6 +318,12 @@
     (millis * 1_000.0) as u64
 }
 
+/// Returns the numbers of a prompt's shared parts, in hexadecimal, for a log line.
+fn part_names(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    names.join(",")
+}
+
 /// Logs a change of the reducer's state.
 fn log_entry(entry: &LogEntry) {
     match entry {
@@ -353,7 +361,17 @@
         }
         LogEntry::Rollout(step) => log_rollout_step(step),
         LogEntry::Crashed { target, requests } => {
-            info!(to = target, bodies = requests, "a target crashed while it ran requests");
+            let ids: Vec<&str> = requests.iter().map(|request| request.id.as_str()).collect();
+            let silent = requests.iter().filter(|request| !request.has_begun);
+            let silent_parts: Vec<String> =
+                silent.map(|request| part_names(&request.shared_parts)).collect();
+            info!(
+                to = target,
+                bodies = requests.len(),
+                requests = ids.join(" "),
+                silent = silent_parts.join(" "),
+                "a target crashed while it ran requests"
+            );
         }
         LogEntry::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -41,6 +41,8 @@
 /// Hash of a client account's name, a pool's name and the ID of the attempt that received the first event of a
 /// stream.
 pub type StreamKey = Fingerprint;
+/// Number of a part of a prompt, the same in all requests whose prompts share the part.
+pub type PartId = u64;
 /// Name of a target pool; a lower-case DNS label.
 pub type PoolName = String;
 /// Rank of a tier: 0 is the highest, whose requests are shed last.
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -7,7 +7,7 @@
 };
 
 use model::{
-    id::{AccountName, Fingerprint, PoolName, Rank, StreamKey, TargetName, ZoneName},
+    id::{AccountName, Fingerprint, PartId, PoolName, Rank, StreamKey, TargetName, ZoneName},
     reservation::{Limit, Load},
 };
 
@@ -67,6 +67,9 @@
     pub tokens: Option<Tokens>,
     /// Number of tokens that the caller expects in the answer; a hint that may be far off.
     pub expected_tokens: Option<u32>,
+    /// Parts of the prompt that other requests may share, in order; the part that is the request's own isn't
+    /// listed.
+    pub shared_parts: Vec<PartId>,
     /// Stream that the request resumes; `None` where the caller received nothing of the answer yet.
     pub resumption: Option<Resumption>,
     /// Fingerprint of path, caller and body; requests with equal fingerprints are counted as the same
@@ -563,6 +566,17 @@
     Log(LogEntry),
 }
 
+/// A request of this process whose connection to its target broke off.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BrokenRequest {
+    /// Request ID that the caller sent.
+    pub id: String,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
+    /// Whether the target had sent an event of the answer.
+    pub has_begun: bool,
+}
+
 /// A change of the reducer's state that is worth a log entry.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEntry {
@@ -608,8 +622,8 @@
     Crashed {
         /// Target that crashed.
         target: TargetName,
-        /// Number of requests that it ran.
-        requests: u32,
+        /// Requests that it ran.
+        requests: Vec<BrokenRequest>,
     },
     /// Requests with this fingerprint are refused from now on, since they crashed targets.
     Quarantined(Fingerprint),
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -43,7 +43,7 @@
 };
 
 use model::{
-    id::{AccountName, Fingerprint, PoolName, TargetName, ZoneName},
+    id::{AccountName, Fingerprint, PartId, PoolName, TargetName, ZoneName},
     reservation::Limit,
 };
 
@@ -52,9 +52,9 @@
 use capacity::{Capacity, ProcessIndex, TargetState};
 use crashes::CrashCounts;
 pub use event::{
-    DenialReason, Dispatch, Effect, Event, FittingTargets, Incarnation, LimitShortage, LogEntry,
-    Now, Outcome, Refusal, RefusalContext, RefusalReason, Registration, Request, Reservation,
-    Resumption, Target, Ticket, Tokens,
+    BrokenRequest, DenialReason, Dispatch, Effect, Event, FittingTargets, Incarnation,
+    LimitShortage, LogEntry, Now, Outcome, Refusal, RefusalContext, RefusalReason, Registration,
+    Request, Reservation, Resumption, Target, Ticket, Tokens,
 };
 use holds::SlotTimes;
 use homes::Homes;
@@ -238,6 +238,8 @@
 pub struct DispatchView<'a> {
     /// Request ID that the caller sent.
     pub id: &'a str,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: &'a [PartId],
     /// Name of the request's route.
     pub route: &'a str,
     /// Time since the request arrived.
@@ -289,6 +291,7 @@
     target: String,
     /// Fingerprint of the request.
     fingerprint: Fingerprint,
+    request: BrokenRequest,
     /// Whether the target accepted a connection afterwards: then only its restart proves that it crashed.
     is_target_reached: bool,
 }
@@ -471,6 +474,7 @@
         let state = self.capacity.state(&in_flight.slot.target);
         Some(DispatchView {
             id: &pending.request.id,
+            shared_parts: &pending.request.shared_parts,
             route: &pending.route,
             waited: now.saturating_duration_since(pending.arrived),
             running: state.map_or(0, |state| state.own_requests),
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,8 +5,8 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BrokenDispatch, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_CRASHES, RETRY_AFTER_MAX,
-    RETRY_AFTER_SHARE, State,
+    BrokenDispatch, BrokenRequest, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_CRASHES,
+    RETRY_AFTER_MAX, RETRY_AFTER_SHARE, State,
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
@@ -97,7 +97,7 @@
         }
         self.record_version_result(now.steady, ticket, &in_flight, (outcome, events));
         self.release_dispatch(ticket, &in_flight, effects);
-        self.record_outcome(now.steady, ticket, &in_flight.slot, outcome, effects);
+        self.record_outcome(now.steady, ticket, &in_flight, outcome, effects);
         if matches!(outcome, Outcome::Completed | Outcome::DeadlineExceeded) {
             if let Search::Found(held) = &search {
                 self.release_held_slot(ticket, held, effects);
@@ -141,10 +141,11 @@
         &mut self,
         now: Instant,
         ticket: Ticket,
-        slot: &Slot,
+        in_flight: &InFlight,
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        let slot = &in_flight.slot;
         let is_failure = matches!(
             outcome,
             Outcome::Failed
@@ -171,8 +172,18 @@
             Outcome::Incomplete { crashed: true } => {
                 let fingerprint = pending.request.fingerprint;
                 let target = slot.target.clone();
-                let broken =
-                    BrokenDispatch { at: now, target, fingerprint, is_target_reached: false };
+                let request = BrokenRequest {
+                    id: pending.request.id.clone(),
+                    shared_parts: pending.request.shared_parts.clone(),
+                    has_begun: in_flight.time_to_first_event.is_some(),
+                };
+                let broken = BrokenDispatch {
+                    at: now,
+                    target,
+                    fingerprint,
+                    request,
+                    is_target_reached: false,
+                };
                 self.broken_dispatches.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
                 self.broken_dispatches.push(broken);
                 self.probe(&slot.target, effects);
@@ -361,7 +372,8 @@
         self.broken_dispatches = rest;
         let crashes: Vec<BrokenDispatch> = crashes;
         if !crashes.is_empty() {
-            let (target, requests) = (target.to_owned(), crashes.len() as u32);
+            let requests = crashes.iter().map(|broken| broken.request.clone()).collect();
+            let target = target.to_owned();
             effects.push(Effect::Log(LogEntry::Crashed { target, requests }));
         }
         for broken in crashes {
--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -206,6 +206,7 @@
         timeout: Some(Duration::from_secs(5)),
         tokens: Some(Tokens { prompt: 100, max_output: 10 }),
         expected_tokens: None,
+        shared_parts: Vec::new(),
         resumption: None,
         fingerprint: [ticket as u8; 16],
         spread: ticket,
