--- a/components/scheduler/tests/direct_support/mod.rs
+++ b/components/scheduler/tests/direct_support/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures for tests of direct dispatch: entry processes, configurations, targets and requests.
 #![allow(dead_code, reason = "each test file uses only some of the fixtures")]
 
+pub mod fleet;
 pub mod site;
 
 use std::{
