Refuse a part of a prompt that crashes targets, by the evidence of all processes

Cause: crashes were counted by the fingerprint of path, key and body, a key that the fault doesn't have. Change: direct::parts keeps, by part, the crashes of targets that ran it and the answers that were written on it since. A crash has one number at all processes, so that it counts once; crashes count in rounds, so that targets that are lost together count once. After the first round requests with the part run one at a time at a target that all processes choose alike, after the second alone, after the third not at all. An answer that was written for 100 ms clears a part. A part that never ran without other unproved parts is still tried by a request that has none, which is how a sound first part that all bad requests share is told from the bad ones. A request whose target may have crashed waits for the probe. Evidence goes by the relay of crash counts, which is limited by its bytes, and quarantines are written to the store, so that they outlive a kill of all processes.

--- a/components/gateway/src/agents.rs
+++ b/components/gateway/src/agents.rs
@@ -118,7 +118,7 @@
         decode: reservation.tokens.max_output,
         prefix: Vec::new(),
         offset: 0,
-        body: Body::default(),
+        body: Body { fingerprint: reservation.fingerprint, alone: reservation.is_alone },
     };
     let Reservation { address, slots, is_local_agent, limit, incarnation, .. } = *reservation;
     let start = admission::start_number(&reservation.target, incarnation);
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -15,12 +15,14 @@
 use bytes::Bytes;
 use evidence::record::AnswerDigest;
 use metrics::Gateway;
+use model::id::PartId;
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::direct::{
     self, Dispatch, Effect, Event, Now, Outcome, Refusal, Registration, Request, State, Ticket,
+    parts::PartReport,
     peers::{self, Row},
     plan::Configuration,
-    relay::Topic,
+    relay::{Era, Topic},
     rollout::Report,
 };
 use tokio::{
@@ -103,6 +105,10 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Reports on rollouts that have to be written to the platform's service.
     pub rollout_reports: Vec<Report>,
+    /// Evidence on quarantined parts of prompts that has to be written to the platform's service.
+    pub unstored_parts: Vec<PartReport>,
+    /// Era of the platform's service in which that evidence isn't stored.
+    pub parts_era: Era,
     /// Index of this process among the entry processes, all of which may write the same reports. A process
     /// delays its reports in proportion to its index, so that normally only one writes them.
     pub report_delay_turns: u32,
@@ -190,6 +196,10 @@
     Ok(handle)
 }
 
+fn part_ids(reports: &[PartReport]) -> impl Iterator<Item = PartId> {
+    reports.iter().map(|report| report.part)
+}
+
 /// Returns the current time by the monotonic clock and by the boot clock.
 pub fn now() -> Now {
     let boot = clock_gettime(ClockId::Boottime);
@@ -504,6 +514,7 @@
         let configuration = self.state.configuration_in_force();
         let (rollout_reports, report_delay_turns) =
             (self.state.reports(), self.state.report_delay_turns());
+        let (parts_era, unstored_parts) = self.state.unstored_parts(Instant::now());
         self.status.send_if_modified(|status| {
             let version = |known: Option<&Arc<Configuration>>| known.map(|known| known.version);
             let changed = (status.is_ready, status.has_unreachable_peer)
@@ -511,6 +522,8 @@
                 || version(status.configuration.as_ref()) != version(configuration)
                 || (status.report_delay_turns, &status.rollout_reports)
                     != (report_delay_turns, &rollout_reports)
+                || parts_era != status.parts_era
+                || !part_ids(&unstored_parts).eq(part_ids(&status.unstored_parts))
                 || !peers().eq(status.peers.iter().copied());
             if changed {
                 let (peers, configuration) = (peers().collect(), configuration.cloned());
@@ -520,6 +533,8 @@
                     peers,
                     configuration,
                     rollout_reports,
+                    unstored_parts,
+                    parts_era,
                     report_delay_turns,
                 };
             }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -9,6 +9,7 @@
 use model::id::PartId;
 use scheduler::direct::{
     DispatchView, Effect, LogEntry, Now, Outcome, Refusal, RefusalContext, RefusalReason, State,
+    parts::{Level, LevelChange},
     relay::Topic,
     rollout::{Action, Step},
 };
@@ -109,6 +110,7 @@
         Effect::Log(
             LogEntry::Crashed { .. }
             | LogEntry::OriginLookedUp { .. }
+            | LogEntry::PartLevelChanged(_)
             | LogEntry::Quarantined(_)
             | LogEntry::Restarted(_)
             | LogEntry::Rollout(_),
@@ -318,6 +320,16 @@
     (millis * 1_000.0) as u64
 }
 
+/// Returns the name of a part's level in logs.
+fn level_name(level: Level) -> &'static str {
+    match level {
+        Level::Clear => "clear",
+        Level::Watched => "watched",
+        Level::Isolated => "isolated",
+        Level::Quarantined => "quarantined",
+    }
+}
+
 /// Returns the numbers of a prompt's shared parts, in hexadecimal, for a log line.
 fn part_names(parts: &[PartId]) -> String {
     let names: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
@@ -373,6 +385,10 @@
                 "a target crashed while it ran requests"
             );
         }
+        LogEntry::PartLevelChanged(LevelChange { part, level, crashes, rounds }) => {
+            let level = level_name(*level);
+            info!(part = part_names(&[*part]), level, crashes, rounds, "a part's level changed");
+        }
         LogEntry::Quarantined(body) => {
             let body = body.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
             warn!(body, "a body is refused: targets crashed while they ran it");
--- a/components/scheduler/src/direct/admit.rs
+++ b/components/scheduler/src/direct/admit.rs
@@ -10,7 +10,7 @@
     origin::{self, Origin},
     pending::{PendingRequest, RetryCharge, Stage},
     plan::Configuration,
-    refusal,
+    refusal, screen,
 };
 
 impl State {
@@ -18,6 +18,7 @@
     pub(super) fn handle_arrival(&mut self, now: Now, request: Request, effects: &mut Vec<Effect>) {
         let ticket = request.ticket;
         let mut context = Box::<RefusalContext>::default();
+        let request = screen::limit_parts(request);
         match self.admit(now, request, &mut context) {
             Ok(pending) => {
                 self.requests.insert(ticket, pending);
@@ -57,7 +58,9 @@
             return Err(refusal(RefusalReason::Draining).with_retry_after(Duration::ZERO));
         }
         let pool = route.pool(request.spread).ok_or(refusal(RefusalReason::NoRoute))?.clone();
-        if self.is_quarantined(&request.fingerprint) {
+        let is_refused = self.is_quarantined(&request.fingerprint)
+            || self.are_parts_refused(now.steady, &pool, &request.shared_parts);
+        if is_refused {
             return Err(refusal(RefusalReason::Quarantined));
         }
         let account_settings = account.as_ref().and_then(|name| configuration.accounts.get(name));
@@ -105,6 +108,7 @@
             reservations: Vec::new(),
             reservation_count: 0,
             next_reservation_at: now.steady,
+            trial: None,
             is_selected_for_rollout: None,
             stage,
             request,
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -12,7 +12,7 @@
 mod limits;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -29,8 +29,9 @@
 
 use super::{
     event::{Incarnation, Target},
+    parts::{self, VersionId},
     peers::TargetLoad,
-    pending::QueuedReservation,
+    pending::{QueuedReservation, Trial},
     rollout::{Lane, Version},
 };
 
@@ -79,6 +80,8 @@
     own_prefill_tokens: f64,
     /// Prompt tokens of other processes' requests whose answers haven't begun, by their last rows.
     others_prefill_tokens: f64,
+    /// Whether a request of this process runs alone at the target.
+    is_exclusive: bool,
     /// Whether the platform still lists the target.
     pub is_listed: bool,
     /// Which requests the target accepts: those for the base version, for the ordered version, or none.
@@ -138,6 +141,7 @@
             other_requests: 0,
             own_prefill_tokens: 0.0,
             others_prefill_tokens: 0.0,
+            is_exclusive: false,
             is_listed: true,
             lane: Lane::Base,
             backoff_until: None,
@@ -176,6 +180,10 @@
     /// process. A request of the lowest tier must leave the withheld slots free.
     fn has_free_slot(&self, process: ProcessIndex, demand: &Demand<'_>) -> bool {
         let used = self.own_requests + self.other_requests;
+        let is_taken = demand.trial.is_some_and(|trial| trial.is_alone) && used > 0;
+        if self.is_exclusive || is_taken {
+            return false;
+        }
         if demand.is_lowest_tier && used + SLOTS_WITHHELD_FROM_LOWEST_TIER >= self.target.slots {
             return false;
         }
@@ -213,7 +221,9 @@
     /// Reports whether the target accepts the request.
     fn accepts(&self, now: Instant, demand: &Demand<'_>) -> bool {
         let is_lane_suitable = demand.version.is_some() || self.lane == demand.lane;
-        is_lane_suitable && self.accepts_stream(now, demand.version)
+        is_lane_suitable
+            && self.accepts_stream(now, demand.version)
+            && demand.allows_version(&self.target.version)
     }
 
     /// Reports whether requests for the target are reserved at an agent, which must not be in backoff.
@@ -285,6 +295,7 @@
             prefill_tokens,
             expected_first_event: Duration::from_secs_f64(first_ms / 1_000.0),
             is_ordered_version: self.lane == Lane::Ordered,
+            is_exclusive: false,
         }
     }
 
@@ -389,7 +400,8 @@
         let load = self.states.iter().filter(|state| is_shared(state)).map(|state| TargetLoad {
             target: state.target.name.clone(),
             incarnation: state.target.incarnation,
-            requests: state.own_requests,
+            // Other processes must not use the free slots of a target at which a request runs alone.
+            requests: if state.is_exclusive { state.target.slots } else { state.own_requests },
             pending_prompt_tokens: state.own_prefill_tokens as u32,
         });
         load.collect()
@@ -419,13 +431,25 @@
                 state.cost(demand.prompt_tokens, demand.zone, default_ms_per_token),
             )
         };
-        let best = candidates.min_by(|a, b| compare_costs(cost(a), cost(b)))?;
+        let best = match demand.trial {
+            Some(_) => candidates.max_by_key(|state| demand.trial_rank(state))?,
+            None => candidates.min_by(|a, b| compare_costs(cost(a), cost(b)))?,
+        };
         let index = *self.indexes.get(&best.target.name)?;
         let state = self.states.get_mut(index)?;
         if let Some(pacer) = &mut state.pacer {
             pacer.record_send(now);
         }
-        Some(state.occupy(demand.prompt_tokens, default_ms_per_token))
+        let mut slot = state.occupy(demand.prompt_tokens, default_ms_per_token);
+        slot.is_exclusive = demand.trial.is_some_and(|trial| trial.is_alone);
+        state.is_exclusive |= slot.is_exclusive;
+        Some(slot)
+    }
+
+    /// Returns the numbers of the versions of a pool's listed targets.
+    pub fn versions(&self, pool: &str) -> BTreeSet<VersionId> {
+        let listed = self.pool_targets(pool).filter(|state| state.is_listed);
+        listed.map(|state| parts::version_id(&state.target.version)).collect()
     }
 
     /// Sets the lane of each listed target. `lanes` is called for each pool with the version of each target
@@ -504,6 +528,7 @@
     pub fn release_slot(&mut self, slot: &Slot) {
         if let Some(state) = self.state_mut(&slot.target, slot.incarnation) {
             state.own_requests = state.own_requests.saturating_sub(1);
+            state.is_exclusive &= !slot.is_exclusive;
             state.own_prefill_tokens =
                 (state.own_prefill_tokens - slot.pending_prefill_tokens).max(0.0);
         }
--- a/components/scheduler/src/direct/capacity/agents.rs
+++ b/components/scheduler/src/direct/capacity/agents.rs
@@ -145,6 +145,11 @@
             !demand.possibly_ran_at.contains(name)
                 && reserved.iter().all(|known| known.target != *name)
         });
+        if let Some(trial) = demand.trial {
+            let is_placed = trial.is_alone && !reserved.is_empty();
+            let mut unreserved = unreserved.filter(|_| !is_placed);
+            return unreserved.by_ref().max_by_key(|state| demand.trial_rank(state));
+        }
         let costs = unreserved.map(|state| {
             let cost = if reserved.is_empty() {
                 state.expected_first_event_ms(now, demand, default_ms_per_token)
@@ -208,8 +213,9 @@
             self.fastest_ms_per_token(now, demand),
         );
         let state = self.state_mut(&reserved.target, reserved.incarnation)?;
-        let fits =
-            state.accepts_stream(now, demand.version) && state.finishes_in_time(demand, fastest);
+        let fits = state.accepts_stream(now, demand.version)
+            && demand.allows_version(&state.target.version)
+            && state.finishes_in_time(demand, fastest);
         fits.then(|| state.occupy(demand.prompt_tokens, default_ms_per_token))
     }
 
--- a/components/scheduler/src/direct/capacity/demand.rs
+++ b/components/scheduler/src/direct/capacity/demand.rs
@@ -1,10 +1,12 @@
 //! The requirements of a request on its target, and the slot that the request takes.
 
-use std::{cmp::Ordering, net::SocketAddr, time::Duration};
+use std::{cmp::Ordering, hash::BuildHasher, net::SocketAddr, time::Duration};
 
 use model::id::{PoolName, TargetName, ZoneName};
 
-use super::{Incarnation, Lane, TargetState, Version};
+use crate::direct::{HASHER, parts};
+
+use super::{Incarnation, Lane, TargetState, Trial, Version, VersionId};
 
 /// A slot of a target that a request has taken.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,6 +28,8 @@
     pub expected_first_event: Duration,
     /// Whether the target runs the version of a rollout in progress.
     pub is_ordered_version: bool,
+    /// Whether no other request may run at the target until the slot is released.
+    pub is_exclusive: bool,
 }
 
 impl Slot {
@@ -59,12 +63,27 @@
     /// Version that began the request's stream: only targets of this version may continue it, in any lane but a
     /// closed one. `None` where any version may begin the answer.
     pub version: Option<&'a Version>,
+    /// Restriction because of a suspect part: all processes choose the same target for the part.
+    pub trial: Option<Trial>,
+    /// Versions whose targets the request avoids, since a part of its prompt is suspected of crashing them.
+    pub excluded_versions: &'a [VersionId],
     /// Whether the request belongs to the pool's lowest tier and that tier holds its slots the longest, so
     /// that a part of each target's slots isn't available to the request.
     pub is_lowest_tier: bool,
 }
 
 impl Demand<'_> {
+    /// Reports whether the request may run at targets of this version.
+    pub(super) fn allows_version(&self, version: &Version) -> bool {
+        self.excluded_versions.is_empty()
+            || !self.excluded_versions.contains(&parts::version_id(version))
+    }
+
+    /// Returns the preference of a target for a request with a suspect part, the same at all processes.
+    pub(super) fn trial_rank(&self, state: &TargetState) -> u64 {
+        HASHER.hash_one((self.trial.map(|trial| trial.part), &state.target.name))
+    }
+
     /// Reports whether the target has rejected the request.
     pub(super) fn was_rejected_by(&self, state: &TargetState) -> bool {
         self.rejected_by.contains(&state.target.name)
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    parts::{LevelChange, PartReport},
     peers::Row,
     plan::Configuration,
     relay::{Era, Listing, Offer, Position, Topic, TopicData},
@@ -292,6 +293,15 @@
     PeersDiscovered(Vec<Registration>),
     /// Rows, each with the state of one entry process, were received from another entry process.
     RowsReceived(Vec<Row>),
+    /// Evidence on quarantined parts of prompts was read from the platform's service.
+    PartsRead(Vec<PartReport>),
+    /// The evidence on a quarantined part was written to the platform's service.
+    PartStored {
+        /// The part.
+        part: PartId,
+        /// Era of the service at the time of the write.
+        era: Era,
+    },
     /// A probe whether a target accepts connections ended.
     Probed {
         /// Target that was probed.
@@ -323,7 +333,7 @@
     NoFreeSlot,
     /// The process is draining.
     Draining,
-    /// Requests with the same fingerprint crashed several targets.
+    /// Requests with the same fingerprint, or with the same part of their prompts, crashed several targets.
     Quarantined,
     /// The deadline passed and the request has not run.
     DeadlineExceeded,
@@ -391,7 +401,7 @@
     pub has_begun: bool,
     /// Number of targets that may have run the request, and the maximum that the route allows.
     pub attempts: (usize, u32),
-    /// Whether requests with this fingerprint are quarantined.
+    /// Whether requests with this fingerprint or with a part of this prompt are quarantined.
     pub is_quarantined: bool,
     /// Number of requests ahead of this one in the queue of its pool.
     pub ahead: usize,
@@ -472,6 +482,10 @@
     pub address: SocketAddr,
     /// Number of requests that the target may have concurrently.
     pub slots: u32,
+    /// Whether no other request may run at the target at the same time.
+    pub is_alone: bool,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
     /// Whether the agent runs on the target's host and can query the target; otherwise it is the agent of
     /// another target, chosen by a hash so that all entry processes choose the same one.
     pub is_local_agent: bool,
@@ -627,6 +641,9 @@
     },
     /// Requests with this fingerprint are refused from now on, since they crashed targets.
     Quarantined(Fingerprint),
+    /// Requests with this part of a prompt run in another way, because of crashes or since an answer was
+    /// written on the part.
+    PartLevelChanged(LevelChange),
     /// The version that began a resumed stream was looked up.
     OriginLookedUp {
         /// Request ID of the attempt that resumes the stream.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod limits;
 pub mod origin;
 pub mod outage;
+pub mod parts;
 pub mod peers;
 mod pending;
 pub mod plan;
@@ -29,6 +30,7 @@
 pub mod relay;
 mod reserve;
 pub mod rollout;
+mod screen;
 mod seek;
 mod settle;
 mod versions;
@@ -58,6 +60,8 @@
 };
 use holds::SlotTimes;
 use homes::Homes;
+use parts::Parts;
+use parts::VersionId;
 use peers::{Peers, Row, TargetLimit};
 use pending::{PendingRequest, QueueKey, Stage};
 use plan::Configuration;
@@ -225,6 +229,10 @@
     crashes: CrashCounts,
     /// Earliest time at which crash counts may be fetched from another process again.
     next_crash_fetch: Option<Instant>,
+    /// Evidence on parts of prompts that crash targets.
+    parts: Parts,
+    /// Times at which answers on suspect parts will have been written for [`screen::PROOF_TIME`].
+    proofs: BTreeSet<(Instant, Ticket)>,
     /// Dispatches whose connection broke off, until it is known whether their target crashed.
     broken_dispatches: Vec<BrokenDispatch>,
     /// Targets for which a probe is in flight, with their incarnations.
@@ -289,9 +297,17 @@
     /// Time at which the connection broke off.
     at: Instant,
     target: String,
+    /// Incarnation of the target.
+    incarnation: Incarnation,
+    /// Version of the target's software.
+    version: VersionId,
+    /// Time of the dispatch.
+    dispatched_at: Instant,
     /// Fingerprint of the request.
     fingerprint: Fingerprint,
     request: BrokenRequest,
+    /// Whether the answer was being written for [`screen::PROOF_TIME`], which clears the request's parts.
+    has_proof: bool,
     /// Whether the target accepted a connection afterwards: then only its restart proves that it crashed.
     is_target_reached: bool,
 }
@@ -339,6 +355,8 @@
         sequence: 0,
         crashes: CrashCounts::default(),
         next_crash_fetch: None,
+        parts: Parts::default(),
+        proofs: BTreeSet::new(),
         broken_dispatches: Vec::new(),
         probing: BTreeMap::new(),
         drain_end: None,
@@ -359,6 +377,8 @@
         Event::Denied { ticket, number, reason } => {
             state.handle_denial(now.steady, ticket, number, reason, &mut effects)
         }
+        Event::PartsRead(reports) => state.parts.merge(now.steady, &reports),
+        Event::PartStored { part, era } => state.parts.mark_stored(part, era),
         Event::AnswerBegan { ticket } => {
             state.handle_answer_began(now.steady, ticket, &mut effects)
         }
@@ -429,6 +449,7 @@
     state.repeat_lookups(now.steady, &mut effects);
     state.admit_limited(now.steady);
     state.handle_due_timers(now.steady, &mut effects);
+    state.update_parts(now.steady, &mut effects);
     state.dispatch_waiting(now, &mut effects);
     state.use_held_units(now.steady, &effects);
     effects
@@ -442,7 +463,9 @@
     let next_up = if has_waiting { state.capacity.next_available(now) } else { None };
     let next_reservation = state.reserve_at.first().copied();
     let next_lookup = state.lookups.first().map(|&(at, _)| at);
+    let next_proof = state.proofs.first().map(|&(at, _)| at);
     let others = state.next_grant.into_iter().chain(next_reservation).chain(next_lookup);
+    let others = others.chain(next_proof);
     next_timer.into_iter().chain(next_up).chain(others).min()
 }
 
@@ -519,7 +542,7 @@
             time_left: pending.deadline.saturating_duration_since(now),
             has_begun: pending.has_begun,
             attempts: (pending.possibly_ran_at.len(), pending.max_attempts),
-            is_quarantined: self.is_quarantined(&pending.request.fingerprint),
+            is_quarantined: self.is_refused(now, pending),
             ahead: queue.map_or(0, |queue| queue.range(..pending.queue_key()).count()),
             free_slots: free,
             slots,
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use model::id::{AccountName, PoolName, StreamKey, TargetName, ZoneName};
+use model::id::{AccountName, PartId, PoolName, StreamKey, TargetName, ZoneName};
 
 use super::{
     RETRY_WAIT_MAX,
@@ -15,6 +15,7 @@
     origin::{Home, Origin},
     plan::Repeat,
     rollout::{Lane, Rollouts},
+    screen::PROOF_TIME,
 };
 
 /// Sort key of a queued request; the lowest key of a queue is dispatched first.
@@ -98,6 +99,15 @@
     Taken,
 }
 
+/// Restriction of a request whose prompt has a suspect part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trial {
+    /// The part that is suspected most; it determines the target.
+    pub part: PartId,
+    /// Whether no other request may run at the target.
+    pub is_alone: bool,
+}
+
 /// A request that was admitted, and the state of its dispatches.
 #[derive(Clone, Debug)]
 pub struct PendingRequest {
@@ -165,6 +175,8 @@
     pub reservation_count: u32,
     /// Time from which the request may make one more reservation at an agent.
     pub next_reservation_at: Instant,
+    /// How the request runs because of a suspect part of its prompt; `None` where it runs as all others.
+    pub trial: Option<Trial>,
     /// Whether the request was selected for the ordered version of a rollout; `None` until the request is
     /// first considered for a slot, `Some(false)` again once it is promoted or dispatched.
     pub is_selected_for_rollout: Option<bool>,
@@ -172,6 +184,14 @@
     pub stage: Stage,
 }
 
+impl InFlight {
+    /// Returns whether the answer has been written for [`PROOF_TIME`].
+    pub fn has_proof(&self, now: Instant) -> bool {
+        let began = self.time_to_first_event.map(|time| self.dispatched_at + time);
+        began.is_some_and(|began| now.saturating_duration_since(began) >= PROOF_TIME)
+    }
+}
+
 impl PendingRequest {
     /// Returns the key by which the request is sorted in its queue.
     ///
@@ -271,6 +291,8 @@
             rejected_by,
             lane: Lane::Base,
             version: None,
+            trial: self.trial,
+            excluded_versions: &[],
             is_lowest_tier: false,
         }
     }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -16,6 +16,7 @@
     plan::Repeat,
     reserve,
     rollout::{Lane, Rollouts},
+    screen,
 };
 
 impl State {
@@ -129,6 +130,7 @@
         self.reserve_at = self.reserve_at.split_off(&now.steady);
         let (rule, processes, started) =
             (self.settings.retry_budget, self.process_index.count, self.started);
+        let mut occupied = self.occupied_parts();
         let is_in_minority = self.rollouts.has_running() && self.is_in_minority(now.steady);
         for (pool, queue) in &mut self.waiting {
             if queue.is_empty() {
@@ -156,6 +158,18 @@
                         continue;
                     }
                 }
+                let screening =
+                    screen::screen(now.steady, &self.parts, &occupied, &self.capacity, pending);
+                if screening.is_held || screening.trial != pending.trial {
+                    pending.withdraw_reservations(effects);
+                    pending.trial = screening.trial;
+                }
+                if screening.is_held {
+                    continue;
+                }
+                if screening.trial.is_some() {
+                    occupied.add(&self.parts, pending);
+                }
                 if pending.charge == RetryCharge::NotYetTaken {
                     let budget = self.budgets.entry(pool.clone());
                     let budget = budget.or_insert_with(|| budget::open(started));
@@ -186,6 +200,7 @@
                 let demand = Demand {
                     lane,
                     version: version.as_ref(),
+                    excluded_versions: &screening.excluded_versions,
                     is_lowest_tier: is_lowest,
                     ..pending.demand(
                         now.steady,
@@ -194,7 +209,10 @@
                         (&possibly_ran_at, &rejected_by),
                     )
                 };
-                let may_fit = has_room || lane == Lane::Ordered || version.is_some();
+                let may_fit = has_room
+                    || lane == Lane::Ordered
+                    || version.is_some()
+                    || screening.is_restricted();
                 if may_fit && (!is_lowest || has_room_for_lowest) {
                     if let Some(slot) =
                         self.capacity.take_slot(now.steady, self.process_index, &demand)
@@ -214,7 +232,7 @@
                     // This request found no slot. Other requests may still find one if this one is of the
                     // lowest tier, which may not use all slots, must avoid targets that may have run it, or
                     // needs the version that began its stream.
-                    if lane == Lane::Base && version.is_none() {
+                    if lane == Lane::Base && version.is_none() && !screening.is_restricted() {
                         has_room_for_lowest &= !is_lowest;
                         has_room = is_lowest || !pending.possibly_ran_at.is_empty();
                     }
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -1,5 +1,5 @@
-//! Data that entry processes relay to each other: the configuration, the list of targets, and counts of
-//! request bodies that crashed targets.
+//! Data that entry processes relay to each other: the configuration, the list of targets, and evidence on
+//! request bodies and parts of prompts that crashed targets.
 //!
 //! In each exchange a process offers the versions of the data that it has. A process with an older
 //! version fetches the data from one that offers a newer one. So a process that can't reach the
@@ -27,12 +27,16 @@
     crashes::CrashCount,
     event::{Effect, Now, Target},
     outage::OUTAGE_THRESHOLD,
+    parts::PartReport,
     plan::Configuration,
 };
 
 /// Shortest time between the starts of two fetches of crash counts. While many targets crash at once, the
 /// counts of every two processes differ, and each difference would start a fetch.
 const MIN_CRASH_FETCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of bytes of evidence on parts of prompts that a process fetches in a second. Callers can
+/// invent parts.
+const MAX_PART_BYTES_PER_SECOND: f64 = 10_000.0;
 
 /// Number that grows each time the platform's service is restored from an older copy of itself, and so
 /// loses the last writes that it acknowledged: 1 for a service that was never restored, 0 where the
@@ -57,7 +61,7 @@
     Targets,
     /// The configuration.
     Plan,
-    /// Counts of bodies that crashed targets.
+    /// Evidence on what crashed targets.
     Crashes,
 }
 
@@ -90,8 +94,17 @@
     Targets(Listing),
     /// The configuration.
     Plan(Arc<Configuration>),
-    /// Counts of bodies that crashed targets, of every process whose counts the sender has.
-    Crashes(Vec<CrashCount>),
+    /// Evidence of all processes on what crashed targets.
+    Crashes(CrashEvidence),
+}
+
+/// Evidence on what crashed targets.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashEvidence {
+    /// Counts of bodies, of every process whose counts the sender has.
+    pub bodies: Vec<CrashCount>,
+    /// Evidence on parts of prompts.
+    pub parts: Vec<PartReport>,
 }
 
 /// List of the platform's targets.
@@ -158,7 +171,8 @@
     /// Returns the versions of the data that this process has.
     pub fn known(&self) -> Known {
         let plan = self.configuration.as_ref().map_or(0, |configuration| configuration.version);
-        Known { plan, targets: self.target_list.position, crashes: self.crashes.digest() }
+        let crashes = self.crashes.digest() ^ self.parts.digest();
+        Known { plan, targets: self.target_list.position, crashes }
     }
 
     /// Returns the offer that this process sends to the others. Just after an outage of the platform, the
@@ -182,7 +196,10 @@
         match topic {
             Topic::Targets => Some(TopicData::Targets(self.target_list.clone())),
             Topic::Plan => self.configuration.clone().map(TopicData::Plan),
-            Topic::Crashes => Some(TopicData::Crashes(self.crashes.counts(now.steady))),
+            Topic::Crashes => Some(TopicData::Crashes(CrashEvidence {
+                bodies: self.crashes.counts(now.steady),
+                parts: self.parts.reports(now.steady),
+            })),
         }
     }
 
@@ -222,8 +239,10 @@
                 self.target_list = self.without_departed(now, listing);
                 self.apply_target_list(now, false, effects);
             }
-            Some(TopicData::Crashes(counts)) => {
-                counts.iter().for_each(|count| self.crashes.merge(now, count));
+            Some(TopicData::Crashes(CrashEvidence { bodies, parts })) => {
+                bodies.iter().for_each(|count| self.crashes.merge(now, count));
+                self.parts.merge(now, &parts);
+                self.prove_written_parts(now);
             }
             Some(TopicData::Targets(_)) | None => {}
         }
@@ -250,7 +269,9 @@
             });
             if let Some((.., peer)) = ahead.max() {
                 if topic == Topic::Crashes {
-                    self.next_crash_fetch = Some(now + MIN_CRASH_FETCH_INTERVAL);
+                    let size = self.parts.packed_size() as f64;
+                    let interval = Duration::from_secs_f64(size / MAX_PART_BYTES_PER_SECOND);
+                    self.next_crash_fetch = Some(now + interval.max(MIN_CRASH_FETCH_INTERVAL));
                 }
                 self.fetching.insert(topic);
                 effects.push(Effect::Fetch { peer, topic });
--- a/components/scheduler/src/direct/reserve.rs
+++ b/components/scheduler/src/direct/reserve.rs
@@ -118,6 +118,8 @@
             incarnation,
             address: target.address,
             slots,
+            is_alone: pending.trial.is_some_and(|trial| trial.is_alone),
+            fingerprint: pending.request.fingerprint,
             is_local_agent: target.agent_address == Some(agent),
             limit,
             rank: pack_rank(&pending.queue_key()),
--- a/components/scheduler/src/direct/seek.rs
+++ b/components/scheduler/src/direct/seek.rs
@@ -23,8 +23,7 @@
         pending.has_begun |= begun;
         let slot = in_flight.slot.clone();
         let may_retry = pending.may_retry(pending.possibly_ran_at.len() + 1);
-        let fingerprint = pending.request.fingerprint;
-        if !may_retry || self.is_quarantined(&fingerprint) {
+        if !may_retry || self.is_ticket_refused(now, ticket) {
             return;
         }
         self.capacity.back_off_unreachable(now, &slot.target, slot.incarnation);
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -10,6 +10,7 @@
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
+    parts,
     pending::{HeldSlot, InFlight, PendingRequest, RetryCharge, Stage},
     queue,
 };
@@ -45,6 +46,7 @@
             pending.has_first_event = true;
         }
         self.record_stream(now, ticket, effects);
+        self.expect_proof(now, ticket);
         self.capacity.record_first_event(&mut slot, time_to_first_event);
         if !has_rate_limit {
             self.handle_no_rate_limit(now, &slot, dispatched_at, effects);
@@ -84,6 +86,7 @@
             }
         };
         let target = in_flight.slot.target.clone();
+        self.proofs.retain(|(_, other)| *other != ticket);
         pending.has_begun |= begun || events > 0;
         if pending.has_begun {
             pending.record_origin(&in_flight.slot.version);
@@ -180,16 +183,23 @@
                 let broken = BrokenDispatch {
                     at: now,
                     target,
+                    incarnation: slot.incarnation,
+                    version: parts::version_id(&slot.version),
+                    dispatched_at: in_flight.dispatched_at,
                     fingerprint,
                     request,
+                    has_proof: in_flight.has_proof(now),
                     is_target_reached: false,
                 };
                 self.broken_dispatches.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
                 self.broken_dispatches.push(broken);
                 self.probe(&slot.target, effects);
             }
-            Outcome::Completed
-            | Outcome::Failed
+            Outcome::Completed => {
+                let shared_parts = pending.request.shared_parts.clone();
+                self.prove_parts(now, &shared_parts, parts::version_id(&slot.version));
+            }
+            Outcome::Failed
             | Outcome::Incomplete { crashed: false }
             | Outcome::Unresponsive
             | Outcome::DeadlineExceeded => {}
@@ -216,9 +226,8 @@
         pending.wait_deadline = pending.retry_wait_deadline(now);
         // The answer may have begun after the search was started, which rules out retries of some routes.
         let allowed = pending.may_retry(pending.possibly_ran_at.len());
-        let body = pending.request.fingerprint;
         let version = pending.origin.version().cloned();
-        let allowed = allowed && !self.is_quarantined(&body);
+        let allowed = allowed && !self.is_ticket_refused(now, ticket);
         // Since the slot was taken, the other target may have stopped taking requests, or the answer may have
         // begun at another version.
         let is_usable =
@@ -289,9 +298,9 @@
         };
         pending.possibly_ran_at.push(target);
         let allowed = pending.may_retry(pending.possibly_ran_at.len());
-        let (pool, body) = (pending.pool.clone(), pending.request.fingerprint);
+        let pool = pending.pool.clone();
         let waits_for_retry = pending.needs_other_target();
-        let is_harmless = !self.is_quarantined(&body);
+        let is_harmless = !self.is_ticket_refused(now.steady, ticket);
         if allowed && is_harmless && (waits_for_retry || self.reserve_retry(now.steady, &pool)) {
             if let Some(pending) = self.requests.get_mut(&ticket) {
                 pending.charge =
@@ -376,6 +385,7 @@
             let target = target.to_owned();
             effects.push(Effect::Log(LogEntry::Crashed { target, requests }));
         }
+        self.add_part_crashes(now, &crashes);
         for broken in crashes {
             let own_process = (self.settings.address, self.settings.incarnation);
             if self.crashes.add(now, broken.fingerprint, own_process) == QUARANTINE_CRASHES {
@@ -422,6 +432,10 @@
         let retry_after = match reason {
             // Another process may reach the agents that know the version.
             RefusalReason::VersionUnknown => NOT_READY_RETRY_AFTER,
+            RefusalReason::Quarantined => {
+                let refusal = Refusal { reason, not_run, retry_after: None, shortage: None };
+                return effects.push(Effect::Refuse { ticket, refusal, context });
+            }
             _ => left.mul_f64(RETRY_AFTER_SHARE).min(RETRY_AFTER_MAX),
         };
         let retry_after = not_run.then_some(retry_after);
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -207,6 +207,7 @@
         let peer_timeout = self.settings.peer_timeout;
         self.peers.remove_expired(now, peer_timeout);
         self.crashes.remove_expired(now);
+        self.parts.remove_expired(now);
         let mut addresses = self.peers.active_addresses(now, peer_timeout);
         let own = self.settings.address;
         addresses.push(own);
--- a/components/scheduler/tests/direct_parts.rs
+++ b/components/scheduler/tests/direct_parts.rs
@@ -49,6 +49,8 @@
 #[test_case(Plan { bad_parts: &[BAD, OTHER_BAD], ..WITH_AGENTS }; "two bad parts with agents")]
 #[test_case(Plan { fault: Fault::EntriesKilled, ..WITHOUT_AGENTS }; "processes killed in turn")]
 #[test_case(Plan { fault: Fault::EntriesKilled, ..WITH_AGENTS }; "processes killed in turn with agents")]
+#[test_case(Plan { fault: Fault::AllKilled, ..WITHOUT_AGENTS }; "all processes killed together")]
+#[test_case(Plan { fault: Fault::AllKilled, ..WITH_AGENTS }; "all processes killed together with agents")]
 #[test_case(Plan { fault: Fault::Cut, ..WITHOUT_AGENTS }; "a process cut off from the others")]
 #[test_case(Plan { fault: Fault::TargetsCrash, ..WITHOUT_AGENTS }; "targets that crash by themselves too")]
 #[test_case(Plan { fault: Fault::TargetsCrash, ..WITH_AGENTS }; "targets that crash by themselves with agents")]
--- a/components/scheduler/tests/direct_support/fleet.rs
+++ b/components/scheduler/tests/direct_support/fleet.rs
@@ -17,14 +17,14 @@
     agent::{self, Capacity, Policy},
     direct::{
         self, DenialReason, Effect, Event, Now, Outcome, Refusal, RefusalReason, Request,
-        Reservation, Target, Ticket, peers::exchange_period, plan::Repeat,
+        Reservation, Target, Ticket, parts::PartReport, peers::exchange_period, plan::Repeat,
     },
 };
 use uuid::Uuid;
 
 use super::{
-    Process, address, configuration, dispatches, empty_process, fetches, refusals, request, route,
-    settings, target,
+    Process, address, configuration, dispatches, empty_process, refusals, request, route, settings,
+    target,
 };
 
 /// Time that a message takes between two processes, in ms.
@@ -151,7 +151,9 @@
     pub sent: BTreeMap<Ticket, Sent>,
     /// Times of the crashes that bad requests caused, in ms.
     pub bad_crashes: Vec<u64>,
-    /// Largest number of bad requests that ran at the same time at all targets, from the third crash on.
+    /// Evidence that was written to the platform's service, with the time of the write in ms.
+    store: BTreeMap<PartId, (u64, PartReport)>,
+    /// Current virtual time, in ms.
     pub now_ms: u64,
     random: StdRng,
     last_ticket: Ticket,
@@ -171,6 +173,7 @@
         messages: BTreeMap::new(),
         sent: BTreeMap::new(),
         bad_crashes: Vec::new(),
+        store: BTreeMap::new(),
         now_ms: 0,
         random: StdRng::seed_from_u64(plan.seed),
         last_ticket: 0,
@@ -214,9 +217,29 @@
         entry.send(Event::ConfigurationRead(configuration(1, routes, None).into()));
         entry.confirm_configuration();
         entry.list_targets(self.listed());
+        entry.send(Event::PartsRead(self.stored()));
         entry
     }
 
+    /// Returns the evidence that is stored, with its present ages.
+    fn stored(&self) -> Vec<PartReport> {
+        let present = |(at, report): &(u64, PartReport)| {
+            report.clone().aged(Duration::from_millis(self.now_ms - at))
+        };
+        self.store.values().map(present).collect()
+    }
+
+    /// Writes what a process wants to have stored, as one process after the other does.
+    fn store_parts(&mut self, entry: usize) {
+        let now = self.entries[entry].now.steady;
+        let (era, reports) = self.entries[entry].state.unstored_parts(now);
+        for report in reports {
+            let part = report.part;
+            self.store.insert(part, (self.now_ms, PartReport { stored: Some(era), ..report }));
+            self.send(entry, Event::PartStored { part, era });
+        }
+    }
+
     /// Returns the running targets. Each start has a name of its own.
     fn listed(&self) -> Vec<Target> {
         let running = self.hosts.iter().zip(0_u16..).filter(|(host, _)| host.down_until == 0);
@@ -264,6 +287,14 @@
                     let event = Event::DispatchEnded { ticket, outcome, begun: false, events: 0 };
                     self.send_later(MESSAGE_DELAY_MS, entry, incarnation, event);
                 }
+                Effect::Fetch { peer, topic } => {
+                    let source = usize::from(peer.port()) - 1;
+                    let is_reached = !self.is_cut(entry) && !self.is_cut(source);
+                    let Process { state, now, .. } = &self.entries[source];
+                    let data = is_reached.then(|| state.topic_data(*now, *topic)).flatten();
+                    let event = Event::Fetched { peer: *peer, topic: *topic, data };
+                    self.send_later(2 * MESSAGE_DELAY_MS, entry, incarnation, event);
+                }
                 _ => {}
             }
         }
@@ -308,7 +339,7 @@
             decode: reservation.tokens.max_output,
             prefix: Vec::new(),
             offset: 0,
-            body: Body::default(),
+            body: Body { fingerprint: reservation.fingerprint, alone: reservation.is_alone },
         };
         let slots = self.plan.slots;
         self.agents.entry(agent).or_insert_with(|| agent_state(slots));
@@ -465,11 +496,6 @@
         let (peer, offer) = (self.entries[from].address, self.entries[from].state.offer(now));
         let effects = self.entries[to].send(Event::PeerOffered { peer, offer });
         self.carry_out(to, &effects);
-        for (peer, topic) in fetches(&effects) {
-            let source = usize::from(peer.port()) - 1;
-            let data = self.entries[source].state.topic_data(now, topic);
-            self.send(to, Event::Fetched { peer, topic, data });
-        }
     }
 
     fn kill(&mut self, entry: usize) {
@@ -568,6 +594,7 @@
             if self.now_ms % period_ms == index as u64 * period_ms / entries as u64 {
                 self.entries[index].confirm_configuration();
                 (0..entries).for_each(|to| self.exchange(index, to));
+                self.store_parts(index);
             }
             if self.now_ms % TICK_MS == index as u64 % TICK_MS {
                 self.send(index, Event::Tick);
--- a/components/scheduler/tests/direct_versions_fleet.rs
+++ b/components/scheduler/tests/direct_versions_fleet.rs
@@ -65,7 +65,7 @@
 /// Something that happens at a time.
 enum Happening {
     /// A process receives an event, unless it was started again since.
-    Event { process: usize, incarnation: u64, event: Event },
+    Event { process: usize, incarnation: u64, event: Box<Event> },
     /// A caller's next attempt.
     Attempt(u64),
     /// A stream that a process receives from a target ends.
@@ -269,6 +269,7 @@
             let left = self.callers.get_mut(&id).and_then(|caller| caller.current.take());
             if let (Some((process, incarnation, ticket)), true) = (left, away_ms == 0) {
                 let event = Event::CallerDisconnected { ticket, events: 0 };
+                let event = Box::new(event);
                 self.schedule(0, Happening::Event { process, incarnation, event });
             }
             let after_ms = self.random.random_range(5..150);
@@ -297,6 +298,7 @@
         match happening {
             Happening::Attempt(id) => self.attempt(id),
             Happening::Event { process, incarnation, event } => {
+                let event = *event;
                 if self.entries[process].incarnation != incarnation {
                     return;
                 }
@@ -396,7 +398,7 @@
                     *known = version;
                 }
                 let event = Event::AnswerBegan { ticket };
-                let began = Happening::Event { process, incarnation, event };
+                let began = Happening::Event { process, incarnation, event: Box::new(event) };
                 self.schedule(FIRST_EVENT_MS, began);
             }
             Effect::Refuse { ticket, refusal, .. } => {
@@ -418,7 +420,7 @@
                     origins.record(now, key, version, lifetime);
                 } else {
                     let event = Event::OriginUnrecorded { ticket, agent };
-                    let failed = Happening::Event { process, incarnation, event };
+                    let failed = Happening::Event { process, incarnation, event: Box::new(event) };
                     self.schedule(CALL_TIMEOUT_MS, failed);
                 }
             }
@@ -435,7 +437,7 @@
                 }
                 let is_late = version.is_none() && unanswered > 0;
                 let event = Event::OriginAnswered { ticket, version, unanswered };
-                let answer = Happening::Event { process, incarnation, event };
+                let answer = Happening::Event { process, incarnation, event: Box::new(event) };
                 self.schedule(if is_late { CALL_TIMEOUT_MS } else { MESSAGE_MS }, answer);
             }
             _ => {}
