Tell an answer without a length that a crash has ended from a complete one

Cause: the end of the connection counted as the end of the answer wherever no event was cut in two. Change: such a stream without any event is incomplete and goes on elsewhere. A complete answer without a length that was written for less than 100 ms neither clears the parts of its prompt nor the suspicion: the target is probed where a part is suspect, and the part is cleared or blamed by that. Crashes of a target that doesn't state its start are told apart by time. Tests: direct_parts has these, and that a crash seen by two processes counts once, that invented parts are bounded and hide no bad one, and that a quarantined part is tried again after 600 s or at a new version, by one request.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -252,7 +252,11 @@
             |per_second| control.send(Event::RateLimitStated { ticket, per_second });
         let sent =
             dispatch::send(client, dialect, &call, dispatch, last_event.as_deref(), on_rate_limit);
-        self.wait_for_target(dispatch.unresponsive_timeout, sent).await
+        let answer = self.wait_for_target(dispatch.unresponsive_timeout, sent).await?;
+        if answer.is_unframed() {
+            control.send(Event::AnswerUnframed { ticket });
+        }
+        Ok(answer)
     }
 
     async fn read(
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::{pin::Pin, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -71,6 +71,8 @@
 
 /// An answer without a stream, whose body wasn't read yet.
 pub struct UnreadAnswer {
+    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
+    pub is_unframed: bool,
     head: response::Parts,
     body: Incoming,
     time_limit: TimeLimit,
@@ -81,6 +83,10 @@
     /// Time without data from the target after which the reducer searches for another target; `None` where
     /// the request may not be dispatched again.
     pub unresponsive_timeout: Option<Duration>,
+    /// Whether the stream has neither a length nor chunks, so that it ends with its connection.
+    pub is_unframed: bool,
+    /// Whether any event was received.
+    has_event: bool,
     body: Pin<Box<Incoming>>,
     splitter: EventSplitter,
     connection: CaptureConnection,
@@ -118,6 +124,8 @@
             Err(message) => warn!(to = dispatch.target, message, "a rate limit can't be read"),
         }
     }
+    let is_unframed = !head.headers.contains_key(header::CONTENT_LENGTH)
+        && !head.headers.contains_key(header::TRANSFER_ENCODING);
     (dialect.remove_connection_headers)(&mut head);
     match kind {
         AnswerKind::Rejected => Err(Outcome::Rejected),
@@ -132,6 +140,8 @@
             let splitter = EventSplitter::default();
             let events = EventStream {
                 unresponsive_timeout,
+                is_unframed,
+                has_event: false,
                 body,
                 splitter,
                 connection,
@@ -140,8 +150,12 @@
             };
             Ok(TargetAnswer::Stream(Box::new(head), Box::new(events)))
         }
-        AnswerKind::Answer => Ok(TargetAnswer::Plain(UnreadAnswer { head, body, time_limit })),
-        AnswerKind::Failed => Ok(TargetAnswer::Failure(UnreadAnswer { head, body, time_limit })),
+        AnswerKind::Answer => {
+            Ok(TargetAnswer::Plain(UnreadAnswer { is_unframed, head, body, time_limit }))
+        }
+        AnswerKind::Failed => {
+            Ok(TargetAnswer::Failure(UnreadAnswer { is_unframed, head, body, time_limit }))
+        }
     }
 }
 
@@ -157,10 +171,20 @@
     }
 }
 
+impl TargetAnswer {
+    /// Returns whether the answer has neither a length nor chunks, so that it ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        match self {
+            TargetAnswer::Plain(unread) | TargetAnswer::Failure(unread) => unread.is_unframed,
+            TargetAnswer::Stream(_, events) => events.is_unframed,
+        }
+    }
+}
+
 impl UnreadAnswer {
     /// Reads the body of the answer; returns the complete answer.
     pub async fn read(self) -> Result<Response<Bytes>, Outcome> {
-        let UnreadAnswer { head, body, time_limit } = self;
+        let UnreadAnswer { head, body, time_limit, .. } = self;
         match time_limit.wait(Limited::new(body, MAX_ANSWER_BYTES).collect()).await? {
             Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
             Err(_) => Err(Outcome::Incomplete { crashed: true }),
@@ -173,6 +197,7 @@
     pub async fn next(&mut self) -> Result<Option<StreamEvent>, Outcome> {
         loop {
             if let Some(event) = self.splitter.next() {
+                self.has_event = true;
                 return Ok(Some(event));
             }
             match self.time_limit.wait(self.body.frame()).await? {
@@ -182,6 +207,10 @@
                     }
                 }
                 Some(Err(_)) => return Err(Outcome::Incomplete { crashed: true }),
+                // The target ended before the first event.
+                None if self.is_unframed && !self.has_event => {
+                    return Err(Outcome::Incomplete { crashed: true });
+                }
                 None if self.splitter.is_empty() => {
                     self.is_complete = true;
                     return Ok(None);
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -193,6 +193,12 @@
         /// Request whose answer began.
         ticket: Ticket,
     },
+    /// An answer has neither a length nor chunks: if its connection is closed, it may be complete, or its target
+    /// may have crashed.
+    AnswerUnframed {
+        /// Request whose answer it is.
+        ticket: Ticket,
+    },
     /// An answer states its target's rate limit.
     RateLimitStated {
         /// Request whose answer states the limit.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -308,6 +308,8 @@
     request: BrokenRequest,
     /// Whether the answer was being written for [`screen::PROOF_TIME`], which clears the request's parts.
     has_proof: bool,
+    /// Whether the answer ended with its connection, and is complete unless the target crashed.
+    is_answered: bool,
     /// Whether the target accepted a connection afterwards: then only its restart proves that it crashed.
     is_target_reached: bool,
 }
@@ -382,6 +384,11 @@
         Event::AnswerBegan { ticket } => {
             state.handle_answer_began(now.steady, ticket, &mut effects)
         }
+        Event::AnswerUnframed { ticket } => {
+            if let Some(in_flight) = state.in_flight(ticket) {
+                in_flight.is_unframed = true;
+            }
+        }
         Event::RateLimitStated { ticket, per_second } => {
             state.handle_rate_limit(now.steady, ticket, per_second, &mut effects);
         }
--- a/components/scheduler/src/direct/parts.rs
+++ b/components/scheduler/src/direct/parts.rs
@@ -36,6 +36,8 @@
 const MAX_COMPANIONS: usize = 4;
 /// Maximum number of parts of which this process knows that an answer was written on them.
 const MAX_RECENT: usize = 1_024;
+/// Shortest time between two crashes of a target.
+const MIN_CRASH_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of rounds of crashes after which a part is refused.
 const QUARANTINE_ROUNDS: u32 = 3;
 /// Number of rounds of crashes after which requests with a part run alone.
@@ -389,7 +391,8 @@
     /// there is none.
     pub fn digest(&self) -> u64 {
         let hashes = self.parts.iter().map(|(part, evidence)| {
-            let crashes = evidence.counted.iter().fold(0, |sum, crash| sum ^ crash.id);
+            let crashes =
+                evidence.counted.iter().fold(0, |sum: u64, crash| sum.wrapping_add(crash.id));
             HASHER.hash_one((part, crashes, evidence.stored))
         });
         hashes.fold(0, |digest, hash| digest ^ hash)
@@ -407,7 +410,8 @@
             self.evict();
         }
         let crashes = &mut self.parts.entry(part).or_default().crashes;
-        if let Some(known) = crashes.iter_mut().find(|known| known.id == crash.id) {
+        let is_same = |known: &&mut Crash| known.is_same(&crash);
+        if let Some(known) = crashes.iter_mut().find(is_same) {
             known.dispatched_at = known.dispatched_at.max(crash.dispatched_at);
             return;
         }
@@ -465,6 +469,15 @@
     }
 }
 
+impl Crash {
+    /// Returns whether two observations are of one crash. Not all targets state when they started, so a target may
+    /// crash again under the same number.
+    fn is_same(&self, other: &Crash) -> bool {
+        let (earlier, later) = (self.at.min(other.at), self.at.max(other.at));
+        self.id == other.id && later.saturating_duration_since(earlier) < MIN_CRASH_INTERVAL
+    }
+}
+
 impl Evidence {
     fn prove(&mut self, version: VersionId, at: Instant) {
         if let Some((_, known)) = self.proofs.iter_mut().find(|(known, _)| *known == version) {
--- a/components/scheduler/src/direct/pending.rs
+++ b/components/scheduler/src/direct/pending.rs
@@ -40,6 +40,8 @@
     pub time_to_first_event: Option<Duration>,
     /// Whether the answer states a rate limit of the target.
     pub has_rate_limit: bool,
+    /// Whether the answer has neither a length nor chunks.
+    pub is_unframed: bool,
     /// Number of the reservation that the target's agent granted for the slot; `None` where the slot was
     /// taken without an agent.
     pub reservation: Option<u32>,
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -316,6 +316,7 @@
         dispatched_at: now,
         time_to_first_event: None,
         has_rate_limit: false,
+        is_unframed: false,
         reservation,
     });
     dispatch
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -173,28 +173,18 @@
                 self.count_crashes(now, &slot.target, false, effects);
             }
             Outcome::Incomplete { crashed: true } => {
-                let fingerprint = pending.request.fingerprint;
-                let target = slot.target.clone();
-                let request = BrokenRequest {
-                    id: pending.request.id.clone(),
-                    shared_parts: pending.request.shared_parts.clone(),
-                    has_begun: in_flight.time_to_first_event.is_some(),
-                };
-                let broken = BrokenDispatch {
-                    at: now,
-                    target,
-                    incarnation: slot.incarnation,
-                    version: parts::version_id(&slot.version),
-                    dispatched_at: in_flight.dispatched_at,
-                    fingerprint,
-                    request,
-                    has_proof: in_flight.has_proof(now),
-                    is_target_reached: false,
-                };
-                self.broken_dispatches.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
-                self.broken_dispatches.push(broken);
+                let broken = broken_dispatch(now, pending, in_flight);
+                self.add_broken_dispatch(now, broken);
                 self.probe(&slot.target, effects);
             }
+            Outcome::Completed if in_flight.is_unframed && !in_flight.has_proof(now) => {
+                let broken = broken_dispatch(now, pending, in_flight);
+                let is_suspect = self.parts.suspects(&broken.request.shared_parts).next().is_some();
+                self.add_broken_dispatch(now, BrokenDispatch { is_answered: true, ..broken });
+                if is_suspect {
+                    self.probe(&slot.target, effects);
+                }
+            }
             Outcome::Completed => {
                 let shared_parts = pending.request.shared_parts.clone();
                 self.prove_parts(now, &shared_parts, parts::version_id(&slot.version));
@@ -206,6 +196,12 @@
         }
     }
 
+    /// Keeps a dispatch that ended with its connection until it is known whether the target crashed.
+    fn add_broken_dispatch(&mut self, now: Instant, broken: BrokenDispatch) {
+        self.broken_dispatches.retain(|known| now.duration_since(known.at) < CRASH_WINDOW);
+        self.broken_dispatches.push(broken);
+    }
+
     /// Continues a request whose dispatch ended while the request searched for another target: dispatches it
     /// to the target at which a slot is held, queues it again if there is none, or refuses it.
     fn continue_search(
@@ -353,9 +349,19 @@
             return;
         };
         if reached {
-            let broken =
-                self.broken_dispatches.iter_mut().filter(|broken| broken.target == *target);
-            return broken.for_each(|broken| broken.is_target_reached = true);
+            let mut answered = Vec::new();
+            for broken in &mut self.broken_dispatches {
+                if broken.target == *target {
+                    broken.is_target_reached = true;
+                    if broken.is_answered {
+                        answered.push((broken.request.shared_parts.clone(), broken.version));
+                    }
+                }
+            }
+            for (shared_parts, version) in answered {
+                self.prove_parts(now, &shared_parts, version);
+            }
+            return;
         }
         self.capacity.back_off_unreachable(now, target, incarnation);
         self.count_crashes(now, target, false, effects);
@@ -476,3 +482,24 @@
         }
     }
 }
+
+/// Describes a dispatch whose connection was closed.
+fn broken_dispatch(now: Instant, pending: &PendingRequest, in_flight: &InFlight) -> BrokenDispatch {
+    let slot = &in_flight.slot;
+    BrokenDispatch {
+        at: now,
+        target: slot.target.clone(),
+        incarnation: slot.incarnation,
+        version: parts::version_id(&slot.version),
+        dispatched_at: in_flight.dispatched_at,
+        fingerprint: pending.request.fingerprint,
+        request: BrokenRequest {
+            id: pending.request.id.clone(),
+            shared_parts: pending.request.shared_parts.clone(),
+            has_begun: in_flight.time_to_first_event.is_some(),
+        },
+        has_proof: in_flight.has_proof(now),
+        is_answered: false,
+        is_target_reached: false,
+    }
+}
--- a/components/scheduler/tests/direct_parts.rs
+++ b/components/scheduler/tests/direct_parts.rs
@@ -11,7 +11,11 @@
     only_dispatch, refusals, request, route, targets,
 };
 use model::id::PartId;
-use scheduler::direct::{Event, Outcome, Request, Ticket, plan::Repeat};
+use scheduler::direct::{
+    Event, Outcome, RefusalReason, Request, Target, Ticket,
+    plan::Repeat,
+    relay::{Topic, TopicData},
+};
 use test_case::test_case;
 
 /// Time after the fifth crash from which on the part must be refused, in ms.
@@ -140,3 +144,118 @@
 
     assert!(refusals(&effects).is_empty(), "{effects:?}");
 }
+
+/// Sends a request whose target crashes before its first event.
+fn crash(entry: &mut Process, ticket: Ticket, parts: &[PartId]) {
+    let target = only_dispatch(&entry.arrive(request_with_parts(ticket, parts))).target;
+    entry.advance(Duration::from_millis(100));
+    entry.end_dispatch(ticket, Outcome::Incomplete { crashed: true });
+    entry.send(Event::CallerDisconnected { ticket, events: 0 });
+    entry.send(Event::Probed { target, reached: false });
+    entry.advance(Duration::from_secs(2));
+    entry.confirm_configuration();
+}
+
+/// Guards against a part that is cleared by an answer without a length that a crash has ended, and against one that
+/// is never cleared since all answers have no length.
+#[test_case(false => true; "the target crashed")]
+#[test_case(true => false; "the target is alive")]
+fn an_answer_that_ends_with_its_connection_counts_by_whether_its_target_is_alive(
+    reached: bool,
+) -> bool {
+    let mut entry = entry();
+    (1..=2).for_each(|ticket| crash(&mut entry, ticket, &[BAD]));
+
+    let target = only_dispatch(&entry.arrive(request_with_parts(3, &[BAD]))).target;
+    entry.advance(Duration::from_millis(100));
+    entry.send(Event::AnswerUnframed { ticket: 3 });
+    entry.send(Event::AnswerBegan { ticket: 3 });
+    entry.end_dispatch(3, Outcome::Completed);
+    entry.send(Event::Probed { target, reached });
+    entry.advance(Duration::from_secs(2));
+    entry.confirm_configuration();
+    let refused = refusals(&entry.arrive(request_with_parts(4, &[BAD])));
+
+    assert!(refused.iter().all(|(_, refusal)| {
+        (refusal.reason, refusal.not_run, refusal.retry_after)
+            == (RefusalReason::Quarantined, true, None)
+    }));
+    !refused.is_empty()
+}
+
+/// Guards against a crash that is counted once for each process that saw it.
+#[test]
+fn a_crash_that_two_processes_saw_counts_once() {
+    let (mut one, mut other) = (entry(), entry());
+    for entry in [&mut one, &mut other] {
+        let dispatch = only_dispatch(&entry.arrive(request_with_parts(1, &[BAD])));
+        entry.end_dispatch(1, Outcome::Incomplete { crashed: true });
+        entry.send(Event::Probed { target: dispatch.target, reached: false });
+    }
+
+    other.send(Event::Fetched {
+        peer: one.address,
+        topic: Topic::Crashes,
+        data: one.state.topic_data(one.now, Topic::Crashes),
+    });
+    let Some(TopicData::Crashes(evidence)) = other.state.topic_data(other.now, Topic::Crashes)
+    else {
+        panic!("there is evidence");
+    };
+
+    assert_eq!(evidence.parts.len(), 1);
+    assert_eq!(evidence.parts[0].crashes.len(), 1);
+}
+
+/// Guards against callers who invent parts: evidence that grows without bound, and a bad part that is forgotten
+/// among invented ones.
+#[test]
+fn invented_parts_neither_fill_the_links_nor_hide_a_bad_part() {
+    const MAX_BYTES: usize = 64 * 1_024;
+    let mut entry = entry();
+    for ticket in 1..=30 {
+        let mut parts: Vec<PartId> = (0..30).map(|part| 1_000 * ticket + part).collect();
+        if ticket % 10 == 0 {
+            parts.push(BAD);
+        }
+        crash(&mut entry, ticket, &parts);
+    }
+
+    let evidence = entry.state.topic_data(entry.now, Topic::Crashes);
+    let bytes = serde_json::to_vec(&evidence).expect("evidence can be packed").len();
+    let refused = refusals(&entry.arrive(request_with_parts(100, &[7, 8, BAD])));
+
+    assert!(bytes <= MAX_BYTES, "{bytes} bytes");
+    assert_eq!(refused.len(), 1);
+}
+
+/// Guards against a part that is refused for ever, and against more than one crash for each attempt to run it
+/// again.
+#[test_case(Duration::from_secs(590), false => 0; "before the quarantine ends")]
+#[test_case(Duration::from_secs(610), false => 1; "after it")]
+#[test_case(Duration::ZERO, true => 1; "by a new version of the software")]
+fn a_quarantined_part_is_tried_again_by_one_request_at_a_time(
+    time: Duration,
+    has_new_version: bool,
+) -> usize {
+    let mut entry = entry();
+    (1..=3).for_each(|ticket| crash(&mut entry, ticket, &[BAD]));
+    if has_new_version {
+        let updated =
+            targets(6).into_iter().map(|target| Target { version: "v2".into(), ..target });
+        entry.list_targets(updated.collect());
+    }
+    entry.advance(time);
+    entry.confirm_configuration();
+
+    let tried = (10..=12)
+        .flat_map(|ticket| dispatches(&entry.arrive(request_with_parts(ticket, &[BAD]))))
+        .collect::<Vec<_>>();
+    if let [dispatch] = tried.as_slice() {
+        entry.end_dispatch(dispatch.ticket, Outcome::Incomplete { crashed: true });
+        entry.send(Event::Probed { target: dispatch.target.clone(), reached: false });
+        entry.advance(Duration::from_millis(300));
+        assert_eq!(refusals(&entry.arrive(request_with_parts(20, &[BAD]))).len(), 1);
+    }
+    tried.len()
+}
