Blame a crash on one part alone only once all processes have told of it

Change: a part is confirmed by a crash that counts against no other part, once two exchanges and a fetch have passed; until then requests with it are held. A part on which an answer was written within 10 s isn't blamed beside one that has none. A run that was being written when its target died clears its parts. Suspect requests prefer targets that were reached, and wait 300 ms at most for an empty one. New connections of callers are closed unread while the traffic thread is overloaded (gateway::overload; not measured yet).

--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -7,7 +7,7 @@
         Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -23,7 +23,11 @@
 };
 use tracing::warn;
 
-use crate::{Body, call};
+use crate::{
+    Body, call,
+    overload::{self, Admission},
+    record,
+};
 
 /// Time added to the configured idle timeout of connections, so that no caller sends a request on a
 /// connection just as this process closes it.
@@ -48,6 +52,10 @@
     is_closing: watch::Sender<bool>,
     /// Number of connections that are in use (see [`ConnectionInUse`]).
     connections_in_use: AtomicUsize,
+    /// Number of connections of callers, those without a request included.
+    open_connections: AtomicUsize,
+    admission: Arc<Admission>,
+    metrics: Arc<Gateway>,
     /// Notified each time the number of connections in use becomes 0.
     became_idle: Notify,
 }
@@ -58,6 +66,17 @@
     shared: Arc<Shared>,
 }
 
+/// Counts a connection of a caller until it is closed.
+struct OpenConnection {
+    shared: Arc<Shared>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.shared.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Listening sockets of the servers.
 pub struct Listeners {
     /// Socket for callers.
@@ -69,16 +88,36 @@
 }
 
 /// Starts the servers.
-pub fn spawn(listeners: Listeners, context: Arc<call::Context>, metrics: Arc<Gateway>) -> Handle {
+pub fn spawn(
+    listeners: Listeners,
+    max_connections: usize,
+    context: Arc<call::Context>,
+    metrics: Arc<Gateway>,
+) -> Handle {
     let (is_closing, _) = watch::channel(false);
+    let admission = Arc::new(overload::open(max_connections));
+    tokio::spawn(overload::measure(Arc::clone(&admission), record::log_overload));
     let shared = Arc::new(Shared {
         context,
         is_closing,
         connections_in_use: AtomicUsize::new(0),
+        open_connections: AtomicUsize::new(0),
+        admission,
+        metrics: Arc::clone(&metrics),
         became_idle: Notify::new(),
     });
     let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
-    tokio::spawn(accept(listeners.callers, move |stream| serve_caller(Arc::clone(&calls), stream)));
+    tokio::spawn(accept(listeners.callers, move |stream| {
+        let connection = calls.admit_connection();
+        let shared = Arc::clone(&calls);
+        async move {
+            // A stream that isn't admitted is closed here, unread.
+            if let Some(connection) = connection {
+                serve_caller(shared, stream).await;
+                drop(connection);
+            }
+        }
+    }));
     tokio::spawn(accept(listeners.operators, move |stream| {
         serve_health_check(Arc::clone(&checks), stream)
     }));
@@ -112,6 +151,17 @@
 }
 
 impl Shared {
+    /// Counts a new connection; `None` if it has to be closed unread, since the process is overloaded.
+    fn admit_connection(self: &Arc<Shared>) -> Option<OpenConnection> {
+        let open = self.open_connections.load(Ordering::Relaxed);
+        if !self.admission.accepts(Instant::now(), open) {
+            self.metrics.closed_connections.inc();
+            return None;
+        }
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        Some(OpenConnection { shared: Arc::clone(self) })
+    }
+
     fn use_connection(self: &Arc<Shared>) -> ConnectionInUse {
         self.connections_in_use.fetch_add(1, Ordering::Relaxed);
         ConnectionInUse { shared: Arc::clone(self) }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod ingress;
 mod links;
 mod origins;
+mod overload;
 mod peer;
 pub mod proof;
 pub mod record;
@@ -68,6 +69,8 @@
     pub peer_address: SocketAddr,
     /// Addresses of other entry processes that may be alive.
     pub seeds: Vec<SocketAddr>,
+    /// Maximum number of connections of callers.
+    pub max_connections: usize,
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Settings of the reducer of direct dispatch.
@@ -206,7 +209,7 @@
     let control = control::spawn(&settings, peers, feed, records).map_err(Error::Start)?;
     let context =
         Arc::new(call::Context { control: control.clone(), dialect, client: dispatch::open() });
-    let ingress = ingress::spawn(listeners, context, metrics);
+    let ingress = ingress::spawn(listeners, settings.max_connections, context, metrics);
     let Addresses { caller_address: callers, health_address: operators, peer_address: peers } =
         &addresses;
     info!(name = settings.name, %callers, %operators, %peers, "listening");
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -15,7 +15,10 @@
 };
 use tracing::{info, warn};
 
-use crate::relay::{self, Fetched};
+use crate::{
+    overload::Change,
+    relay::{self, Fetched},
+};
 
 /// Logs an effect that the reducer returned, unless effects of its kind are logged elsewhere or not at all.
 pub fn log_effect(state: &State, at: Now, effect: &Effect) {
@@ -320,12 +323,23 @@
     (millis * 1_000.0) as u64
 }
 
+/// Logs that the thread that serves callers became overloaded or no longer is.
+pub fn log_overload(change: Change) {
+    match change {
+        Change::Began(delay) => {
+            warn!(delay_ms = millis(delay), "overloaded: new connections are closed unread");
+        }
+        Change::Ended(closed) => info!(closed, "no longer overloaded"),
+    }
+}
+
 /// Returns the name of a part's level in logs.
 fn level_name(level: Level) -> &'static str {
     match level {
         Level::Clear => "clear",
         Level::Watched => "watched",
         Level::Isolated => "isolated",
+        Level::Held => "held",
         Level::Quarantined => "quarantined",
     }
 }
--- a/components/scheduler/src/direct/capacity/demand.rs
+++ b/components/scheduler/src/direct/capacity/demand.rs
@@ -79,9 +79,11 @@
             || !self.excluded_versions.contains(&parts::version_id(version))
     }
 
-    /// Returns the preference of a target for a request with a suspect part, the same at all processes.
-    pub(super) fn trial_rank(&self, state: &TargetState) -> u64 {
-        HASHER.hash_one((self.trial.map(|trial| trial.part), &state.target.name))
+    /// Returns the preference of a target for a request with a suspect part, the same at all processes but for
+    /// targets that this process couldn't reach.
+    pub(super) fn trial_rank(&self, state: &TargetState) -> (bool, u64) {
+        let hash = HASHER.hash_one((self.trial.map(|trial| trial.part), &state.target.name));
+        (state.unreachable_backoff.is_zero(), hash)
     }
 
     /// Reports whether the target has rejected the request.
--- a/components/scheduler/src/direct/parts.rs
+++ b/components/scheduler/src/direct/parts.rs
@@ -8,9 +8,9 @@
 //! round only if its request was dispatched after the crash that began the last round. Requests that were lost
 //! together count once, however many targets ran them.
 //!
-//! Several parts of one prompt can't be told apart by its crashes. A part is therefore refused in all requests
-//! only once a target crashed that ran it with no other unproved part; before that, a request without other
-//! unproved parts still runs, alone, and shows whether the part is at fault.
+//! Parts that ran together can't be told apart by the crash. A part is therefore refused in all requests only
+//! once a crash counts against it alone; before that, a request without other unproved parts still runs, alone,
+//! and shows whether the part is at fault.
 //!
 //! Each process keeps the evidence that it collected and that it fetched from others. A crash has the same ID
 //! at all processes that saw it, so it counts once.
@@ -32,10 +32,12 @@
 const MAX_CRASHES: usize = 8;
 /// Maximum number of versions of which it is kept that they wrote an answer on a part.
 const MAX_PROOFS: usize = 4;
-/// Maximum number of other parts that are kept of a crash.
-const MAX_COMPANIONS: usize = 4;
-/// Maximum number of parts of which this process knows that an answer was written on them.
+/// Time for which an answer that was written on a part lets other parts of a prompt be blamed for a crash.
+const RECENT_PROOF: Duration = Duration::from_secs(10);
+/// Maximum number of parts, by version, of which this process keeps when an answer was written on them.
 const MAX_RECENT: usize = 1_024;
+/// Longest time between two calls of [`Parts::update`].
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_secs(5);
 /// Shortest time between two crashes of a target.
 const MIN_CRASH_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of rounds of crashes after which a part is refused.
@@ -74,7 +76,7 @@
 }
 
 /// Crash of a target that ran a part, as processes send it to each other.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// Number of the crash.
     pub id: CrashId,
@@ -84,8 +86,6 @@
     pub age: Duration,
     /// Time since the request with the part was dispatched to the target; the last one if there were several.
     pub dispatch_age: Duration,
-    /// Other shared parts of the request that were implicated too; `None` if they were too many to be kept.
-    pub companions: Option<Vec<PartId>>,
 }
 
 /// An answer that was written on a part, as processes send it to each other.
@@ -131,20 +131,20 @@
     Watched,
     /// One at a time, with no other request at its target.
     Isolated,
+    /// Not until the evidence of all processes on the last crash has arrived.
+    Held,
     /// Not at all.
     Quarantined,
 }
 
 /// Crash of a target that ran a part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Crash {
     id: CrashId,
     version: VersionId,
     at: Instant,
     /// Time of the dispatch of the request with the part, the last one if there were several.
     dispatched_at: Instant,
-    /// Other shared parts of the request that were implicated too; `None` if they were too many to be kept.
-    companions: Option<Vec<PartId>>,
 }
 
 /// Evidence on one part.
@@ -159,6 +159,8 @@
     counted: Vec<Crash>,
     /// Number of rounds of `counted`.
     rounds: u32,
+    /// Whether any of `counted` counts against no other part, by the evidence of all processes.
+    is_confirmed: bool,
 }
 
 /// Change of a part's level, for the log.
@@ -178,16 +180,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct Parts {
     parts: BTreeMap<PartId, Evidence>,
-    /// Times at which targets last wrote answers on parts for this process, for at most [`MAX_RECENT`] parts.
-    recent: BTreeMap<PartId, Instant>,
+    /// Times at which targets of a version last wrote answers on parts for this process, for at most
+    /// [`MAX_RECENT`] of them.
+    recent: BTreeMap<(PartId, VersionId), Instant>,
+    /// Time in which the evidence of all processes on a crash arrives.
+    settling_time: Duration,
     /// Levels at the last call of [`Parts::take_changes`]; parts that were clear aren't contained.
     reported: BTreeMap<PartId, Level>,
 }
 
 impl Parts {
-    /// Returns whether there is evidence on any part.
-    pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+    /// Sets the time in which the evidence of all processes on a crash arrives.
+    pub fn set_settling_time(&mut self, time: Duration) {
+        self.settling_time = time;
     }
 
     /// Returns whether any crash counts against a part.
@@ -215,19 +220,24 @@
     /// excludes.
     pub fn add_crash(
         &mut self,
+        now: Instant,
         shared_parts: &[PartId],
         (id, version): (CrashId, VersionId),
         (at, dispatched_at): (Instant, Instant),
         is_proved: impl Fn(PartId) -> bool,
     ) {
-        let implicated: Vec<PartId> =
-            shared_parts.iter().copied().filter(|part| !is_proved(*part)).collect();
-        for &part in &implicated {
-            let others = implicated.iter().copied().filter(|other| *other != part);
-            let companions = (implicated.len() <= MAX_COMPANIONS + 1).then(|| others.collect());
-            self.insert_crash(part, Crash { id, version, at, dispatched_at, companions });
+        let implicated = || shared_parts.iter().copied().filter(|part| !is_proved(*part));
+        let was_recent = |part| {
+            let proof = self.recent.get(&(part, version));
+            proof.is_some_and(|proof| at.saturating_duration_since(*proof) < RECENT_PROOF)
+        };
+        // Of parts that ran until just now and others, the others are at fault.
+        let others: Vec<PartId> = implicated().filter(|part| !was_recent(*part)).collect();
+        let blamed = if others.is_empty() { implicated().collect() } else { others };
+        for part in blamed {
+            self.insert_crash(part, Crash { id, version, at, dispatched_at });
         }
-        self.evaluate();
+        self.evaluate(now);
     }
 
     /// Returns whether an answer was written on a part and no crash counts against it since.
@@ -235,18 +245,12 @@
         match self.parts.get(&part) {
             Some(evidence) if !evidence.counted.is_empty() => false,
             Some(evidence) if !evidence.proofs.is_empty() => true,
-            _ => self.recent.contains_key(&part),
+            _ => {
+                self.recent.range((part, VersionId::MIN)..=(part, VersionId::MAX)).next().is_some()
+            }
         }
     }
 
-    /// Returns whether a target crashed that ran the part with no other unproved part.
-    fn is_confirmed(&self, evidence: &Evidence) -> bool {
-        evidence.counted.iter().any(|crash| {
-            let companions = crash.companions.as_ref();
-            companions.is_some_and(|parts| parts.iter().all(|part| self.is_proved(*part)))
-        })
-    }
-
     /// Returns whether answers were written on all other parts of a prompt.
     fn is_separate(&self, part: PartId, shared_parts: &[PartId]) -> bool {
         shared_parts.iter().filter(|other| **other != part).all(|other| self.is_proved(*other))
@@ -254,7 +258,7 @@
 
     /// Records that a target of a version wrote an answer on a part. Returns whether that changes anything.
     pub fn add_proof(&mut self, part: PartId, version: VersionId, at: Instant) -> bool {
-        self.record_recent(part, at);
+        self.record_recent((part, version), at);
         let Some(evidence) = self.parts.get_mut(&part) else {
             return false;
         };
@@ -264,18 +268,18 @@
             return false;
         }
         evidence.prove(version, at);
-        self.evaluate();
+        self.evaluate(at);
         true
     }
 
-    fn record_recent(&mut self, part: PartId, at: Instant) {
-        if self.recent.len() >= MAX_RECENT && !self.recent.contains_key(&part) {
+    fn record_recent(&mut self, key: (PartId, VersionId), at: Instant) {
+        if self.recent.len() >= MAX_RECENT && !self.recent.contains_key(&key) {
             let mut times: Vec<Instant> = self.recent.values().copied().collect();
             let middle = times.len() / 2;
             let (_, &mut median, _) = times.select_nth_unstable(middle);
             self.recent.retain(|_, at| *at > median);
         }
-        self.recent.insert(part, at);
+        self.recent.insert(key, at);
     }
 
     /// Adds the evidence that another process sent.
@@ -284,8 +288,8 @@
             for crash in &report.crashes {
                 let before = |age| now.checked_sub(age).unwrap_or(now);
                 let (at, dispatched_at) = (before(crash.age), before(crash.dispatch_age));
-                let (id, version, companions) = (crash.id, crash.version, crash.companions.clone());
-                let crash = Crash { id, version, at, dispatched_at, companions };
+                let CrashReport { id, version, .. } = *crash;
+                let crash = Crash { id, version, at, dispatched_at };
                 self.insert_crash(report.part, crash);
             }
             if let Some(evidence) = self.parts.get_mut(&report.part) {
@@ -296,15 +300,19 @@
                 evidence.stored = evidence.stored.max(report.stored);
             }
         }
-        self.evaluate();
+        self.evaluate(now);
     }
 
-    /// Removes evidence that has expired.
-    pub fn remove_expired(&mut self, now: Instant) {
+    /// Removes evidence that has expired, and takes into account that crashes settle.
+    pub fn update(&mut self, now: Instant) {
         let count = self.parts.len();
         self.parts.retain(|_, evidence| !evidence.has_expired(now));
-        if self.parts.len() != count {
-            self.evaluate();
+        let last = self.parts.values().filter_map(|evidence| evidence.counted.last());
+        let is_settling = last.map(|crash| crash.at).max().is_some_and(|at| {
+            now.saturating_duration_since(at) < self.settling_time + MAX_UPDATE_INTERVAL
+        });
+        if self.parts.len() != count || is_settling {
+            self.evaluate(now);
         }
     }
 
@@ -321,10 +329,14 @@
         };
         let mut level = evidence.level(now);
         if level == Level::Quarantined
-            && !self.is_confirmed(evidence)
+            && !evidence.is_confirmed
             && self.is_separate(part, request_parts)
         {
-            level = Level::Isolated;
+            level = if evidence.has_settled(now, self.settling_time) {
+                Level::Isolated
+            } else {
+                Level::Held
+            };
         }
         let has_crashed = evidence.counted.iter().any(|crash| crash.version == version);
         let is_proved = evidence.proofs.iter().any(|(known, _)| *known == version);
@@ -401,7 +413,7 @@
     /// Returns the approximate number of bytes of all evidence when it is sent.
     pub fn packed_size(&self) -> usize {
         let size =
-            |evidence: &Evidence| 16 + 48 * evidence.crashes.len() + 16 * evidence.proofs.len();
+            |evidence: &Evidence| 16 + 32 * evidence.crashes.len() + 16 * evidence.proofs.len();
         self.parts.values().map(size).sum()
     }
 
@@ -434,22 +446,37 @@
     }
 
     /// Recomputes which crashes count against each part.
-    fn evaluate(&mut self) {
+    fn evaluate(&mut self, now: Instant) {
         for evidence in self.parts.values_mut() {
             evidence.counted = evidence.unproved_crashes();
             evidence.rounds = rounds(&evidence.counted);
         }
-        self.explain_crashes();
+        self.explain_crashes(now);
+    }
+
+    /// Recomputes of each part whether a crash counts against it alone.
+    fn update_confirmed(&mut self, now: Instant) {
+        let mut blamed: BTreeMap<CrashId, u32> = BTreeMap::new();
+        for crash in self.parts.values().flat_map(|evidence| &evidence.counted) {
+            *blamed.entry(crash.id).or_default() += 1;
+        }
+        for evidence in self.parts.values_mut() {
+            evidence.is_confirmed = evidence.counted.iter().any(|crash| {
+                let has_settled = now.saturating_duration_since(crash.at) >= self.settling_time;
+                has_settled && blamed.get(&crash.id) == Some(&1)
+            });
+        }
     }
 
     /// Lets parts that are certainly at fault explain their crashes, which no longer count against other parts.
     /// The part with the most crashes explains first.
-    fn explain_crashes(&mut self) {
+    fn explain_crashes(&mut self, now: Instant) {
         let mut explaining = BTreeSet::new();
         loop {
+            self.update_confirmed(now);
             let candidates = self.parts.iter().filter(|(part, evidence)| {
                 evidence.rounds >= QUARANTINE_ROUNDS
-                    && self.is_confirmed(evidence)
+                    && evidence.is_confirmed
                     && !explaining.contains(*part)
             });
             let most =
@@ -497,7 +524,13 @@
             let proof = self.proofs.iter().find(|(version, _)| *version == crash.version);
             proof.is_none_or(|(_, at)| *at < crash.at)
         };
-        self.crashes.iter().filter(is_unproved).cloned().collect()
+        self.crashes.iter().filter(is_unproved).copied().collect()
+    }
+
+    /// Returns whether the evidence of all processes on the last crash has arrived.
+    fn has_settled(&self, now: Instant, settling_time: Duration) -> bool {
+        let last = self.counted.last();
+        last.is_none_or(|crash| now.saturating_duration_since(crash.at) >= settling_time)
     }
 
     fn quarantine_time(&self) -> Duration {
@@ -537,7 +570,6 @@
             version: crash.version,
             age: age(crash.at),
             dispatch_age: age(crash.dispatched_at),
-            companions: crash.companions.clone(),
         });
         let proofs = self.proofs.iter().map(|&(version, at)| ProofReport { version, age: age(at) });
         PartReport {
--- a/components/scheduler/src/direct/relay.rs
+++ b/components/scheduler/src/direct/relay.rs
@@ -33,7 +33,7 @@
 
 /// Shortest time between the starts of two fetches of crash counts. While many targets crash at once, the
 /// counts of every two processes differ, and each difference would start a fetch.
-const MIN_CRASH_FETCH_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const MIN_CRASH_FETCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of bytes of evidence on parts of prompts that a process fetches in a second. Callers can
 /// invent parts.
 const MAX_PART_BYTES_PER_SECOND: f64 = 10_000.0;
--- a/components/scheduler/src/direct/screen.rs
+++ b/components/scheduler/src/direct/screen.rs
@@ -25,6 +25,8 @@
 /// Time for which an answer must have been written to clear the parts of its prompt. A target may still send
 /// the first event of an answer that crashes it.
 pub const PROOF_TIME: Duration = Duration::from_millis(100);
+/// Time for which a request waits for a target without other requests: on a busy site there may be none.
+const ISOLATION_WAIT: Duration = Duration::from_millis(300);
 /// Maximum number of shared parts of a request; further ones count as one part together.
 const MAX_REQUEST_PARTS: usize = 32;
 
@@ -95,11 +97,11 @@
         let has_precedence = occupied.fewest.get(part).is_some_and(|&few| few < suspected.len());
         has_precedence || occupied.running.contains(part)
     });
-    // On a busy site no target may be empty before the end of the wait.
-    let is_alone = least >= Level::Isolated && !pending.is_promoted;
+    let waited = now.saturating_duration_since(pending.arrived);
+    let is_alone = least >= Level::Isolated && waited < ISOLATION_WAIT;
     let most = suspected.into_iter().max_by_key(|part| (suspects.weight(*part), *part));
     Screening {
-        is_held: is_unresolved || is_occupied || least == Level::Quarantined,
+        is_held: is_unresolved || is_occupied || least >= Level::Held,
         trial: most.map(|part| Trial { part, is_alone }),
         excluded_versions,
     }
@@ -211,13 +213,15 @@
     /// answer is being written.
     pub(super) fn add_part_crashes(&mut self, now: Instant, crashes: &[BrokenDispatch]) {
         let mut proved = self.written_parts(now);
-        let with_proof = crashes.iter().filter(|broken| broken.has_proof);
-        proved.extend(with_proof.flat_map(|broken| {
-            broken.request.shared_parts.iter().map(|&part| (part, broken.version))
-        }));
+        for broken in crashes.iter().filter(|broken| broken.has_proof) {
+            self.prove_parts(broken.at, &broken.request.shared_parts, broken.version);
+            let parts = broken.request.shared_parts.iter();
+            proved.extend(parts.map(|&part| (part, broken.version)));
+        }
         for broken in crashes.iter().filter(|broken| !broken.has_proof) {
             let crash = parts::crash_id(&broken.target, broken.incarnation);
             self.parts.add_crash(
+                now,
                 &broken.request.shared_parts,
                 (crash, broken.version),
                 (broken.at, broken.dispatched_at),
@@ -237,13 +241,22 @@
             .collect()
     }
 
-    /// Clears the suspect parts on which answers are being written.
+    /// Clears the suspect parts on which answers are being written, now or once they have been for
+    /// [`PROOF_TIME`].
     pub(super) fn prove_written_parts(&mut self, now: Instant) {
-        if self.parts.has_suspects() {
-            for (part, version) in self.written_parts(now) {
-                self.parts.add_proof(part, version, now);
-            }
+        if !self.parts.has_suspects() {
+            return;
         }
+        for (part, version) in self.written_parts(now) {
+            self.parts.add_proof(part, version, now);
+        }
+        let begun = self.requests.iter().filter_map(|(&ticket, pending)| {
+            let in_flight = pending.in_flight().filter(|in_flight| !in_flight.has_proof(now))?;
+            let began = in_flight.dispatched_at + in_flight.time_to_first_event?;
+            self.parts.suspects(&pending.request.shared_parts).next()?;
+            Some((began + PROOF_TIME, ticket))
+        });
+        self.proofs.extend(begun);
     }
 
     /// Clears parts on which a target of a version wrote an answer.
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -14,9 +14,9 @@
     capacity::ProcessIndex,
     event::{Effect, LogEntry, Now},
     outage,
-    peers::{Row, UsageChange, UsageChanges},
+    peers::{Row, UsageChange, UsageChanges, exchange_period},
     plan::Configuration,
-    relay::Era,
+    relay::{Era, MIN_CRASH_FETCH_INTERVAL},
 };
 
 impl State {
@@ -207,7 +207,9 @@
         let peer_timeout = self.settings.peer_timeout;
         self.peers.remove_expired(now, peer_timeout);
         self.crashes.remove_expired(now);
-        self.parts.remove_expired(now);
+        let period = exchange_period(self.peers.addresses().count());
+        self.parts.set_settling_time(period * 2 + MIN_CRASH_FETCH_INTERVAL);
+        self.parts.update(now);
         let mut addresses = self.peers.active_addresses(now, peer_timeout);
         let own = self.settings.address;
         addresses.push(own);
