Weigh a crash less against a body whose answer was being written

Measured: direct_crashes a_body_is_refused_after_two_crashes, 'while its answer was being written', fails before.

--- a/components/scheduler/src/direct/crashes.rs
+++ b/components/scheduler/src/direct/crashes.rs
@@ -25,15 +25,15 @@
 /// incarnation.
 pub type Observer = (SocketAddr, u64);
 
-/// Number of crashes that one process counted for a body, as processes send it to each other.
+/// Weight of the crashes that one process counted for a body, as processes send it to each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashCount {
     /// Fingerprint of the request whose body ran when targets crashed.
     pub body: Fingerprint,
     /// Process that counted the crashes.
     pub observer: Observer,
-    /// Number of crashes that the process counted.
-    pub crashes: u32,
+    /// Sum of the weights of the crashes that the process counted.
+    pub weight: u32,
     /// Time since the last of these crashes.
     pub age: Duration,
 }
@@ -41,7 +41,8 @@
 /// Crashes that one process counted for one body.
 #[derive(Clone, Copy, Debug)]
 struct Tally {
-    crashes: u32,
+    /// Sum of the weights of the crashes.
+    weight: u32,
     last_crash: Instant,
 }
 
@@ -56,12 +57,13 @@
 }
 
 impl CrashCounts {
-    /// Counts a crash that `observer` saw; returns the body's crashes over all processes.
-    pub fn add(&mut self, now: Instant, body: Fingerprint, observer: Observer) -> u32 {
+    /// Counts a crash of the given weight that `observer` saw; returns the weight of the body's crashes over all
+    /// processes.
+    pub fn add(&mut self, now: Instant, body: Fingerprint, observer: Observer, weight: u32) -> u32 {
         let known = self.counts.get(&body).and_then(|counts| counts.get(&observer));
-        let crashes = known.map_or(0, |tally| tally.crashes) + 1;
-        self.set(body, observer, Tally { crashes, last_crash: now });
-        self.crashes_of(&body)
+        let weight = known.map_or(0, |tally| tally.weight) + weight;
+        self.set(body, observer, Tally { weight, last_crash: now });
+        self.weight_of(&body)
     }
 
     /// Stores a count that another process sent, unless it has expired or one that is as high is known.
@@ -71,8 +73,8 @@
             return;
         };
         let known = self.counts.get(&count.body).and_then(|counts| counts.get(&count.observer));
-        if known.is_none_or(|tally| tally.crashes < count.crashes) {
-            self.set(count.body, count.observer, Tally { crashes: count.crashes, last_crash });
+        if known.is_none_or(|tally| tally.weight < count.weight) {
+            self.set(count.body, count.observer, Tally { weight: count.weight, last_crash });
         }
     }
 
@@ -90,10 +92,10 @@
         }
     }
 
-    /// Returns the number of target crashes during which a body was running, counted by all processes
+    /// Returns the weight of the target crashes during which a body was running, counted by all processes
     /// together.
-    pub fn crashes_of(&self, body: &Fingerprint) -> u32 {
-        self.counts.get(body).map_or(0, |counts| counts.values().map(|tally| tally.crashes).sum())
+    pub fn weight_of(&self, body: &Fingerprint) -> u32 {
+        self.counts.get(body).map_or(0, |counts| counts.values().map(|tally| tally.weight).sum())
     }
 
     /// Returns a digest of all counts, which is the same in processes that have the same counts; 0 where
@@ -109,7 +111,7 @@
         });
         let counts = tallies.map(|(body, observer, tally)| {
             let age = now.saturating_duration_since(tally.last_crash);
-            CrashCount { body, observer, crashes: tally.crashes, age }
+            CrashCount { body, observer, weight: tally.weight, age }
         });
         counts.collect()
     }
@@ -143,6 +145,6 @@
 
     /// Adds a count to the digest, or removes it where the digest contains it.
     fn toggle_in_digest(&mut self, body: Fingerprint, observer: Observer, tally: Tally) {
-        self.digest ^= HASHER.hash_one((body, observer, tally.crashes));
+        self.digest ^= HASHER.hash_one((body, observer, tally.weight));
     }
 }
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -70,8 +70,13 @@
 
 /// Hasher with a fixed seed: all entry processes compute the same hashes.
 const HASHER: BuildHasherDefault<DefaultHasher> = BuildHasherDefault::new();
-/// Number of target crashes after which requests with the same fingerprint are refused.
-const QUARANTINE_CRASHES: u32 = 2;
+/// Weight of a target's crash against the body of a request whose answer it hadn't begun to write.
+const SILENT_CRASH_WEIGHT: u32 = 2;
+/// Weight of a target's crash against the body of a request whose answer it was writing: another request that it
+/// ran is more likely at fault.
+const WRITTEN_CRASH_WEIGHT: u32 = 1;
+/// Weight of crashes from which on requests with the same fingerprint are refused.
+const QUARANTINE_WEIGHT: u32 = 4;
 /// Time after a connection broke off in which a failed connection to the same target, or its restart, is
 /// counted as a crash caused by the request on that connection.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,8 +5,8 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BrokenDispatch, BrokenRequest, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_CRASHES,
-    RETRY_AFTER_MAX, RETRY_AFTER_SHARE, State,
+    BrokenDispatch, BrokenRequest, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_WEIGHT,
+    RETRY_AFTER_MAX, RETRY_AFTER_SHARE, SILENT_CRASH_WEIGHT, State, WRITTEN_CRASH_WEIGHT,
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
@@ -369,7 +369,7 @@
 
     /// Counts a target's crash for the body of each request whose connection to the target broke off within
     /// [`CRASH_WINDOW`] before the target was found unreachable or, if `restarted` is set, restarted. Bodies
-    /// with [`QUARANTINE_CRASHES`] crashes are quarantined. If the target accepted a connection since, only
+    /// whose crashes weigh [`QUARANTINE_WEIGHT`] are quarantined. If the target accepted a connection since, only
     /// a restart counts as a crash.
     pub(super) fn count_crashes(
         &mut self,
@@ -394,16 +394,18 @@
         self.add_part_crashes(now, &crashes);
         for broken in crashes {
             let own_process = (self.settings.address, self.settings.incarnation);
-            if self.crashes.add(now, broken.fingerprint, own_process) == QUARANTINE_CRASHES {
+            let weight = if broken.has_proof { WRITTEN_CRASH_WEIGHT } else { SILENT_CRASH_WEIGHT };
+            let sum = self.crashes.add(now, broken.fingerprint, own_process, weight);
+            if (QUARANTINE_WEIGHT..QUARANTINE_WEIGHT + weight).contains(&sum) {
                 effects.push(Effect::Log(LogEntry::Quarantined(broken.fingerprint)));
             }
         }
     }
 
-    /// Returns whether requests with this body are refused because the body crashed targets
-    /// [`QUARANTINE_CRASHES`] times.
+    /// Returns whether requests with this body are refused because of the targets that crashed while they ran
+    /// it.
     pub(super) fn is_quarantined(&self, body: &Fingerprint) -> bool {
-        self.crashes.crashes_of(body) >= QUARANTINE_CRASHES
+        self.crashes.weight_of(body) >= QUARANTINE_WEIGHT
     }
 
     /// Ends a request without a whole answer: refuses it or, where a target answered with a failure and the
--- a/components/scheduler/tests/direct_crashes.rs
+++ b/components/scheduler/tests/direct_crashes.rs
@@ -13,6 +13,7 @@
     plan::{Account, Repeat},
     relay::Topic,
 };
+use test_case::test_case;
 
 /// Time after a crash within which all processes must have its count: the shortest time within which a
 /// process must have recovered from a fault.
@@ -245,3 +246,28 @@
 
     assert!(after < before + 1_000, "{before} bytes before, {after} after");
 }
+
+/// Guards against the refusal of a sound body whose answer was being written each time that another request crashed
+/// its target.
+#[test_case(true => false; "while its answer was being written")]
+#[test_case(false => true; "before its answer began")]
+fn a_body_is_refused_after_two_crashes(is_written: bool) -> bool {
+    let mut route = route("/a/", Repeat::Resumable);
+    route.max_attempts = 3;
+    let mut entry = configured_process(configuration(1, vec![route], None), targets(6));
+    for ticket in 1..=2 {
+        let target = only_dispatch(&entry.arrive(request_with_body(ticket, 0))).target;
+        if is_written {
+            entry.send(Event::AnswerBegan { ticket });
+        }
+        entry.advance(Duration::from_millis(200));
+        let outcome = Outcome::Incomplete { crashed: true };
+        entry.send(Event::DispatchEnded { ticket, outcome, begun: is_written, events: 3 });
+        entry.send(Event::Probed { target, reached: false });
+        entry.send(Event::CallerDisconnected { ticket, events: 3 });
+        entry.advance(Duration::from_secs(2));
+        entry.confirm_configuration();
+    }
+
+    is_refused(&mut entry, 3, 0)
+}
