Notice an overload by the work that waits, without a timer

Change: the delay is that of a new connection until its task runs, plus that of the last request at the control thread, the smallest of the last 300 ms and of five measurements at least.

--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -54,7 +54,7 @@
     connections_in_use: AtomicUsize,
     /// Number of connections of callers, those without a request included.
     open_connections: AtomicUsize,
-    admission: Arc<Admission>,
+    admission: Admission,
     metrics: Arc<Gateway>,
     /// Notified each time the number of connections in use becomes 0.
     became_idle: Notify,
@@ -95,24 +95,26 @@
     metrics: Arc<Gateway>,
 ) -> Handle {
     let (is_closing, _) = watch::channel(false);
-    let admission = Arc::new(overload::open(max_connections));
-    tokio::spawn(overload::measure(Arc::clone(&admission), record::log_overload));
     let shared = Arc::new(Shared {
         context,
         is_closing,
         connections_in_use: AtomicUsize::new(0),
         open_connections: AtomicUsize::new(0),
-        admission,
+        admission: overload::open(max_connections),
         metrics: Arc::clone(&metrics),
         became_idle: Notify::new(),
     });
     let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
     tokio::spawn(accept(listeners.callers, move |stream| {
         let connection = calls.admit_connection();
-        let shared = Arc::clone(&calls);
+        let (shared, accepted) = (Arc::clone(&calls), Instant::now());
         async move {
             // A stream that isn't admitted is closed here, unread.
             if let Some(connection) = connection {
+                let now = Instant::now();
+                let delay = shared.context.control.request_delay() + now.duration_since(accepted);
+                let change = shared.admission.record_delay(now, delay);
+                change.into_iter().for_each(record::log_overload);
                 serve_caller(shared, stream).await;
                 drop(connection);
             }
--- a/components/gateway/src/overload.rs
+++ b/components/gateway/src/overload.rs
@@ -1,4 +1,4 @@
-//! Detects that a thread is overloaded, and limits how many new connections it serves.
+//! Detects that the process is overloaded, and limits how many new connections it serves.
 //!
 //! A load balancer may direct most new connections to one process, more than its share of a core can serve. A
 //! connection that is closed before anything was read from it costs its caller least: the caller tries another
@@ -6,18 +6,18 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
-use tokio::time::sleep;
-
-/// Time between two measurements of the delay.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
-/// Number of measurements whose smallest delay counts. A host whose processor time is a quota stands still
-/// until the next tenth of a second, so a single delay shows no overload.
-const SAMPLES: usize = 6;
-/// Delay of ready tasks above which the thread is overloaded.
+/// Time for which a measurement of the delay counts. The smallest one counts: a host whose processor time is a
+/// quota stands still until the next tenth of a second, so a single delay shows no overload.
+const SAMPLE_LIFETIME: Duration = Duration::from_millis(300);
+/// Minimum number of measurements that show an overload.
+const MIN_SAMPLES: usize = 5;
+/// Maximum number of measurements that are kept.
+const MAX_SAMPLES: usize = 64;
+/// Delay of ready work above which the process is overloaded.
 const MAX_DELAY: Duration = Duration::from_millis(40);
 /// Time between two connections that are served in spite of the overload, so that callers without another
 /// process are served too.
@@ -25,7 +25,7 @@
 /// Delay by which the interval between connections grows by [`OVERLOADED_INTERVAL`].
 const DELAY_STEP: Duration = Duration::from_millis(200);
 
-/// Decides which new connections a thread serves.
+/// Decides which new connections a process serves.
 #[derive(Debug)]
 pub struct Admission {
     /// Maximum number of connections.
@@ -35,24 +35,26 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Delays of the last measurements.
-    delays: VecDeque<Duration>,
-    /// Time at which the last connection was accepted while the thread was overloaded.
+    /// Last measurements: the time of each, and the delay.
+    delays: VecDeque<(Instant, Duration)>,
+    /// Whether the process was overloaded at the last measurement.
+    is_overloaded: bool,
+    /// Time at which the last connection was accepted while the process was overloaded.
     last_accepted: Option<Instant>,
     /// Number of connections that were closed unread since the overload began.
     closed: u64,
 }
 
-/// Change of the load of the thread.
+/// Change of the load of the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// The thread is overloaded now, by this delay.
+    /// The process is overloaded now, by this delay.
     Began(Duration),
     /// The overload is over; so many connections were closed unread.
     Ended(u64),
 }
 
-/// Returns the admission of a thread that isn't overloaded, for at most `max_connections`.
+/// Returns the admission of a process that isn't overloaded, for at most `max_connections`.
 pub fn open(max_connections: usize) -> Admission {
     Admission { max_connections, state: Mutex::default() }
 }
@@ -61,7 +63,7 @@
     /// Returns whether a new connection is served, where `connections` are open.
     pub fn accepts(&self, now: Instant, connections: usize) -> bool {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let delay = state.delay();
+        let delay = state.delay(now);
         if connections < self.max_connections && delay <= MAX_DELAY {
             return true;
         }
@@ -77,41 +79,37 @@
         false
     }
 
-    /// Records how late a task ran; returns whether the thread became overloaded or no longer is.
-    pub fn record_delay(&self, delay: Duration) -> Option<Change> {
+    /// Records the time for which ready work waits: that of a new connection for the traffic thread, and that of
+    /// the last request for the control thread. Returns whether the process became overloaded or no longer is.
+    pub fn record_delay(&self, now: Instant, delay: Duration) -> Option<Change> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let was_overloaded = state.delay() > MAX_DELAY;
-        state.delays.push_back(delay);
-        if state.delays.len() > SAMPLES {
+        state.delays.push_back((now, delay));
+        if state.delays.len() > MAX_SAMPLES {
             state.delays.pop_front();
         }
-        match (was_overloaded, state.delay()) {
-            (false, delay) if delay > MAX_DELAY => Some(Change::Began(delay)),
-            (true, delay) if delay <= MAX_DELAY => {
-                state.last_accepted = None;
-                Some(Change::Ended(std::mem::take(&mut state.closed)))
-            }
-            _ => None,
+        let delay = state.delay(now);
+        let is_overloaded = delay > MAX_DELAY;
+        if std::mem::replace(&mut state.is_overloaded, is_overloaded) == is_overloaded {
+            return None;
         }
-    }
-}
-
-impl State {
-    /// Returns the smallest delay of the last measurements; zero before there are enough.
-    fn delay(&self) -> Duration {
-        if self.delays.len() < SAMPLES {
-            return Duration::ZERO;
+        if is_overloaded {
+            return Some(Change::Began(delay));
         }
-        self.delays.iter().min().copied().unwrap_or_default()
+        state.last_accepted = None;
+        Some(Change::Ended(std::mem::take(&mut state.closed)))
     }
 }
 
-/// Measures the delay of ready tasks of the current runtime, for as long as the admission is used elsewhere.
-pub async fn measure(admission: Arc<Admission>, on_change: impl Fn(Change)) {
-    while Arc::strong_count(&admission) > 1 {
-        let start = Instant::now();
-        sleep(SAMPLE_INTERVAL).await;
-        let delay = start.elapsed().saturating_sub(SAMPLE_INTERVAL);
-        admission.record_delay(delay).into_iter().for_each(&on_change);
+impl State {
+    /// Returns the smallest delay of the measurements that still count; zero if these are too few.
+    fn delay(&self, now: Instant) -> Duration {
+        let counted = self
+            .delays
+            .iter()
+            .rev()
+            .take_while(|(at, _)| now.saturating_duration_since(*at) < SAMPLE_LIFETIME);
+        let (count, least) = counted
+            .fold((0, Duration::MAX), |(count, least), (_, delay)| (count + 1, least.min(*delay)));
+        if count < MIN_SAMPLES { Duration::ZERO } else { least }
     }
 }
