Share the agents and the free ports of tests, and skip parts while nothing waits

The parts that no further request may run with are computed only while a request waits: suspects are kept for 600 s, and each event would go through all open requests.

--- a/components/scheduler/src/direct/screen.rs
+++ b/components/scheduler/src/direct/screen.rs
@@ -151,7 +151,8 @@
         for broken in unresolved {
             occupied.unresolved.extend(&broken.request.shared_parts);
         }
-        if !self.parts.has_suspects() {
+        let is_any_waiting = self.waiting.values().any(|queue| !queue.is_empty());
+        if !is_any_waiting || !self.parts.has_suspects() {
             return occupied;
         }
         for pending in self.requests.values() {
--- a/components/scheduler/tests/direct_support/fleet.rs
+++ b/components/scheduler/tests/direct_support/fleet.rs
@@ -9,21 +9,21 @@
 
 use model::{
     id::PartId,
-    reservation::{Ask, Id, Load},
+    reservation::{Ask, Load},
     suspect::Body,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use scheduler::{
-    agent::{self, Capacity, Policy},
+    agent,
     direct::{
         self, DenialReason, Effect, Event, Now, Outcome, Refusal, RefusalReason, Request,
         Reservation, Target, Ticket, parts::PartReport, peers::exchange_period, plan::Repeat,
     },
 };
-use uuid::Uuid;
 
 use super::{
     Process, address, configuration, dispatches, empty_process, refusals, request, route, settings,
+    site::{Key, agent_state, reservation_id},
     target,
 };
 
@@ -134,8 +134,6 @@
     Listed { entry: usize },
 }
 
-type ReservationKey = (usize, Ticket, u32);
-
 /// State of a simulation.
 pub struct Fleet {
     plan: Plan,
@@ -144,8 +142,8 @@
     incarnations: Vec<u32>,
     hosts: Vec<Host>,
     agents: BTreeMap<SocketAddr, agent::State>,
-    reservations: BTreeMap<ReservationKey, SocketAddr>,
-    waiting: BTreeSet<ReservationKey>,
+    reservations: BTreeMap<Key, SocketAddr>,
+    waiting: BTreeSet<Key>,
     messages: BTreeMap<u64, Vec<Message>>,
     /// All requests, by ticket.
     pub sent: BTreeMap<Ticket, Sent>,
@@ -182,23 +180,6 @@
     fleet
 }
 
-fn agent_state(slots: u32) -> agent::State {
-    let room = Capacity {
-        slots: slots as usize,
-        max_tokens: u64::MAX,
-        max_waiting: 1_000,
-        grant_lifetime: Duration::from_millis(200),
-    };
-    agent::open_with(
-        room,
-        Policy { min_tier_share: 0.05, is_latest_deadline_first: true, ..Policy::without_rules() },
-    )
-}
-
-fn reservation_id((entry, ticket, attempt): ReservationKey) -> Id {
-    Id { request: Uuid::from_u64_pair(entry as u64, ticket), attempt }
-}
-
 impl Fleet {
     /// Runs until the last request has ended.
     pub fn run(&mut self) {
@@ -341,12 +322,12 @@
             offset: 0,
             body: Body { fingerprint: reservation.fingerprint, alone: reservation.is_alone },
         };
-        let slots = self.plan.slots;
+        let slots = self.plan.slots as usize;
         self.agents.entry(agent).or_insert_with(|| agent_state(slots));
         self.send_to_agent(agent, agent::Event::Reserve(ask));
     }
 
-    fn withdraw(&mut self, key: ReservationKey) {
+    fn withdraw(&mut self, key: Key) {
         self.waiting.remove(&key);
         if let Some(agent) = self.reservations.remove(&key) {
             self.send_to_agent(agent, agent::Event::Cancel(reservation_id(key)));
@@ -370,7 +351,7 @@
         }
     }
 
-    fn deliver_grant(&mut self, key: ReservationKey, load: Load) {
+    fn deliver_grant(&mut self, key: Key, load: Load) {
         let (entry, ticket, number) = key;
         if self.waiting.remove(&key) {
             let agent = self.reservations[&key];
@@ -428,7 +409,7 @@
         }
         let agent = address(2_000 + number as u16);
         self.agents.remove(&agent);
-        let held: Vec<ReservationKey> =
+        let held: Vec<Key> =
             self.reservations.iter().filter(|(_, at)| **at == agent).map(|(key, _)| *key).collect();
         for key in held {
             self.reservations.remove(&key);
@@ -499,7 +480,7 @@
     }
 
     fn kill(&mut self, entry: usize) {
-        let held: Vec<ReservationKey> =
+        let held: Vec<Key> =
             self.reservations.keys().filter(|key| key.0 == entry).copied().collect();
         held.into_iter().for_each(|key| self.withdraw(key));
         let mut lost: Vec<Ticket> = Vec::new();
--- a/components/scheduler/tests/direct_support/site.rs
+++ b/components/scheduler/tests/direct_support/site.rs
@@ -147,7 +147,7 @@
 }
 
 /// A reservation: index of its entry process, ticket of its request, and its number for that request.
-type Key = (usize, Ticket, u32);
+pub type Key = (usize, Ticket, u32);
 
 /// Addresses of an agent and of its target.
 type AgentKey = (SocketAddr, SocketAddr);
@@ -328,7 +328,7 @@
 }
 
 /// Returns the id of a reservation at its agent.
-fn reservation_id((index, ticket, attempt): Key) -> Id {
+pub fn reservation_id((index, ticket, attempt): Key) -> Id {
     Id { request: Uuid::from_u64_pair(index as u64, ticket), attempt }
 }
 
@@ -337,10 +337,10 @@
     address.port() - 1_000
 }
 
-/// Returns the state of a new agent.
-fn agent_state() -> State {
+/// Returns the state of a new agent of a target with `slots` slots.
+pub fn agent_state(slots: usize) -> State {
     let room = Capacity {
-        slots: 1,
+        slots,
         max_tokens: u64::MAX,
         max_waiting: 1_000,
         grant_lifetime: Duration::from_millis(200),
@@ -411,7 +411,7 @@
             offset: 0,
             body: Default::default(),
         };
-        self.agents.entry((agent, address)).or_insert_with(agent_state);
+        self.agents.entry((agent, address)).or_insert_with(|| agent_state(1));
         self.send_to_agent((agent, address), agent::Event::SlotsChanged(slots as usize));
         if let Some(limit) = reservation.limit {
             self.send_to_agent((agent, address), agent::Event::RateLimitReported(limit));
--- a/tests/skew.rs
+++ b/tests/skew.rs
@@ -7,7 +7,7 @@
 mod support;
 
 use std::{
-    net::{IpAddr, SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -56,21 +56,8 @@
     IpAddr::from([127, 0, 2, number as u8 + 1])
 }
 
-fn free_ports() -> u16 {
-    loop {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
-        let port = listener.local_addr().expect("it has an address").port();
-        let is_free = |ip, port| TcpListener::bind(SocketAddr::new(ip, port)).is_ok();
-        if port < u16::MAX
-            && (0..ENTRIES).all(|n| is_free(host(n), port) && is_free(host(n), port + 1))
-        {
-            return port;
-        }
-    }
-}
-
 async fn start(store: &Store) -> Vec<Process> {
-    let port = free_ports();
+    let port = support::free_ports(&(0..ENTRIES).map(host).collect::<Vec<_>>());
     let entries: Vec<Process> = (0..ENTRIES)
         .map(|number| {
             let name = format!("entry-{number}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::{
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr, TcpListener},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     thread,
     time::Duration,
@@ -168,3 +168,15 @@
         }
     }
 }
+
+/// Returns a port that is free, and the next one too, at all of these addresses.
+pub fn free_ports(hosts: &[IpAddr]) -> u16 {
+    loop {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+        let port = listener.local_addr().expect("it has an address").port();
+        let is_free = |ip, port| TcpListener::bind(SocketAddr::new(ip, port)).is_ok();
+        if port < u16::MAX && hosts.iter().all(|&ip| is_free(ip, port) && is_free(ip, port + 1)) {
+            return port;
+        }
+    }
+}
--- a/tests/versions_soak.rs
+++ b/tests/versions_soak.rs
@@ -9,7 +9,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{IpAddr, SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -79,20 +79,6 @@
     IpAddr::from([127, 0, 1, number as u8 + 1])
 }
 
-/// Returns a port that is free, and the next one too, at the addresses of all hosts.
-fn free_ports() -> u16 {
-    loop {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
-        let port = listener.local_addr().expect("it has an address").port();
-        let is_free = |ip, port| TcpListener::bind(SocketAddr::new(ip, port)).is_ok();
-        if port < u16::MAX
-            && (0..ENTRIES + RUNNERS).all(|n| is_free(host(n), port) && is_free(host(n), port + 1))
-        {
-            return port;
-        }
-    }
-}
-
 impl Site {
     async fn start() -> Site {
         let store = store::bind().await;
@@ -110,8 +96,14 @@
             runners.push(runner);
         }
         let (agents, entries) = (Vec::new(), Vec::new());
-        let mut site =
-            Site { store, runners, agents, entries, port: free_ports(), callers: Arc::default() };
+        let mut site = Site {
+            store,
+            runners,
+            agents,
+            entries,
+            port: support::free_ports(&(0..ENTRIES + RUNNERS).map(host).collect::<Vec<_>>()),
+            callers: Arc::default(),
+        };
         for number in 0..RUNNERS {
             let agent = site.start_agent(number);
             site.agents.push(Some(agent));
