Count an answer without a length only against a target that crashed at once

Cause, found by reading: such an answer was kept for 2 s like a broken one, so that the body of a complete answer was counted as crashing a target that crashed by itself up to 2 s later; two of these refused the body. Change: it counts for 500 ms, in which its target was probed, and never against the body. Measured: direct_crashes an_answer_without_a_length_that_ended_before_a_crash_is_not_counted fails before (the third request is refused as quarantined).

--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -80,6 +80,8 @@
 /// Time after a connection broke off in which a failed connection to the same target, or its restart, is
 /// counted as a crash caused by the request on that connection.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// The same time after an answer without a length that ended with its connection: the target was probed at once.
+const ANSWERED_CRASH_WINDOW: Duration = Duration::from_millis(500);
 /// Share of a request's maximum wait that it may spend waiting for units of its account's limit: a caller
 /// that is refused after that wait can still retry before its deadline.
 const LIMIT_WAIT_SHARE: f64 = 0.4;
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -5,8 +5,9 @@
 use model::id::{Fingerprint, PoolName, TargetName};
 
 use super::{
-    BrokenDispatch, BrokenRequest, CRASH_WINDOW, NOT_READY_RETRY_AFTER, QUARANTINE_WEIGHT,
-    RETRY_AFTER_MAX, RETRY_AFTER_SHARE, SILENT_CRASH_WEIGHT, State, WRITTEN_CRASH_WEIGHT,
+    ANSWERED_CRASH_WINDOW, BrokenDispatch, BrokenRequest, CRASH_WINDOW, NOT_READY_RETRY_AFTER,
+    QUARANTINE_WEIGHT, RETRY_AFTER_MAX, RETRY_AFTER_SHARE, SILENT_CRASH_WEIGHT, State,
+    WRITTEN_CRASH_WEIGHT,
     budget::{self, RetryBudget},
     capacity::Slot,
     event::{Effect, LogEntry, Now, Outcome, Refusal, RefusalReason, Ticket},
@@ -380,7 +381,9 @@
     ) {
         self.broken_dispatches.retain(|broken| now.duration_since(broken.at) < CRASH_WINDOW);
         let is_crash = |broken: &BrokenDispatch| {
-            broken.target == target && (restarted || !broken.is_target_reached)
+            let is_current =
+                !broken.is_answered || now.duration_since(broken.at) < ANSWERED_CRASH_WINDOW;
+            is_current && broken.target == target && (restarted || !broken.is_target_reached)
         };
         let (crashes, rest) =
             std::mem::take(&mut self.broken_dispatches).into_iter().partition(is_crash);
@@ -392,7 +395,8 @@
             effects.push(Effect::Log(LogEntry::Crashed { target, requests }));
         }
         self.add_part_crashes(now, &crashes);
-        for broken in crashes {
+        // The end of an answer without a length says too little to refuse its body.
+        for broken in crashes.into_iter().filter(|broken| !broken.is_answered) {
             let own_process = (self.settings.address, self.settings.incarnation);
             let weight = if broken.has_proof { WRITTEN_CRASH_WEIGHT } else { SILENT_CRASH_WEIGHT };
             let sum = self.crashes.add(now, broken.fingerprint, own_process, weight);
--- a/components/scheduler/tests/direct_crashes.rs
+++ b/components/scheduler/tests/direct_crashes.rs
@@ -271,3 +271,30 @@
 
     is_refused(&mut entry, 3, 0)
 }
+
+/// Guards against the refusal of a body whose answers had ended before their targets crashed by themselves. Answers
+/// without a length end with their connection, as a crash does.
+#[test]
+fn an_answer_without_a_length_that_ended_before_a_crash_is_not_counted() {
+    let routes = vec![route("/a/", Repeat::Idempotent)];
+    let mut entry = configured_process(configuration(1, routes, None), targets(6));
+    for ticket in 1..=3 {
+        let target = only_dispatch(&entry.arrive(request_with_body(ticket, 0))).target;
+        entry.send(Event::AnswerUnframed { ticket });
+        entry.end_dispatch(ticket, Outcome::Completed);
+        entry.advance(Duration::from_secs(1));
+        // Another request finds the target down.
+        let mut other = 10 * ticket;
+        while only_dispatch(&entry.arrive(request_with_body(other, 7))).target != target {
+            other += 1;
+        }
+        entry.end_dispatch(other, Outcome::Unreachable);
+        for ticket in 10 * ticket..=other {
+            entry.send(Event::CallerDisconnected { ticket, events: 0 });
+        }
+        entry.advance(Duration::from_secs(2));
+        entry.confirm_configuration();
+    }
+
+    assert!(!is_refused(&mut entry, 40, 0));
+}
