List a failing test of sound requests while two bad parts are sought

Eight of twelve targets are lost within 0.5 s, before five processes have told each other, and all parts lack targets.

--- a/components/scheduler/tests/direct_parts.rs
+++ b/components/scheduler/tests/direct_parts.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// Guards against sound requests that find no target, since each process loses some before it learns of the crashes that
+/// others saw.
+#[test]
+fn sound_requests_begin_while_two_bad_parts_are_sought_by_five_processes() {
+    let mut fleet = fleet::open(Plan { seed: 13, bad_parts: &[BAD, OTHER_BAD], ..WITH_AGENTS });
+
+    fleet.run();
+
+    let begun = fleet.begun_fraction(COMMON_PART, BAD_START_MS, BAD_START_MS + 6_000);
+    assert!(begun >= MIN_BEGUN, "{begun}, crashes {:?}", fleet.bad_crashes);
+}
+
 fn entry() -> Process {
     let mut route = route("/a/", Repeat::Resumable);
     route.target_latency = Duration::from_secs(2);
