Test the share of requests that are answered at the first attempt that was read

The new test counts that, and still asks for three quarters of the answers over both attempts. It has kept connections, bodies of 9 KB in the mean, a link of 10 Mbit/s, 0.02, 0.09, 0.5 and a whole core, and agents.

--- a/tests/skew.rs
+++ b/tests/skew.rs
@@ -1,6 +1,11 @@
-//! New connections of all callers that come to one entry process, which has a small part of a core.
+//! New connections of all callers that come to one entry process, which has a small part of a core and a narrow
+//! link.
 //!
-//! `WAGTAILHILL_SKEW_RATES` sets the numbers of new connections a second, separated by commas.
+//! Counted are the requests that are answered at the first attempt that a process read, against those of the
+//! seconds before. An attempt that is refused, or whose connection is closed unread, doesn't count if a later one
+//! is read.
+//!
+//! `WAGTAILHILL_SKEW_CASES` names the cases of [`BY_HAND`] that are run by hand, separated by commas.
 
 #[path = "../platform/tests/support/mod.rs"]
 mod platform_support;
@@ -9,7 +14,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -20,24 +25,90 @@
     runner::{self, Behavior},
     store,
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use standin::relay::{self, Relay};
 use support::Process;
+use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{Instant, interval, sleep, timeout},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
 const ENTRIES: usize = 3;
-/// Time in which the process runs, of each [`PERIOD`]: 0.09 of a core.
-const RUNNING_TIME: Duration = Duration::from_millis(9);
+const RUNNERS: usize = 12;
+/// Period of the processor quota of the process that gets all new connections.
 const PERIOD: Duration = Duration::from_millis(100);
-const DEFAULT_RATES: &str = "60";
-/// Time for which callers open connections at each rate.
-const LOAD_TIME: Duration = Duration::from_secs(3);
-/// Time for which a caller waits for its answer in one attempt.
-const PATIENCE: Duration = Duration::from_secs(4);
-/// Share of the requests that callers must get answers to over two attempts.
+/// Time for which the connections are spread over all processes.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// Time for which all new connections go to one process before requests are counted.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Time in which requests are counted after that.
+const COUNTED_TIME: Duration = Duration::from_secs(3);
+/// Part of the connections that go to the slow process in the calm seconds: one of 24 hosts.
+const CALM_SHARE: f64 = 1.0 / 24.0;
+/// Part of the requests that are sent on a kept connection, if there is one.
+const KEPT_SHARE: f64 = 0.5;
+/// Time for which a caller waits for a connection.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+/// Least share of requests answered at the first attempt that was read, as a part of that share in the calm seconds.
+const MIN_RATIO: f64 = 0.75;
+/// Least share of requests that are answered in any of their attempts.
 const MIN_ANSWERED: f64 = 0.75;
+/// Mean size in bytes of a body, and bytes a second of a link of 10 Mbit/s.
+const BODY_BYTES: usize = 9_000;
+const LINK_BYTES_PER_S: f64 = 1_250_000.0;
+
+/// A load and the host of the process that gets all new connections.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    /// Requests a second of all callers.
+    rate: u32,
+    /// Time in which the process runs, of each [`PERIOD`]; `PERIOD` where it has a whole core.
+    running_time: Duration,
+    /// Whether callers and the process share a link of [`LINK_BYTES_PER_S`].
+    has_narrow_link: bool,
+    /// Mean size in bytes of a body.
+    body_bytes: usize,
+    /// Slots of each of the [`RUNNERS`].
+    slots: u32,
+    /// Whether an agent admits requests to each runner.
+    has_agents: bool,
+    /// Time for which a caller waits for its answer in one attempt.
+    patience: Duration,
+}
+
+const fn case(name: &'static str, rate: u32, running_ms: u64) -> Case {
+    let running_time = Duration::from_millis(running_ms);
+    Case {
+        name,
+        rate,
+        running_time,
+        has_narrow_link: false,
+        body_bytes: 0,
+        slots: 100,
+        has_agents: false,
+        patience: Duration::from_secs(4),
+    }
+}
+
+const SMALL_HOST: Case =
+    Case { has_narrow_link: true, body_bytes: BODY_BYTES, ..case("small_host", 475, 9) };
+const NARROW_LINK: Case =
+    Case { has_narrow_link: true, body_bytes: BODY_BYTES, ..case("narrow_link", 475, 100) };
+const SMALL_CORE: Case = Case { patience: Duration::from_secs(1), ..case("small_core", 475, 9) };
+/// A core that is busy with the requests at the rate of the other cases.
+const BUSY_CORE: Case = Case { patience: Duration::from_secs(1), ..case("busy_core", 475, 2) };
+const LARGER_HOST: Case = Case { body_bytes: BODY_BYTES, ..case("larger_host", 475, 50) };
+const AGENTS: Case = Case { slots: 3, has_agents: true, ..SMALL_HOST };
+/// Cases that need several free cores.
+const BY_HAND: [Case; 4] = [
+    case("calm", 60, 9),
+    case("many", 1_500, 9),
+    Case { name: "many_on_narrow_link", rate: 1_500, ..SMALL_HOST },
+    case("very_many", 3_000, 9),
+];
 
 /// End of one attempt of a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,24 +117,75 @@
     Answered,
     /// An answer of the entry process that the request didn't run.
     Refused,
-    /// The connection was closed or reset without an answer.
-    Closed,
-    /// No answer within [`PATIENCE`].
+    /// The connection was refused, reset or closed without a byte of an answer.
+    Unread,
+    /// No answer within the caller's patience; counts as read.
     TimedOut,
 }
 
+impl Attempt {
+    fn is_read(self) -> bool {
+        self != Attempt::Unread
+    }
+}
+
+/// A request with its attempts: at most two.
+struct Ended {
+    is_counted: bool,
+    is_calm: bool,
+    /// Whether the first attempt used a kept connection.
+    is_kept: bool,
+    attempts: Vec<Attempt>,
+    time: Duration,
+}
+
+/// A request as a caller sends it in one attempt.
+struct Request {
+    id: String,
+    body: Arc<[u8]>,
+    /// Time for which the caller waits for the answer.
+    patience: Duration,
+}
+
+/// Connections that callers keep, each with its process.
+type Kept = Arc<Mutex<Vec<(SocketAddr, TcpStream)>>>;
+
+struct Site {
+    entries: Vec<Process>,
+    _agents: Vec<Process>,
+    _runners: Vec<Runner>,
+    _store: Store,
+    _relay: Option<Relay>,
+    /// Addresses at which callers reach the processes; the first one gets all new connections.
+    addresses: Vec<SocketAddr>,
+}
+
 fn host(number: usize) -> IpAddr {
     IpAddr::from([127, 0, 2, number as u8 + 1])
 }
 
-async fn start(store: &Store) -> Vec<Process> {
-    let port = support::free_ports(&(0..ENTRIES).map(host).collect::<Vec<_>>());
+async fn start(case: &Case) -> Site {
+    let store = store::bind().await;
+    store.write_config(&platform_support::config(1, &["key"]));
+    let hosts: Vec<IpAddr> = (0..ENTRIES + RUNNERS).map(host).collect();
+    let port = support::free_ports(&hosts);
+    let (mut runners, mut agents) = (Vec::new(), Vec::new());
+    for number in 0..RUNNERS {
+        let (ip, name) = (host(ENTRIES + number), format!("i-{number}"));
+        let behavior = Behavior::Delayed { delay: Duration::from_millis(40) };
+        let runner = runner::bind_at(ip, &name, behavior).await;
+        store.write_runner(&name, &runner.model_record("v1", "north", case.slots));
+        if case.has_agents {
+            let settings = platform_support::agent_settings(&format!("side-{number}"), ip, port);
+            agents.push(support::admission(&settings));
+        }
+        runners.push(runner);
+    }
     let entries: Vec<Process> = (0..ENTRIES)
         .map(|number| {
             let name = format!("entry-{number}");
-            let settings =
-                platform_support::entry_settings(&name, "north", host(number), port, store.address);
-            support::gateway(&settings)
+            let (ip, store) = (host(number), store.address);
+            support::gateway(&platform_support::entry_settings(&name, "north", ip, port, store))
         })
         .collect();
     for entry in &entries {
@@ -73,58 +195,135 @@
         })
         .await;
     }
-    entries
+    let mut addresses: Vec<SocketAddr> =
+        entries.iter().map(|entry| entry.address("callers")).collect();
+    let mut relay = None;
+    if case.has_narrow_link {
+        let link = relay::link(LINK_BYTES_PER_S);
+        let over = relay::bind_over(&link, SocketAddr::new(host(0), 0), addresses[0]).await;
+        let over = over.expect("binds a port");
+        addresses[0] = over.address;
+        relay = Some(over);
+    }
+    Site { entries, _agents: agents, _runners: runners, _store: store, _relay: relay, addresses }
 }
 
-/// Sends a request on a new connection and reads its answer to the end.
-async fn attempt(entry: SocketAddr, id: &str) -> Attempt {
-    let request = format!(
-        "POST /safe/ HTTP/1.1\r\nhost: host.example\r\nrequest-id: {id}\r\nconnection: close\r\n\
-         authorization: Bearer key\r\ndeadline-remaining-ms: 4000\r\ncontent-length: 0\r\n\r\n"
+/// Sends a request and reads its answer. Returns the connection if it can be used again.
+async fn exchange(
+    mut stream: TcpStream,
+    Request { id, body, patience }: &Request,
+) -> (Attempt, Option<TcpStream>) {
+    let head = format!(
+        "POST /safe/ HTTP/1.1\r\nhost: host.example\r\nrequest-id: {id}\r\n\
+         authorization: Bearer key\r\ndeadline-remaining-ms: {}\r\ncontent-length: {}\r\n\r\n",
+        patience.as_millis(),
+        body.len()
     );
-    let exchange = async {
-        let mut stream = TcpStream::connect(entry).await?;
-        stream.write_all(request.as_bytes()).await?;
-        let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).await?;
-        Ok::<_, std::io::Error>(answer)
+    if stream.write_all(&[head.as_bytes(), body].concat()).await.is_err() {
+        return (Attempt::Unread, None);
+    }
+    let mut answer = Vec::new();
+    let head_end = loop {
+        match stream.read_buf(&mut answer).await {
+            Ok(0) | Err(_) if answer.is_empty() => return (Attempt::Unread, None),
+            Ok(0) | Err(_) => return (Attempt::Refused, None),
+            Ok(_) => {}
+        }
+        if let Some(at) = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break at + 4;
+        }
     };
-    match timeout(PATIENCE, exchange).await {
-        Ok(Ok(answer)) if answer.starts_with(b"HTTP/1.1 200") => Attempt::Answered,
-        Ok(Ok(answer)) if answer.starts_with(b"HTTP/1.1") => Attempt::Refused,
-        Ok(_) => Attempt::Closed,
+    let head = String::from_utf8_lossy(&answer[..head_end]).to_ascii_lowercase();
+    let field =
+        |name: &str| head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+    let length: usize = field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    while answer.len() < head_end + length {
+        if !stream.read_buf(&mut answer).await.is_ok_and(|read| read > 0) {
+            return (Attempt::Refused, None);
+        }
+    }
+    let is_kept = field("connection") != Some("close");
+    let end = if head.starts_with("http/1.1 200") { Attempt::Answered } else { Attempt::Refused };
+    (end, is_kept.then_some(stream))
+}
+
+/// Makes one attempt, on a kept connection or on a new one.
+async fn attempt(
+    to: SocketAddr,
+    kept: Option<TcpStream>,
+    request: &Request,
+    pool: &Kept,
+) -> Attempt {
+    let stream = match kept {
+        Some(stream) => stream,
+        None => match timeout(CONNECT_PATIENCE, TcpStream::connect(to)).await {
+            Ok(Ok(stream)) => stream,
+            _ => return Attempt::Unread,
+        },
+    };
+    match timeout(request.patience, exchange(stream, request)).await {
+        Ok((end, stream)) => {
+            let stream = stream.map(|stream| (to, stream));
+            pool.lock().expect("the lock is not poisoned").extend(stream);
+            end
+        }
         Err(_) => Attempt::TimedOut,
     }
 }
 
-/// Lets a process run for [`RUNNING_TIME`] of each [`PERIOD`] until `is_over` is set.
-async fn slow_down(entry: Process, is_over: Arc<AtomicBool>) -> Process {
+/// Lets a process run for `running_time` of each [`PERIOD`] until `is_over` is set.
+async fn slow_down(entry: Process, running_time: Duration, is_over: Arc<AtomicBool>) -> Process {
     while !is_over.load(Ordering::Relaxed) {
         entry.wake();
-        sleep(RUNNING_TIME).await;
-        entry.freeze();
-        sleep(PERIOD - RUNNING_TIME).await;
+        sleep(running_time).await;
+        if running_time < PERIOD {
+            entry.freeze();
+            sleep(PERIOD - running_time).await;
+        }
     }
     entry.wake();
     entry
 }
 
-/// Opens connections to the first address, each for one request, which is sent to the second address if the
-/// first attempt isn't answered. Returns both attempts of each request and the time of the whole request.
-async fn load(addresses: [SocketAddr; 2], rate: u32) -> Vec<(Attempt, Option<Attempt>, Duration)> {
-    let mut ticks = interval(Duration::from_secs(1) / rate);
-    let count = (f64::from(rate) * LOAD_TIME.as_secs_f64()) as u32;
+/// Sends requests at the rate of the case: first with connections to all processes, then with all new ones to
+/// the first. Second attempts go to the others.
+async fn load(case: Case, addresses: &[SocketAddr]) -> Vec<Ended> {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut ticks = interval(Duration::from_secs(1) / case.rate);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let start = Instant::now();
+    let pool = Kept::default();
     let mut requests = Vec::new();
-    for number in 0..count {
+    let end = CALM_TIME + SETTLING_TIME + COUNTED_TIME;
+    let mut number = 0;
+    while start.elapsed() < end {
         ticks.tick().await;
+        number += 1;
+        let since_start = start.elapsed();
+        let is_calm = since_start < CALM_TIME;
+        let is_counted = is_calm || since_start >= CALM_TIME + SETTLING_TIME;
+        let other = addresses[random.random_range(1..addresses.len())];
+        let to_first = !is_calm || random.random_bool(CALM_SHARE);
+        let first = if to_first { addresses[0] } else { other };
+        let body: Arc<[u8]> = vec![b'.'; random.random_range(0..=2 * case.body_bytes)].into();
+        let request = move |attempt: u32| Request {
+            id: format!("{number}-{attempt}"),
+            body: Arc::clone(&body),
+            patience: case.patience,
+        };
+        let wants_kept = random.random_bool(KEPT_SHARE);
+        let pool = Arc::clone(&pool);
         requests.push(tokio::spawn(async move {
-            let start = Instant::now();
-            let first = attempt(addresses[0], &format!("{rate}-{number}-1")).await;
-            let second = match first {
-                Attempt::Answered => None,
-                _ => Some(attempt(addresses[1], &format!("{rate}-{number}-2")).await),
-            };
-            (first, second, start.elapsed())
+            let sent = Instant::now();
+            let kept =
+                wants_kept.then(|| pool.lock().expect("the lock is not poisoned").pop()).flatten();
+            let is_kept = kept.is_some();
+            let (to, kept) = kept.map_or((first, None), |(to, stream)| (to, Some(stream)));
+            let mut attempts = vec![attempt(to, kept, &request(1), &pool).await];
+            if attempts[0] != Attempt::Answered {
+                attempts.push(attempt(other, None, &request(2), &pool).await);
+            }
+            Ended { is_counted, is_calm, is_kept, attempts, time: sent.elapsed() }
         }));
     }
     let mut ended = Vec::new();
@@ -134,58 +333,89 @@
     ended
 }
 
-async fn runners() -> Vec<Runner> {
-    let mut runners = Vec::new();
-    for number in 0..3 {
-        runners.push(runner::bind(&format!("i-{number}"), Behavior::Slow).await);
+/// Returns the part of the requests that were answered at the first attempt that was read.
+fn share_at_first_read<'a>(ended: impl Iterator<Item = &'a Ended>) -> f64 {
+    let is_served = |ended: &Ended| {
+        ended.attempts.iter().find(|attempt| attempt.is_read()) == Some(&Attempt::Answered)
+    };
+    let (mut served, mut all) = (0, 0);
+    for request in ended {
+        served += u32::from(is_served(request));
+        all += 1;
     }
-    runners
+    f64::from(served) / f64::from(all)
 }
 
-/// Guards against callers who get no answer since all of their connections come to one process, which accepts
-/// more than it can serve.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn callers_are_served_by_other_processes_where_one_gets_all_new_connections() {
-    let rates = std::env::var("WAGTAILHILL_SKEW_RATES").unwrap_or(DEFAULT_RATES.to_owned());
-    let store = store::bind().await;
-    store.write_config(&platform_support::config(1, &["key"]));
-    let runners = runners().await;
-    for runner in &runners {
-        store.write_runner(&runner.name, &runner.model_record("v1", "north", 200));
-    }
-    for rate in rates.split(',').map(|rate| rate.parse().expect("a number")) {
-        let mut entries = start(&store).await;
-        let addresses = [entries[0].address("callers"), entries[1].address("callers")];
-        let is_over = Arc::new(AtomicBool::new(false));
-        let slow = tokio::spawn(slow_down(entries.remove(0), Arc::clone(&is_over)));
-
-        let ended = load(addresses, rate).await;
-        is_over.store(true, Ordering::Relaxed);
-        slow.await.expect("the process runs").kill();
-        entries.into_iter().for_each(Process::kill);
-
-        let first = |kind| ended.iter().filter(|(first, ..)| *first == kind).count();
-        let answered = ended.iter().filter(|(first, second, _)| {
-            *first == Attempt::Answered || *second == Some(Attempt::Answered)
-        });
-        let answered = answered.count();
-        let mut times: Vec<Duration> = ended.iter().map(|(.., time)| *time).collect();
-        times.sort_unstable();
+/// Held by the case that runs: each one needs several cores.
+static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+/// Runs a case and checks both shares.
+async fn check(case: Case) {
+    let _running = RUNNING.lock().await;
+    let mut site = start(&case).await;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let first = site.entries.remove(0);
+    let slow = tokio::spawn(slow_down(first, case.running_time, Arc::clone(&is_over)));
+
+    let ended = load(case, &site.addresses).await;
+    is_over.store(true, Ordering::Relaxed);
+    slow.await.expect("the process runs").kill();
+
+    let calm = share_at_first_read(ended.iter().filter(|ended| ended.is_calm));
+    let counted: Vec<&Ended> =
+        ended.iter().filter(|ended| ended.is_counted && !ended.is_calm).collect();
+    let share = share_at_first_read(counted.iter().copied());
+    let count = |is_kept, kind| {
+        let ended = counted.iter().filter(|ended| ended.is_kept == is_kept);
+        ended.filter(|ended| ended.attempts[0] == kind).count()
+    };
+    let answered =
+        counted.iter().filter(|ended| ended.attempts.contains(&Attempt::Answered)).count();
+    let mut times: Vec<Duration> = counted.iter().map(|ended| ended.time).collect();
+    times.sort_unstable();
+    for is_kept in [false, true] {
         println!(
-            "{rate}/s: {} requests, {answered} answered; first attempts: {} answered, {} refused, {} closed, \
-             {} timed out; half within {:?}, nine of ten within {:?}",
-            ended.len(),
-            first(Attempt::Answered),
-            first(Attempt::Refused),
-            first(Attempt::Closed),
-            first(Attempt::TimedOut),
-            times[times.len() / 2],
-            times[times.len() * 9 / 10],
-        );
-        assert!(
-            answered as f64 >= MIN_ANSWERED * ended.len() as f64,
-            "{answered} of {}",
-            ended.len()
+            "{} {}: first attempts: {} answered, {} refused, {} unread, {} timed out",
+            case.name,
+            if is_kept { "kept" } else { "new" },
+            count(is_kept, Attempt::Answered),
+            count(is_kept, Attempt::Refused),
+            count(is_kept, Attempt::Unread),
+            count(is_kept, Attempt::TimedOut),
         );
     }
+    println!(
+        "{}: {} requests; at the first attempt that was read {share:.3}, {calm:.3} in the calm seconds; answered \
+         {answered}; half within {:?}, nine of ten within {:?}",
+        case.name,
+        counted.len(),
+        times[times.len() / 2],
+        times[times.len() * 9 / 10],
+    );
+    assert!(share >= MIN_RATIO * calm, "{share} of {calm} at the first attempt that was read");
+    assert!(answered as f64 >= MIN_ANSWERED * counted.len() as f64, "{answered} answered");
+}
+
+/// Guards against requests that fail after one process read them, which accepts more than it can carry out.
+#[test_case(SMALL_CORE; "small_core")]
+#[test_case(BUSY_CORE; "busy_core")]
+#[test_case(SMALL_HOST; "small_core_and_narrow_link")]
+#[test_case(NARROW_LINK; "narrow_link")]
+#[test_case(LARGER_HOST; "half_a_core")]
+#[test_case(AGENTS; "agents_admit")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_are_answered_where_they_are_read_while_one_process_gets_all_new_connections(
+    case: Case,
+) {
+    check(case).await;
+}
+
+/// Runs the cases that are named by hand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_by_hand_are_answered_where_they_are_read() {
+    let names = std::env::var("WAGTAILHILL_SKEW_CASES").unwrap_or_default();
+    let named = |case: &&Case| names.split(',').any(|name| name == case.name);
+    for case in BY_HAND.iter().filter(named) {
+        check(*case).await;
+    }
 }
