Refuse new connections by the work that the host can carry out

Callers saw requests fail after one process had read them, while a balancer sent it nearly all new connections. Cause: the process measured the delay between its threads, which a core by quota hides, and closed connections after their bodies had used the link, which binds first at 475 requests a second with bodies.

Now requests in work (from the acceptance until the control thread has them) are limited by the median of the time that they take, over the least median of the last minute. At the limit the listening socket is closed, so that the kernel refuses connections without a body on the link. While overloaded, answers tell callers to close.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -23,6 +23,7 @@
     control::{self, Command},
     dispatch::{self, EventStream, TargetAnswer, TargetClient, UnreadAnswer},
     events::StreamEvent,
+    overload::Work,
 };
 
 /// Timeout of receiving the body of a request.
@@ -71,15 +72,19 @@
 }
 
 /// Serves a request and returns the answer. The body of a stream is received from targets while it is sent
-/// to the caller.
-pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+/// to the caller. `work` ends once the control thread has the request.
+pub async fn serve(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+    work: Work,
+) -> Response<Body> {
     let dialect = context.dialect;
     let (call, fingerprint) = match read(&context, request).await {
         Ok(call) => call,
         Err(response) => return response,
     };
     let ticket = context.control.next_ticket();
-    let commands = context.control.begin_request(direct_request(&call, ticket, fingerprint));
+    let commands = context.control.begin_request(direct_request(&call, ticket, fingerprint), work);
     let mut session = Session {
         context,
         last_event: call.info.last_event_id.clone(),
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -40,6 +40,7 @@
     dispatch,
     links::{self, CallResult, Links},
     origins::{self, Origins},
+    overload::Work,
     peer::{self, ExchangeAnswer, ExchangeRequest},
     proof::{self, Recorder},
     record,
@@ -65,8 +66,8 @@
 enum Message {
     /// An event for the reducer.
     Event(Event),
-    /// A request was received completely at a time; commands for it go to the sender.
-    RequestReceived(Request, Instant, mpsc::UnboundedSender<Command>),
+    /// A request was received completely; commands for it go to the sender. This ends the work on it.
+    RequestReceived(Request, Work, mpsc::UnboundedSender<Command>),
     /// The digest of a complete answer; sent before the event that ends the dispatch.
     AnswerDigest(Ticket, AnswerDigest),
     /// Record that the process ends, then reply.
@@ -86,8 +87,6 @@
 pub struct Handle {
     messages: mpsc::UnboundedSender<Message>,
     next_ticket: Arc<AtomicU64>,
-    /// Time for which the last request waited for the control thread, in microseconds.
-    request_delay_us: Arc<AtomicU64>,
     fails_health_checks: Arc<AtomicBool>,
     status: watch::Receiver<Status>,
     /// Address at which this process listens for other entry processes.
@@ -127,8 +126,6 @@
     reservations: Reservations,
     origins: Origins,
     messages: mpsc::UnboundedSender<Message>,
-    /// Time for which the last request waited, in microseconds.
-    request_delay_us: Arc<AtomicU64>,
     status: watch::Sender<Status>,
     /// Address at which this process listens for other entry processes.
     own_address: SocketAddr,
@@ -151,7 +148,6 @@
     let handle = Handle {
         messages: messages.clone(),
         next_ticket: Arc::default(),
-        request_delay_us: Arc::default(),
         fails_health_checks: Arc::default(),
         status: status_receiver,
         peer_address: settings.direct.address,
@@ -177,7 +173,6 @@
         origins: origins::open(Arc::clone(&pool), on_origin_call_ended, Arc::clone(&metrics)),
         reservations: agents::open(incarnation, pool, on_reservation_ended, Arc::clone(&metrics)),
         messages,
-        request_delay_us: Arc::clone(&handle.request_delay_us),
         status,
         own_address: settings.direct.address,
         exchange_rounds: 0,
@@ -234,18 +229,14 @@
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Passes a new request to the reducer; returns the receiver of the commands for it.
-    pub fn begin_request(&self, request: Request) -> mpsc::UnboundedReceiver<Command> {
+    /// Passes a new request to the reducer, which ends the work on it; returns the receiver of the commands for
+    /// it.
+    pub fn begin_request(&self, request: Request, work: Work) -> mpsc::UnboundedReceiver<Command> {
         let (commands, receiver) = mpsc::unbounded_channel();
-        let _ = self.messages.send(Message::RequestReceived(request, Instant::now(), commands));
+        let _ = self.messages.send(Message::RequestReceived(request, work, commands));
         receiver
     }
 
-    /// Returns the time for which the last request waited for the control thread.
-    pub fn request_delay(&self) -> Duration {
-        Duration::from_micros(self.request_delay_us.load(Ordering::Relaxed))
-    }
-
     /// Processes the rows and the offer that another entry process sent; returns the rows that it requested
     /// and the offer of this process. An offer states which versions of the relayed data a process has.
     pub async fn exchange(&self, request: ExchangeRequest) -> ExchangeAnswer {
@@ -329,13 +320,12 @@
                 }
                 self.reduce(event);
             }
-            Message::RequestReceived(request, received, commands) => {
-                let delay_us = received.elapsed().as_micros().try_into().unwrap_or(u64::MAX);
-                self.request_delay_us.store(delay_us, Ordering::Relaxed);
+            Message::RequestReceived(request, work, commands) => {
                 self.commands.insert(request.ticket, commands);
                 self.request_ids.insert(request.ticket, request.id.clone());
                 self.recorder.begin_request(request.ticket, &request.id);
                 self.reduce(Event::RequestReceived(request));
+                work.finish(Instant::now());
             }
             Message::AnswerDigest(ticket, digest) => {
                 self.recorder.set_answer_digest(ticket, digest);
--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -3,15 +3,18 @@
 use std::{
     convert::Infallible,
     future::Future,
+    io,
+    net::SocketAddr,
     sync::{
-        Arc, OnceLock,
-        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use futures::FutureExt;
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -19,14 +22,15 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
-    time::sleep,
+    task::unconstrained,
+    time::{sleep, timeout},
 };
 use tracing::warn;
 
 use crate::{
     Body, call,
-    overload::{self, Admission},
-    record,
+    overload::{self, Admission, Work},
+    record::{self, LoadChange},
 };
 
 /// Time added to the configured idle timeout of connections, so that no caller sends a request on a
@@ -39,6 +43,16 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause after a connection couldn't be accepted, mostly because the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time for which new connections wait at the limit of the work before they are refused, unless the process is
+/// already overloaded.
+const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(50);
+/// Time for which connections may always wait to be accepted, longer than a host stands still whose processor time
+/// is a quota per tenth of a second.
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(150);
+/// Longest time until the limit of the work is looked at again: silent connections leave it without notice.
+const MAX_REFUSAL_WAIT: Duration = Duration::from_millis(50);
+/// Time without a refusal after which the process is no longer overloaded.
+const OVERLOAD_END_TIME: Duration = Duration::from_secs(1);
 
 /// Handle of the running servers.
 pub struct Handle {
@@ -54,7 +68,9 @@
     connections_in_use: AtomicUsize,
     /// Number of connections of callers, those without a request included.
     open_connections: AtomicUsize,
-    admission: Admission,
+    admission: Arc<Admission>,
+    /// Whether callers are told to close their connections after their answers, so that fewer are kept.
+    is_overloaded: AtomicBool,
     metrics: Arc<Gateway>,
     /// Notified each time the number of connections in use becomes 0.
     became_idle: Notify,
@@ -101,25 +117,12 @@
         connections_in_use: AtomicUsize::new(0),
         open_connections: AtomicUsize::new(0),
         admission: overload::open(max_connections),
+        is_overloaded: AtomicBool::new(false),
         metrics: Arc::clone(&metrics),
         became_idle: Notify::new(),
     });
-    let (calls, checks) = (Arc::clone(&shared), Arc::clone(&shared));
-    tokio::spawn(accept(listeners.callers, move |stream| {
-        let connection = calls.admit_connection();
-        let (shared, accepted) = (Arc::clone(&calls), Instant::now());
-        async move {
-            // A stream that isn't admitted is closed here, unread.
-            if let Some(connection) = connection {
-                let now = Instant::now();
-                let delay = shared.context.control.request_delay() + now.duration_since(accepted);
-                let change = shared.admission.record_delay(now, delay);
-                change.into_iter().for_each(record::log_overload);
-                serve_caller(shared, stream).await;
-                drop(connection);
-            }
-        }
-    }));
+    let checks = Arc::clone(&shared);
+    tokio::spawn(accept_callers(listeners.callers, Arc::clone(&shared)));
     tokio::spawn(accept(listeners.operators, move |stream| {
         serve_health_check(Arc::clone(&checks), stream)
     }));
@@ -153,15 +156,20 @@
 }
 
 impl Shared {
-    /// Counts a new connection; `None` if it has to be closed unread, since the process is overloaded.
-    fn admit_connection(self: &Arc<Shared>) -> Option<OpenConnection> {
-        let open = self.open_connections.load(Ordering::Relaxed);
-        if !self.admission.accepts(Instant::now(), open) {
-            self.metrics.closed_connections.inc();
-            return None;
-        }
+    /// Counts a new connection.
+    fn open_connection(self: &Arc<Shared>) -> OpenConnection {
         self.open_connections.fetch_add(1, Ordering::Relaxed);
-        Some(OpenConnection { shared: Arc::clone(self) })
+        OpenConnection { shared: Arc::clone(self) }
+    }
+
+    /// Returns whether a further connection is accepted.
+    fn has_room(&self) -> bool {
+        self.admission.has_room(Instant::now(), self.open_connections.load(Ordering::Relaxed))
+    }
+
+    /// Returns whether connections are accepted again after they were refused.
+    fn may_resume(&self) -> bool {
+        self.admission.may_resume(Instant::now(), self.open_connections.load(Ordering::Relaxed))
     }
 
     fn use_connection(self: &Arc<Shared>) -> ConnectionInUse {
@@ -195,8 +203,140 @@
     }
 }
 
+/// Listening socket for callers, which is closed while the process is overloaded.
+struct Gate {
+    listener: TcpListener,
+    address: SocketAddr,
+    /// Time since which connections always waited to be accepted; `None` while none waits.
+    backlog_since: Option<Instant>,
+    /// Number of refusals and time of the last one, since the process became overloaded; `None` unless it is.
+    refusals: Option<(u64, Instant)>,
+    shared: Arc<Shared>,
+}
+
+/// Accepts the connections of callers. While the process has as many requests in work as it can carry out, it
+/// refuses new connections, by closing the listening socket.
+async fn accept_callers(listener: TcpListener, shared: Arc<Shared>) {
+    let address = match listener.local_addr() {
+        Ok(address) => address,
+        Err(error) => return warn!(%error, "can't accept connections: the address is unknown"),
+    };
+    let mut gate = Gate { listener, address, backlog_since: None, refusals: None, shared };
+    loop {
+        gate.end_overload();
+        if gate.has_standing_backlog() || !gate.wait_for_room().await {
+            gate = gate.refuse().await;
+            continue;
+        }
+        match gate.accept().await {
+            Some(Ok(stream)) => {
+                let connection = gate.shared.open_connection();
+                let work = gate.shared.admission.begin(Instant::now());
+                tokio::spawn(serve_caller(Arc::clone(&gate.shared), stream, work, connection));
+            }
+            Some(Err(error)) => {
+                warn!(%error, "can't accept a connection");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+            // The process may no longer be overloaded.
+            None => {}
+        }
+    }
+}
+
+impl Gate {
+    /// Ends the overload if there was no refusal for [`OVERLOAD_END_TIME`].
+    fn end_overload(&mut self) {
+        if let Some((refusals, at)) = self.refusals
+            && at.elapsed() >= OVERLOAD_END_TIME
+        {
+            self.refusals = None;
+            self.shared.is_overloaded.store(false, Ordering::Relaxed);
+            record::log_load(LoadChange::Ended { refusals });
+        }
+    }
+
+    /// Returns whether connections are accepted more slowly than they come.
+    fn has_standing_backlog(&self) -> bool {
+        self.backlog_since.is_some_and(|since| since.elapsed() >= MAX_BACKLOG_TIME)
+    }
+
+    /// Waits until the process has room for a further connection. Returns `false` if it has none for some time;
+    /// where it is overloaded already, without a wait.
+    async fn wait_for_room(&self) -> bool {
+        let delay = if self.refusals.is_some() { Duration::ZERO } else { MAX_ACCEPT_DELAY };
+        let room = async {
+            while !self.shared.has_room() {
+                self.shared.admission.wait_for_end().await;
+            }
+        };
+        timeout(delay, room).await.is_ok()
+    }
+
+    /// Accepts the next connection. Returns `None` once the process may no longer be overloaded.
+    async fn accept(&mut self) -> Option<io::Result<TcpStream>> {
+        let accepted = match unconstrained(self.listener.accept()).now_or_never() {
+            Some(accepted) => {
+                self.backlog_since.get_or_insert_with(Instant::now);
+                accepted
+            }
+            None => {
+                self.backlog_since = None;
+                let until_end = self.refusals.map_or(Duration::MAX, |(_, at)| {
+                    OVERLOAD_END_TIME.saturating_sub(at.elapsed())
+                });
+                timeout(until_end, self.listener.accept()).await.ok()?
+            }
+        };
+        Some(accepted.map(|(stream, _)| stream))
+    }
+
+    /// Refuses new connections until enough work has ended. Connections that wait to be accepted are reset.
+    async fn refuse(self) -> Gate {
+        let Gate { listener, address, refusals, shared, .. } = self;
+        drop(listener);
+        shared.metrics.refusals_of_connections.inc();
+        if refusals.is_none() {
+            shared.is_overloaded.store(true, Ordering::Relaxed);
+            let (limit, median) = shared.admission.limit(Instant::now());
+            let connections = shared.open_connections.load(Ordering::Relaxed);
+            record::log_load(LoadChange::Began { limit, median, connections });
+        }
+        while !shared.may_resume() {
+            let _ = timeout(MAX_REFUSAL_WAIT, shared.admission.wait_for_end()).await;
+        }
+        let listener = listen_again(address).await;
+        let count = refusals.map_or(0, |(count, _)| count) + 1;
+        Gate {
+            listener,
+            address,
+            backlog_since: None,
+            refusals: Some((count, Instant::now())),
+            shared,
+        }
+    }
+}
+
+/// Opens the listening socket that this process closed.
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(error) => {
+                warn!(%error, %address, "can't listen for callers again");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Serves the requests of one connection of a caller.
-async fn serve_caller(shared: Arc<Shared>, stream: TcpStream) {
+async fn serve_caller(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    work: Work,
+    _connection: OpenConnection,
+) {
     // Setting the option fails only if the connection is closed, and then the first read fails too.
     let _ = stream.set_nodelay(true);
     // Number of requests since the last idle timeout, shared with the service.
@@ -204,11 +344,26 @@
     let (service_shared, service_requests) = (Arc::clone(&shared), Arc::clone(&requests));
     // Dropped with the connection that owns the service.
     let in_use = OnceLock::new();
+    // Work of the first request, which began with the connection.
+    let first_work = Mutex::new(Some(work));
     let service = service_fn(move |request: Request<Incoming>| {
         service_requests.fetch_add(1, Ordering::Relaxed);
         in_use.get_or_init(|| service_shared.use_connection());
-        let context = Arc::clone(&service_shared.context);
-        async move { Ok::<Response<Body>, Infallible>(call::serve(context, request).await) }
+        let shared = Arc::clone(&service_shared);
+        let now = Instant::now();
+        let first = first_work.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let work = match first {
+            Some(work) => work.receive(now),
+            None => shared.admission.begin(now),
+        };
+        async move {
+            let mut response = call::serve(Arc::clone(&shared.context), request, work).await;
+            if shared.is_overloaded.load(Ordering::Relaxed) {
+                let headers = response.headers_mut();
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<Response<Body>, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 mod ingress;
 mod links;
 mod origins;
-mod overload;
+pub mod overload;
 mod peer;
 pub mod proof;
 pub mod record;
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -15,10 +15,26 @@
 };
 use tracing::{info, warn};
 
-use crate::{
-    overload::Change,
-    relay::{self, Fetched},
-};
+use crate::relay::{self, Fetched};
+
+/// Change of the load of the process.
+#[derive(Clone, Copy, Debug)]
+pub enum LoadChange {
+    /// New connections are refused from now on, at times or all the time.
+    Began {
+        /// Maximum number of requests in work.
+        limit: usize,
+        /// Median time in work of the last requests; `None` where there were too few.
+        median: Option<Duration>,
+        /// Number of connections of callers.
+        connections: usize,
+    },
+    /// No connection was refused for a second.
+    Ended {
+        /// Number of times that the listening socket was closed.
+        refusals: u64,
+    },
+}
 
 /// Logs an effect that the reducer returned, unless effects of its kind are logged elsewhere or not at all.
 pub fn log_effect(state: &State, at: Now, effect: &Effect) {
@@ -323,13 +339,14 @@
     (millis * 1_000.0) as u64
 }
 
-/// Logs that the thread that serves callers became overloaded or no longer is.
-pub fn log_overload(change: Change) {
+/// Logs that the process became overloaded or no longer is.
+pub fn log_load(change: LoadChange) {
     match change {
-        Change::Began(delay) => {
-            warn!(delay_ms = millis(delay), "overloaded: new connections are closed unread");
+        LoadChange::Began { limit, median, connections } => {
+            let median_ms = median.map(millis);
+            warn!(limit, median_ms, connections, "overloaded: new connections are refused");
         }
-        Change::Ended(closed) => info!(closed, "no longer overloaded"),
+        LoadChange::Ended { refusals } => info!(refusals, "no longer overloaded"),
     }
 }
 
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -64,8 +64,8 @@
     /// Records and lookups of versions that began streams, by outcome.
     origins: Family<DataLabel, Counter>,
     relayed: Family<DataLabel, Counter>,
-    /// Number of connections of callers that were closed unread, since the process was overloaded.
-    pub closed_connections: Counter,
+    /// Number of times that new connections of callers began to be refused, since the process was overloaded.
+    pub refusals_of_connections: Counter,
     /// Number of requests that haven't ended.
     pub open_requests: Gauge,
     /// Version of the configuration in force.
@@ -105,7 +105,7 @@
         reservations: Family::default(),
         origins: Family::default(),
         relayed: Family::default(),
-        closed_connections: Counter::default(),
+        refusals_of_connections: Counter::default(),
         open_requests: Gauge::default(),
         configuration_version: Gauge::default(),
         is_configuration_current: Gauge::default(),
@@ -134,8 +134,10 @@
     registry.register("origins", origins_help, metrics.origins.clone());
     let relayed_help = "Times that something was given to another entry process that lacks it";
     registry.register("relayed", relayed_help, metrics.relayed.clone());
-    let closed_help = "Connections that were closed unread, since the process was overloaded";
-    registry.register("connections_closed", closed_help, metrics.closed_connections.clone());
+    let refusals_help =
+        "Times that new connections began to be refused, since the process was overloaded";
+    let refusals = metrics.refusals_of_connections.clone();
+    registry.register("connection_refusals", refusals_help, refusals);
     let gauges = [
         ("open_requests", "Requests that haven't ended", &metrics.open_requests),
         ("config_version", "Version of the configuration in force", &metrics.configuration_version),
