Send nothing to a target that stated in an answer that it is leaving

A target said in its answers that it leaves; with the store down nobody read that in the list, and 11 s later the process sent it two requests, which the target's exit would have cut. Cause: readiness came from the list alone.

The header is read from each answer of the target (whole, stream head, resumed, rejected, failed), but not from one for another request nor from another target at the address (421). It holds for the start of the target, kept for an hour beside the list, so that outages, eras and changes of the list don't lose it. Rows tell other processes, while the list shows the target as ready.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    Body, Broken, Dialect, ReceivedRequest, RequestInfo,
+    Body, Broken, Dialect, Notice, ReceivedRequest, RequestInfo,
     control::{self, Command},
     dispatch::{self, EventStream, TargetAnswer, TargetClient, UnreadAnswer},
     events::StreamEvent,
@@ -253,10 +253,16 @@
             (Arc::clone(&self.context), Arc::clone(&self.call), self.last_event.clone());
         let Context { control, client, dialect } = &*context;
         let ticket = self.ticket;
-        let on_rate_limit =
-            |per_second| control.send(Event::RateLimitStated { ticket, per_second });
+        let on_notice = |notice: Notice| {
+            if let Some(per_second) = notice.rate_limit {
+                control.send(Event::RateLimitStated { ticket, per_second });
+            }
+            if notice.is_leaving {
+                control.send(Event::LeavingStated { ticket });
+            }
+        };
         let sent =
-            dispatch::send(client, dialect, &call, dispatch, last_event.as_deref(), on_rate_limit);
+            dispatch::send(client, dialect, &call, dispatch, last_event.as_deref(), on_notice);
         let answer = self.wait_for_target(dispatch.unresponsive_timeout, sent).await?;
         if answer.is_unframed() {
             control.send(Event::AnswerUnframed { ticket });
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -18,7 +18,7 @@
 use tracing::warn;
 
 use crate::{
-    AnswerKind, Dialect, ReceivedRequest,
+    AnswerKind, Dialect, Notice, ReceivedRequest,
     events::{EventSplitter, StreamEvent},
 };
 
@@ -95,15 +95,15 @@
     is_complete: bool,
 }
 
-/// Sends a request to a target and waits for the head of the answer. Where the head states a rate limit in
-/// requests per second, `on_rate_limit` is called with it before this function returns.
+/// Sends a request to a target and waits for the head of the answer. `on_notice` is called with what the head
+/// states about the target before this function returns.
 pub async fn send(
     client: &TargetClient,
     dialect: &Dialect,
     call: &ReceivedRequest,
     dispatch: &Dispatch,
     last_event: Option<&str>,
-    on_rate_limit: impl Fn(f64),
+    on_notice: impl Fn(Notice),
 ) -> Result<TargetAnswer, Outcome> {
     let end = Instant::from_std(dispatch.deadline) + DEADLINE_GRACE;
     let remaining = dispatch.deadline.saturating_duration_since(std::time::Instant::now());
@@ -117,12 +117,13 @@
     let answer = answer.map_err(|error| failure_outcome(&error))?;
     let (mut head, body) = answer.into_parts();
     let kind = (dialect.classify_answer)(&head, call);
-    // Answers of any other kind weren't made by this target.
-    if matches!(kind, AnswerKind::Answer | AnswerKind::Failed | AnswerKind::Rejected) {
-        match (dialect.read_rate_limit)(&head) {
-            Ok(per_second) => per_second.into_iter().for_each(on_rate_limit),
-            Err(message) => warn!(to = dispatch.target, message, "a rate limit can't be read"),
+    // Answers of other kinds weren't made by this target, or not for this request.
+    if !matches!(kind, AnswerKind::Replaced | AnswerKind::Foreign) {
+        let notice = (dialect.read_notice)(&head);
+        for message in &notice.findings {
+            warn!(to = dispatch.target, message, "a statement of a target can't be read");
         }
+        on_notice(notice);
     }
     let is_unframed = !head.headers.contains_key(header::CONTENT_LENGTH)
         && !head.headers.contains_key(header::TRANSFER_ENCODING);
@@ -130,7 +131,7 @@
     match kind {
         AnswerKind::Rejected => Err(Outcome::Rejected),
         AnswerKind::Replaced => Err(Outcome::Replaced),
-        AnswerKind::Improper => {
+        AnswerKind::Foreign | AnswerKind::Improper => {
             close_after_use(&connection);
             Err(Outcome::Incomplete { crashed: false })
         }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -126,10 +126,23 @@
     Rejected,
     /// Another target now listens at the address; it rejected the request without running it.
     Replaced,
-    /// The answer wasn't made by the target for this request.
+    /// The answer was made for another request.
+    Foreign,
+    /// The answer isn't a proper answer to the request.
     Improper,
 }
 
+/// What a target states in an answer about the requests that it accepts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Rate limit in requests per second; `None` where the answer states none.
+    pub rate_limit: Option<f64>,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
+    /// Descriptions of the statements that can't be read.
+    pub findings: Vec<String>,
+}
+
 /// Builds the request to a target from the caller's request, the dispatch, the time until the deadline and
 /// the ID of the last event that the caller received; `None` where the caller received none.
 pub type BuildRequest =
@@ -145,9 +158,8 @@
     pub build_request: BuildRequest,
     /// Classifies a target's answer to a request by its head.
     pub classify_answer: fn(&response::Parts, &ReceivedRequest) -> AnswerKind,
-    /// Reads the rate limit, in requests per second, that a target's answer states; `None` where it states
-    /// none. An error describes why the limit can't be read.
-    pub read_rate_limit: fn(&response::Parts) -> Result<Option<f64>, String>,
+    /// Reads what a target's answer states about the requests that the target accepts.
+    pub read_notice: fn(&response::Parts) -> Notice,
     /// Removes the headers from a target's answer that concern only the connection to the target.
     pub remove_connection_headers: fn(&mut response::Parts),
     /// Builds the error answer for a refused request, with the request ID where it is known.
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -128,6 +128,7 @@
         Effect::Log(LogEntry::RateLimitChanged { .. }) => set_limited_targets(state, metrics),
         Effect::Log(
             LogEntry::Crashed { .. }
+            | LogEntry::Leaving { .. }
             | LogEntry::OriginLookedUp { .. }
             | LogEntry::PartLevelChanged(_)
             | LogEntry::Quarantined(_)
@@ -402,6 +403,10 @@
         LogEntry::RateLimitChanged { target, per_second: None } => {
             info!(to = target, "a target no longer states a rate limit");
         }
+        LogEntry::Leaving { target, is_relayed, list_age } => {
+            let list_age_ms = list_age.map(millis);
+            info!(to = target, is_relayed, list_age_ms, "a target states that it is leaving");
+        }
         LogEntry::Rollout(step) => log_rollout_step(step),
         LogEntry::Crashed { target, requests } => {
             let ids: Vec<&str> = requests.iter().map(|request| request.id.as_str()).collect();
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -10,6 +10,7 @@
 mod agents;
 mod demand;
 mod limits;
+mod notices;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -26,6 +27,8 @@
 
 use demand::compare_costs;
 pub use demand::{AdmissionModes, Demand, Slot};
+use notices::KeptNotice;
+pub use notices::Notice;
 
 use super::{
     event::{Incarnation, Target},
@@ -108,6 +111,8 @@
     pacer: Option<Pacer>,
     /// Estimate of when the agent admits the next request; used only while the target is rate-limited.
     expected_grant: Option<Instant>,
+    /// What the target stated in its answers.
+    notice: Notice,
 }
 
 /// This process's index among the entry processes.
@@ -130,6 +135,8 @@
     pools: HashMap<PoolName, Vec<usize>>,
     /// Number of other entry processes that may share the targets.
     other_processes: usize,
+    /// Notices of targets that are no longer in use.
+    kept_notices: BTreeMap<TargetName, KeptNotice>,
 }
 
 impl TargetState {
@@ -155,6 +162,7 @@
             limit: None,
             pacer: None,
             expected_grant: None,
+            notice: Notice::default(),
         }
     }
 
@@ -197,10 +205,16 @@
         matches!(self.lane, Lane::Base | Lane::Ordered) && self.is_usable(now)
     }
 
-    /// Reports whether the target is listed and ready, and not in backoff.
+    /// Reports whether the target is listed, or runs requests of this process.
+    fn is_in_use(&self) -> bool {
+        self.is_listed || self.own_requests > 0
+    }
+
+    /// Reports whether the target is listed and ready, isn't leaving, and not in backoff.
     fn is_usable(&self, now: Instant) -> bool {
         self.is_listed
             && self.target.is_ready
+            && !self.notice.is_leaving
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 
@@ -311,7 +325,7 @@
     /// are kept only while they have requests of this process. Returns the targets that restarted; their
     /// state is reset, since their requests have ended and their speed and failures were observed on the
     /// earlier incarnation.
-    pub fn replace_targets(&mut self, targets: Vec<Target>) -> Vec<TargetName> {
+    pub fn replace_targets(&mut self, now: Instant, targets: Vec<Target>) -> Vec<TargetName> {
         let mut restarted = Vec::new();
         let previous = std::mem::take(&mut self.states).into_iter();
         let mut previous: BTreeMap<TargetName, TargetState> =
@@ -331,14 +345,18 @@
                     restarted.push(target.name.clone());
                     TargetState::new(target)
                 }
-                None => TargetState::new(target),
+                None => {
+                    let notice = self.take_notice(&target);
+                    TargetState { notice, ..TargetState::new(target) }
+                }
             };
             self.states.push(state);
         }
         let delisted =
             previous.into_values().map(|state| TargetState { is_listed: false, ..state });
         self.states.extend(delisted);
-        self.states.retain(|state| state.is_listed || state.own_requests > 0);
+        self.keep_notices(now);
+        self.states.retain(TargetState::is_in_use);
         self.states.sort_by(|a, b| a.target.name.cmp(&b.target.name));
         self.indexes.clear();
         self.pools.clear();
--- /dev/null
+++ b/components/scheduler/src/direct/capacity/notices.rs
@@ -0,0 +1,73 @@
+//! Notices that targets give in their answers, in addition to what the platform's list says of them.
+
+use std::time::{Duration, Instant};
+
+use model::id::TargetName;
+
+use super::{super::event::Incarnation, Capacity, Target, TargetState, Version};
+
+/// Time for which the notice of a target is kept after the target was removed from the list: an outage of the
+/// platform, or a restored backup, may bring it back.
+const NOTICE_LIFETIME: Duration = Duration::from_secs(3_600);
+
+/// What a target stated in its answers about the requests that it accepts. It ends with the incarnation of the
+/// target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// Whether the target is leaving and accepts no more requests.
+    pub is_leaving: bool,
+}
+
+/// Notice of a target that isn't in use.
+#[derive(Clone, Debug)]
+pub(super) struct KeptNotice {
+    notice: Notice,
+    incarnation: Incarnation,
+    version: Version,
+    /// Time at which the target was removed from the list.
+    removed_at: Instant,
+}
+
+impl TargetState {
+    /// Returns the incarnation of the target if it stated that it is leaving, while the list shows it as ready.
+    pub fn unlisted_leaving(&self) -> Option<(TargetName, Incarnation)> {
+        let is_unlisted = self.notice.is_leaving && self.target.is_ready;
+        is_unlisted.then(|| (self.target.name.clone(), self.target.incarnation))
+    }
+}
+
+impl Capacity {
+    /// Records that a target is leaving. Returns whether this is new.
+    pub fn mark_leaving(&mut self, name: &TargetName, incarnation: Incarnation) -> bool {
+        let state = self.state_mut(name, incarnation);
+        state.is_some_and(|state| !std::mem::replace(&mut state.notice.is_leaving, true))
+    }
+
+    /// Returns the targets that stated that they are leaving, while the list shows them as ready.
+    pub fn unlisted_leaving(&self) -> Vec<(TargetName, Incarnation)> {
+        self.states.iter().filter_map(TargetState::unlisted_leaving).collect()
+    }
+
+    /// Returns the notice of a target that is listed anew, if the same incarnation gave one before.
+    pub(super) fn take_notice(&mut self, target: &Target) -> Notice {
+        let kept = self.kept_notices.remove(&target.name);
+        let is_same = |kept: &KeptNotice| {
+            (kept.incarnation, &kept.version) == (target.incarnation, &target.version)
+        };
+        kept.filter(is_same).map_or(Notice::default(), |kept| kept.notice)
+    }
+
+    /// Keeps the notices of targets that are no longer in use.
+    pub(super) fn keep_notices(&mut self, now: Instant) {
+        let is_current =
+            |kept: &KeptNotice| now.saturating_duration_since(kept.removed_at) < NOTICE_LIFETIME;
+        self.kept_notices.retain(|_, kept| is_current(kept));
+        let removed = self.states.iter().filter(|state| !state.is_in_use());
+        let with_notice = removed.filter(|state| state.notice != Notice::default());
+        let kept = with_notice.map(|state| {
+            let Target { name, incarnation, version, .. } = state.target.clone();
+            (name, KeptNotice { notice: state.notice, incarnation, version, removed_at: now })
+        });
+        self.kept_notices.extend(kept);
+    }
+}
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -206,6 +206,11 @@
         /// Requests per second that the target accepts from all processes together; not negative.
         per_second: f64,
     },
+    /// An answer states that its target is leaving and accepts no more requests.
+    LeavingStated {
+        /// Request whose answer states it.
+        ticket: Ticket,
+    },
     /// The target of a dispatch has sent nothing for as long as the [`Dispatch`] allows; the dispatch still
     /// waits for the answer.
     TargetUnresponsive {
@@ -638,6 +643,15 @@
         /// New limit in requests per second; `None` where the target no longer states one.
         per_second: Option<f64>,
     },
+    /// A target stated that it is leaving, while the list shows it as ready.
+    Leaving {
+        /// Target that is leaving.
+        target: TargetName,
+        /// Whether another entry process received the statement.
+        is_relayed: bool,
+        /// Time since the platform last answered a read of its list of targets.
+        list_age: Option<Duration>,
+    },
     /// A target crashed while it ran requests of this process.
     Crashed {
         /// Target that crashed.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -19,6 +19,7 @@
 mod holds;
 pub mod homes;
 mod limits;
+mod notices;
 pub mod origin;
 pub mod outage;
 pub mod parts;
@@ -399,6 +400,9 @@
         Event::RateLimitStated { ticket, per_second } => {
             state.handle_rate_limit(now.steady, ticket, per_second, &mut effects);
         }
+        Event::LeavingStated { ticket } => {
+            state.handle_leaving(now.steady, ticket, &mut effects);
+        }
         Event::TargetUnresponsive { ticket, begun } => {
             state.handle_unresponsive_target(now.steady, ticket, begun)
         }
@@ -608,6 +612,7 @@
             account_usages,
             target_loads: self.capacity.own_load(now),
             target_limits: self.capacity.limit_reports(now).map(target_limit).collect(),
+            leaving_targets: self.capacity.unlisted_leaving(),
             rollouts: self.own_rollouts(now),
         }
     }
--- a/components/scheduler/src/direct/peers.rs
+++ b/components/scheduler/src/direct/peers.rs
@@ -127,6 +127,9 @@
     /// Rate limits, as the process last learnt them, of the targets that ever stated one.
     #[serde(default)]
     pub target_limits: Vec<TargetLimit>,
+    /// Targets, with their incarnations, that stated that they are leaving, while the list shows them as ready.
+    #[serde(default)]
+    pub leaving_targets: Vec<(TargetName, Incarnation)>,
     /// State of each rollout at the process.
     pub rollouts: Vec<PeerRollout>,
 }
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -139,7 +139,7 @@
         let ready = used.iter().filter(|target| target.is_ready).count();
         let kept = used.len() - listed.len();
         let listed = used.len();
-        let restarted = self.capacity.replace_targets(used);
+        let restarted = self.capacity.replace_targets(now, used);
         self.assign_lanes(now);
         let unordered = self.capacity.closed_count();
         self.unordered = unordered;
@@ -162,13 +162,14 @@
     }
 
     /// Applies rows that were received from another process, whose own row is the first: rollouts, rate
-    /// limits of targets and the use of accounts' limits.
+    /// limits and notices of targets, and the use of accounts' limits.
     pub(super) fn receive_rows(&mut self, now: Instant, rows: Vec<Row>, effects: &mut Vec<Effect>) {
         let (own, uptime) = (self.settings.address, now.saturating_duration_since(self.started));
         let sender = rows.first().and_then(|row| row.address);
         for row in rows.into_iter().filter(|row| row.address != Some(own)) {
             self.merge_peer_rollouts(now, row.age, &row.rollouts, effects);
             self.record_peer_limits(now, row.age, &row.target_limits, effects);
+            self.record_peer_leaving(now, &row.leaving_targets, effects);
             if let Some(changes) = self.peers.record_row(now, uptime, row) {
                 self.apply_usage_changes(now, changes);
             }
