Send a target nothing for the time for which it asks after a rejection

Targets turned requests away with 503 and Retry-After and got the next ones after 60 ms; one request met three such targets in a row. Cause: a rejection led to one backoff, whatever the target asked for.

It is used again at the end, by a timer. If all targets rest beyond a request's wait, the request is refused at once as targets_resting, with the end of the first rest.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -260,6 +260,9 @@
             if notice.is_leaving {
                 control.send(Event::LeavingStated { ticket });
             }
+            if let Some(time) = notice.rest {
+                control.send(Event::RestStated { ticket, time });
+            }
         };
         let sent =
             dispatch::send(client, dialect, &call, dispatch, last_event.as_deref(), on_notice);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -139,6 +139,8 @@
     pub rate_limit: Option<f64>,
     /// Whether the target is leaving.
     pub is_leaving: bool,
+    /// Time for which the target wants no requests from this process; `None` where the answer states none.
+    pub rest: Option<Duration>,
     /// Descriptions of the statements that can't be read.
     pub findings: Vec<String>,
 }
--- a/components/gateway/src/proof.rs
+++ b/components/gateway/src/proof.rs
@@ -166,6 +166,7 @@
         | direct::RefusalReason::DeadlineExceededMayHaveRun => Reason::Deadline,
         direct::RefusalReason::Lost => Reason::TargetLost,
         direct::RefusalReason::AllDispatchesFailed
+        | direct::RefusalReason::TargetsResting
         | direct::RefusalReason::VersionUnavailable
         | direct::RefusalReason::VersionUnknown => Reason::NoTarget,
     }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -133,6 +133,7 @@
             | LogEntry::PartLevelChanged(_)
             | LogEntry::Quarantined(_)
             | LogEntry::Restarted(_)
+            | LogEntry::Resting { .. }
             | LogEntry::Rollout(_),
         )
         | Effect::Fetch { .. }
@@ -205,6 +206,7 @@
         RefusalReason::BadKey => "unauthorized",
         RefusalReason::AccountLimit => "account_limit",
         RefusalReason::NoFreeSlot => "overloaded",
+        RefusalReason::TargetsResting => "targets_resting",
         RefusalReason::Draining => "draining",
         RefusalReason::Quarantined => "quarantined",
         RefusalReason::DeadlineExceeded => "deadline",
@@ -407,6 +409,10 @@
             let list_age_ms = list_age.map(millis);
             info!(to = target, is_relayed, list_age_ms, "a target states that it is leaving");
         }
+        LogEntry::Resting { target, asked, granted } => {
+            let (asked_ms, rest_ms) = (millis(*asked), millis(*granted));
+            info!(to = target, asked_ms, rest_ms, "a target asks for a rest");
+        }
         LogEntry::Rollout(step) => log_rollout_step(step),
         LogEntry::Crashed { target, requests } => {
             let ids: Vec<&str> = requests.iter().map(|request| request.id.as_str()).collect();
--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -135,6 +135,8 @@
     pools: HashMap<PoolName, Vec<usize>>,
     /// Number of other entry processes that may share the targets.
     other_processes: usize,
+    /// Latest time until which any target asked for a rest; `None` before the first time.
+    last_rest_end: Option<Instant>,
     /// Notices of targets that are no longer in use.
     kept_notices: BTreeMap<TargetName, KeptNotice>,
 }
@@ -210,11 +212,12 @@
         self.is_listed || self.own_requests > 0
     }
 
-    /// Reports whether the target is listed and ready, isn't leaving, and not in backoff.
+    /// Reports whether the target is listed and ready, and is neither leaving nor resting nor in backoff.
     fn is_usable(&self, now: Instant) -> bool {
         self.is_listed
             && self.target.is_ready
             && !self.notice.is_leaving
+            && !self.notice.is_resting(now)
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 
@@ -606,14 +609,14 @@
         }
     }
 
-    /// Returns the next time at which a backoff ends or a rate limit allows a request; `None` if there is
-    /// none.
+    /// Returns the next time at which a backoff or a rest ends or a rate limit allows a request; `None` if
+    /// there is none.
     pub fn next_available(&self, now: Instant) -> Option<Instant> {
         let paced_at = |state: &TargetState| state.pacer.map(|pacer| pacer.next_allowed_at());
-        let times = self
-            .states
-            .iter()
-            .flat_map(|state| [state.backoff_until, state.agent_backoff_until, paced_at(state)]);
+        let times = self.states.iter().flat_map(|state| {
+            let rests_until = state.notice.rests_until;
+            [state.backoff_until, state.agent_backoff_until, paced_at(state), rests_until]
+        });
         times.flatten().filter(|&at| at > now).min()
     }
 
--- a/components/scheduler/src/direct/capacity/notices.rs
+++ b/components/scheduler/src/direct/capacity/notices.rs
@@ -4,7 +4,7 @@
 
 use model::id::TargetName;
 
-use super::{super::event::Incarnation, Capacity, Target, TargetState, Version};
+use super::{super::event::Incarnation, Capacity, Demand, Target, TargetState, Version};
 
 /// Time for which the notice of a target is kept after the target was removed from the list: an outage of the
 /// platform, or a restored backup, may bring it back.
@@ -16,6 +16,15 @@
 pub struct Notice {
     /// Whether the target is leaving and accepts no more requests.
     pub is_leaving: bool,
+    /// Time until which the target asked this process for a rest; `None` before the first time.
+    pub rests_until: Option<Instant>,
+}
+
+impl Notice {
+    /// Reports whether the target asked this process for a rest that isn't over.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| until > now)
+    }
 }
 
 /// Notice of a target that isn't in use.
@@ -43,6 +52,47 @@
         state.is_some_and(|state| !std::mem::replace(&mut state.notice.is_leaving, true))
     }
 
+    /// Records that a target asked this process for a rest until a time. Returns whether a rest begins.
+    pub fn mark_resting(
+        &mut self,
+        now: Instant,
+        name: &TargetName,
+        incarnation: Incarnation,
+        until: Instant,
+    ) -> bool {
+        let Some(state) = self.state_mut(name, incarnation) else {
+            return false;
+        };
+        let was_resting = state.notice.is_resting(now);
+        state.notice.rests_until = state.notice.rests_until.max(Some(until));
+        self.last_rest_end = self.last_rest_end.max(Some(until));
+        !was_resting
+    }
+
+    /// Reports whether any target may be resting.
+    pub fn may_have_resting(&self, now: Instant) -> bool {
+        self.last_rest_end.is_some_and(|until| until > now)
+    }
+
+    /// Returns the time at which the first target that accepts the request has rested; `None` if a target accepts
+    /// it now or after a backoff, or none does.
+    pub fn rest_end(&self, now: Instant, demand: &Demand<'_>) -> Option<Instant> {
+        let mut first: Option<Instant> = None;
+        for state in self.pool_targets(demand.pool) {
+            let available_at = state.notice.rests_until.max(state.backoff_until).max(Some(now));
+            let is_candidate = available_at.is_some_and(|at| state.accepts(at, demand))
+                && !demand.possibly_ran_at.contains(&state.target.name);
+            match available_at {
+                _ if !is_candidate => {}
+                Some(at) if state.notice.is_resting(now) => {
+                    first = Some(first.map_or(at, |earlier| earlier.min(at)));
+                }
+                _ => return None,
+            }
+        }
+        first
+    }
+
     /// Returns the targets that stated that they are leaving, while the list shows them as ready.
     pub fn unlisted_leaving(&self) -> Vec<(TargetName, Incarnation)> {
         self.states.iter().filter_map(TargetState::unlisted_leaving).collect()
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -211,6 +211,13 @@
         /// Request whose answer states it.
         ticket: Ticket,
     },
+    /// An answer turns its request away and asks this process to send nothing for some time.
+    RestStated {
+        /// Request whose answer asks for the rest.
+        ticket: Ticket,
+        /// Time for which the target wants no requests.
+        time: Duration,
+    },
     /// The target of a dispatch has sent nothing for as long as the [`Dispatch`] allows; the dispatch still
     /// waits for the answer.
     TargetUnresponsive {
@@ -342,6 +349,8 @@
     AccountLimit,
     /// No target had a free slot in time.
     NoFreeSlot,
+    /// All targets asked this process for a rest that ends after the request's wait.
+    TargetsResting,
     /// The process is draining.
     Draining,
     /// Requests with the same fingerprint, or with the same part of their prompts, crashed several targets.
@@ -652,6 +661,15 @@
         /// Time since the platform last answered a read of its list of targets.
         list_age: Option<Duration>,
     },
+    /// A target turned a request away and gets no others for some time.
+    Resting {
+        /// Target that gets no requests.
+        target: TargetName,
+        /// Time for which it asked.
+        asked: Duration,
+        /// Time for which it gets none.
+        granted: Duration,
+    },
     /// A target crashed while it ran requests of this process.
     Crashed {
         /// Target that crashed.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -403,6 +403,9 @@
         Event::LeavingStated { ticket } => {
             state.handle_leaving(now.steady, ticket, &mut effects);
         }
+        Event::RestStated { ticket, time } => {
+            state.handle_rest(now.steady, ticket, time, &mut effects);
+        }
         Event::TargetUnresponsive { ticket, begun } => {
             state.handle_unresponsive_target(now.steady, ticket, begun)
         }
--- a/components/scheduler/src/direct/queue.rs
+++ b/components/scheduler/src/direct/queue.rs
@@ -131,6 +131,9 @@
         let (rule, processes, started) =
             (self.settings.retry_budget, self.process_index.count, self.started);
         let mut occupied = self.occupied_parts();
+        let may_have_resting = self.capacity.may_have_resting(now.steady);
+        // Requests whose wait ends before any of their targets has rested, with the end of that rest.
+        let mut resting = Vec::new();
         let is_in_minority = self.rollouts.has_running() && self.is_in_minority(now.steady);
         for (pool, queue) in &mut self.waiting {
             if queue.is_empty() {
@@ -209,6 +212,15 @@
                         (&possibly_ran_at, &rejected_by),
                     )
                 };
+                // A request that seeks another target may still be answered by its own.
+                if may_have_resting
+                    && matches!(pending.stage, Stage::WaitingForSlot)
+                    && let Some(end) = self.capacity.rest_end(now.steady, &demand)
+                    && end > pending.wait_deadline
+                {
+                    resting.push((key.ticket, end));
+                    continue;
+                }
                 let may_fit = has_room
                     || lane == Lane::Ordered
                     || version.is_some()
@@ -255,6 +267,9 @@
                 queue.remove(&key);
             }
         }
+        for (ticket, end) in resting {
+            self.refuse_resting(now.steady, ticket, end, effects);
+        }
     }
 }
 
--- a/components/scheduler/tests/direct_fuzz.rs
+++ b/components/scheduler/tests/direct_fuzz.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use direct_support::{Process, configuration, configured_process, limit, request, route, targets};
@@ -13,7 +13,7 @@
     prelude::*,
     test_runner::{Config, RngSeed},
 };
-use scheduler::direct::{Effect, Event, Outcome, Ticket, plan::Repeat};
+use scheduler::direct::{Effect, Event, Outcome, RefusalReason, Ticket, plan::Repeat};
 
 /// Number of random event sequences.
 const CASE_COUNT: u32 = 300;
@@ -36,6 +36,10 @@
     TargetResumes(usize),
     /// The caller of the dispatch at this index disconnects.
     CallerLeaves(usize),
+    /// The target of the dispatch at this index states that it is leaving.
+    TargetLeaves(usize),
+    /// The target of the dispatch at this index asks for a rest of this many milliseconds.
+    TargetRests(usize, u16),
     /// This many milliseconds pass.
     PassMs(u16),
     /// The platform confirms that the configuration is current.
@@ -62,6 +66,10 @@
     requests: BTreeMap<Ticket, ExpectedRequest>,
     /// Names of the targets in the platform's list.
     listed: BTreeSet<String>,
+    /// Names of the targets that stated that they are leaving.
+    leaving: BTreeSet<String>,
+    /// Ends of the rests for which targets asked.
+    rests: BTreeMap<String, Instant>,
 }
 
 fn config() -> Config {
@@ -93,6 +101,8 @@
         2 => (0..8_usize).prop_map(Step::TargetStalls),
         1 => (0..8_usize).prop_map(Step::TargetResumes),
         1 => (0..8_usize).prop_map(Step::CallerLeaves),
+        1 => (0..8_usize).prop_map(Step::TargetLeaves),
+        2 => (0..8_usize, 0..5_000_u16).prop_map(|(nth, ms)| Step::TargetRests(nth, ms)),
         3 => (0..600_u16).prop_map(Step::PassMs),
         2 => Just(Step::Confirm),
         1 => (1..=TARGET_COUNT).prop_map(Step::List),
@@ -101,7 +111,7 @@
 
 impl Oracle {
     /// Checks effects of the process against the expected state and updates that state.
-    fn check(&mut self, effects: &[Effect]) {
+    fn check(&mut self, now: Instant, effects: &[Effect]) {
         for effect in effects {
             match effect {
                 Effect::Dispatch(dispatch) => {
@@ -110,6 +120,17 @@
                         "target isn't listed: {}",
                         dispatch.target
                     );
+                    assert!(
+                        !self.leaving.contains(&dispatch.target),
+                        "target is leaving: {}",
+                        dispatch.target
+                    );
+                    let rests_until = self.rests.get(&dispatch.target);
+                    assert!(
+                        rests_until.is_none_or(|until| *until <= now),
+                        "target is resting: {}",
+                        dispatch.target
+                    );
                     let running_at =
                         self.requests.values().filter_map(|request| request.running_at.as_ref());
                     let used_slots =
@@ -134,6 +155,10 @@
                         "{refusal:?} {request:?}"
                     );
                     assert!(refusal.not_run || refusal.retry_after.is_none(), "{refusal:?}");
+                    if refusal.reason == RefusalReason::TargetsResting {
+                        let after = now + refusal.retry_after.expect("a time to come back");
+                        assert!(self.rests.values().any(|until| *until <= after), "{refusal:?}");
+                    }
                     request.has_ended = true;
                 }
                 Effect::PassFailure { ticket } => {
@@ -161,6 +186,12 @@
         }
     }
 
+    /// Returns the request at this index of those in flight, and its target.
+    fn nth_target(&self, nth: usize) -> Option<(Ticket, String)> {
+        let ticket = self.nth_running(nth)?;
+        Some((ticket, self.requests.get(&ticket)?.running_at.clone()?))
+    }
+
     /// Returns the request at this index of those in flight, in order of arrival.
     fn nth_running(&self, nth: usize) -> Option<Ticket> {
         let running = self.requests.iter().filter(|(_, request)| request.running_at.is_some());
@@ -250,21 +281,40 @@
                 request.has_ended = true;
                 process.send(Event::CallerDisconnected { ticket, events: 0 })
             }
+            Step::TargetLeaves(nth) => {
+                let Some((ticket, target)) = oracle.nth_target(nth) else {
+                    continue;
+                };
+                oracle.leaving.insert(target);
+                process.send(Event::LeavingStated { ticket })
+            }
+            Step::TargetRests(nth, ms) => {
+                let Some((ticket, target)) = oracle.nth_target(nth) else {
+                    continue;
+                };
+                let time = Duration::from_millis(ms.into());
+                let end = oracle.rests.entry(target).or_insert(process.now.steady);
+                *end = (*end).max(process.now.steady + time);
+                process.send(Event::RestStated { ticket, time })
+            }
             Step::PassMs(ms) => process.advance(Duration::from_millis(ms.into())),
             Step::Confirm => process.confirm_configuration(),
             Step::List(count) => {
                 // The process keeps using targets that vanish from the list while an outage of the platform
                 // has just ended; 2.5 s later, it doesn't.
-                oracle.check(&process.confirm_configuration());
-                oracle.check(&process.advance(Duration::from_millis(2_500)));
-                oracle.check(&process.confirm_configuration());
+                let effects = process.confirm_configuration();
+                oracle.check(process.now.steady, &effects);
+                let effects = process.advance(Duration::from_millis(2_500));
+                oracle.check(process.now.steady, &effects);
+                let effects = process.confirm_configuration();
+                oracle.check(process.now.steady, &effects);
                 oracle.list(&mut process, count)
             }
         };
-        oracle.check(&effects);
+        oracle.check(process.now.steady, &effects);
     }
     let effects = process.advance(Duration::from_secs(10));
-    oracle.check(&effects);
+    oracle.check(process.now.steady, &effects);
     let accounted_for = oracle
         .requests
         .values()
