Back off from a replaced target for a time instead of until the next change of the list

A 421 set the target's readiness, which belongs to the list: the next change of the list, of any target, made it ready again and cost the next request a try; on a site whose list doesn't change, one wrong 421 kept a target out for good. Both were tests that failed (direct_leaving::a_replaced_target_*, a_target_that_answers_once_*). Now it is a backoff of 10 s, which the list doesn't touch.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -46,6 +46,9 @@
 const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_secs(2);
 /// Time for which a target that rejected a request gets no other request.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(60);
+/// Time for which a target gets no requests after another one answered at its address: the list needs less to
+/// remove it.
+const REPLACED_BACKOFF: Duration = Duration::from_secs(10);
 /// Added cost of a target that fails every request, as a multiple of the cost of one that never fails.
 const FAILURE_COST_FACTOR: f64 = 8.0;
 /// Cost that every request has in addition to reading its prompt, in prompt tokens.
@@ -602,10 +605,11 @@
         }
     }
 
-    /// Sends no more requests to a target whose address belongs to another target now.
-    pub fn mark_replaced(&mut self, slot: &Slot) {
+    /// Starts a long backoff from a target whose address belongs to another target now. The list may still have
+    /// it, and the answer that said so may be wrong.
+    pub fn back_off_replaced(&mut self, now: Instant, slot: &Slot) {
         if let Some(state) = self.state_mut(&slot.target, slot.incarnation) {
-            state.target.is_ready = false;
+            state.back_off(now, REPLACED_BACKOFF);
         }
     }
 
--- a/components/scheduler/src/direct/settle.rs
+++ b/components/scheduler/src/direct/settle.rs
@@ -168,7 +168,7 @@
                 pending.rejected_by.push(slot.target.clone());
                 self.capacity.back_off_rejecting(now, slot);
             }
-            Outcome::Replaced => self.capacity.mark_replaced(slot),
+            Outcome::Replaced => self.capacity.back_off_replaced(now, slot),
             Outcome::Unreachable => {
                 self.capacity.back_off_unreachable(now, &slot.target, slot.incarnation);
                 self.count_crashes(now, &slot.target, false, effects);
--- a/components/scheduler/tests/direct_leaving.rs
+++ b/components/scheduler/tests/direct_leaving.rs
@@ -173,3 +173,29 @@
 
     assert_ne!(only_dispatch(&effects).target, first.target);
 }
+
+/// Guards against a target whose address another one has, and that gets requests again with each change of the list.
+#[test]
+fn a_replaced_target_gets_no_requests_while_the_list_still_has_it() {
+    let mut process = process(targets(2));
+    let replaced = only_dispatch(&process.arrive(request(1, "/a/"))).target;
+    process.end_dispatch(1, Outcome::Replaced);
+    process.end_dispatch(1, Outcome::Completed);
+
+    process.list_targets(targets(2).into_iter().chain([target(7)]).collect());
+
+    assert!(!used_targets(&mut process, 2..20).contains(&replaced));
+}
+
+/// Guards against a target that is out for good because of one wrong answer, on a site where the list rarely
+/// changes.
+#[test]
+fn a_target_that_answers_once_that_it_was_replaced_is_tried_again() {
+    let mut process = process(targets(1));
+    process.arrive(request(1, "/a/"));
+    process.end_dispatch(1, Outcome::Replaced);
+    process.advance(Duration::from_secs(10));
+    process.confirm_configuration();
+
+    assert_eq!(used_targets(&mut process, 2..3).len(), 1);
+}
