--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -351,10 +351,7 @@
                     restarted.push(target.name.clone());
                     TargetState::new(target)
                 }
-                None => {
-                    let notice = self.take_notice(&target);
-                    TargetState { notice, ..TargetState::new(target) }
-                }
+                None => self.open_state(now, target),
             };
             self.states.push(state);
         }
--- a/components/scheduler/src/direct/capacity/notices.rs
+++ b/components/scheduler/src/direct/capacity/notices.rs
@@ -4,6 +4,8 @@
 
 use model::id::TargetName;
 
+use crate::rate::RateLimitReport;
+
 use super::{super::event::Incarnation, Capacity, Demand, Target, TargetState, Version};
 
 /// Time for which the notice of a target is kept after the target was removed from the list: an outage of the
@@ -27,10 +29,12 @@
     }
 }
 
-/// Notice of a target that isn't in use.
+/// What a target that isn't in use stated.
 #[derive(Clone, Debug)]
 pub(super) struct KeptNotice {
     notice: Notice,
+    /// The target's rate limit; `None` if it never stated one.
+    limit: Option<RateLimitReport>,
     incarnation: Incarnation,
     version: Version,
     /// Time at which the target was removed from the list.
@@ -98,13 +102,20 @@
         self.states.iter().filter_map(TargetState::unlisted_leaving).collect()
     }
 
-    /// Returns the notice of a target that is listed anew, if the same incarnation gave one before.
-    pub(super) fn take_notice(&mut self, target: &Target) -> Notice {
+    /// Returns the state of a target that is listed anew, with what the same incarnation stated before.
+    pub(super) fn open_state(&mut self, now: Instant, target: Target) -> TargetState {
         let kept = self.kept_notices.remove(&target.name);
         let is_same = |kept: &KeptNotice| {
             (kept.incarnation, &kept.version) == (target.incarnation, &target.version)
         };
-        kept.filter(is_same).map_or(Notice::default(), |kept| kept.notice)
+        let kept = kept.filter(is_same);
+        let mut state = TargetState::new(target);
+        if let Some(KeptNotice { notice, limit, .. }) = kept {
+            state.notice = notice;
+            state.limit = limit;
+            state.reset_pacer(now);
+        }
+        state
     }
 
     /// Keeps the notices of targets that are no longer in use.
@@ -113,10 +124,12 @@
             |kept: &KeptNotice| now.saturating_duration_since(kept.removed_at) < NOTICE_LIFETIME;
         self.kept_notices.retain(|_, kept| is_current(kept));
         let removed = self.states.iter().filter(|state| !state.is_in_use());
-        let with_notice = removed.filter(|state| state.notice != Notice::default());
+        let with_notice =
+            removed.filter(|state| state.notice != Notice::default() || state.is_limited());
         let kept = with_notice.map(|state| {
             let Target { name, incarnation, version, .. } = state.target.clone();
-            (name, KeptNotice { notice: state.notice, incarnation, version, removed_at: now })
+            let (notice, limit) = (state.notice, state.limit);
+            (name, KeptNotice { notice, limit, incarnation, version, removed_at: now })
         });
         self.kept_notices.extend(kept);
     }
--- a/components/scheduler/tests/direct_target_limits.rs
+++ b/components/scheduler/tests/direct_target_limits.rs
@@ -207,3 +207,19 @@
         "{turns:?}"
     );
 }
+
+/// Guards against a limit that is lost while an outage of the platform removes the target from the list.
+#[test]
+fn a_limit_holds_for_a_target_that_is_listed_again_after_an_outage() {
+    let mut entry = entry(0, 0, NO_AGENTS, empty_process(1).now);
+    dispatches(&entry.arrive(request(1, "/call/"))).remove(0);
+    entry.send(Event::RateLimitStated { ticket: 1, per_second: 1.0 });
+    entry.end_dispatch(1, Outcome::Completed);
+    entry.list_targets(Vec::new());
+    entry.advance(Duration::from_secs(5));
+    let while_removed = entry.state.limited_targets();
+
+    entry.list_targets(targets(NO_AGENTS));
+
+    assert_eq!((while_removed, entry.state.limited_targets()), (0, 1));
+}
