Tell callers to close connections only while the work is at its limit

Hypothesis: while all hosts are overloaded, telling every caller to close for a second after each refusal costs a new connection a request and spares nothing.

--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -358,7 +358,7 @@
         };
         async move {
             let mut response = call::serve(Arc::clone(&shared.context), request, work).await;
-            if shared.is_overloaded.load(Ordering::Relaxed) {
+            if shared.is_overloaded.load(Ordering::Relaxed) && !shared.has_room() {
                 let headers = response.headers_mut();
                 headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
