--- a/tests/skew.rs
+++ b/tests/skew.rs
@@ -14,7 +14,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -27,13 +27,12 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use standin::relay::{self, Relay};
-use support::Process;
-use test_case::test_case;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+use support::{
+    Process,
+    callers::{self, Attempt, Ended, Kept, Request, Route, share_at_first_read},
 };
+use test_case::test_case;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 const ENTRIES: usize = 3;
 const RUNNERS: usize = 12;
@@ -51,8 +50,6 @@
 const CALM_SHARE: f64 = 1.0 / 24.0;
 /// Part of the requests that are sent on a kept connection, if there is one.
 const KEPT_SHARE: f64 = 0.5;
-/// Time for which a caller waits for a connection.
-const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 /// Least share of requests answered at the first attempt that was read, as a part of that share in the calm seconds.
 const MIN_RATIO: f64 = 0.75;
 /// Least share of requests that are answered in any of their attempts.
@@ -116,46 +113,6 @@
     case("very_many", 3_000, 9),
 ];
 
-/// End of one attempt of a caller.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Attempt {
-    /// A whole answer of a runner.
-    Answered,
-    /// An answer of the entry process that the request didn't run.
-    Refused,
-    /// The connection was refused, reset or closed without a byte of an answer.
-    Unread,
-    /// No answer within the caller's patience; counts as read.
-    TimedOut,
-}
-
-impl Attempt {
-    fn is_read(self) -> bool {
-        self != Attempt::Unread
-    }
-}
-
-/// A request with its attempts: at most two.
-struct Ended {
-    is_counted: bool,
-    is_calm: bool,
-    /// Whether the first attempt used a kept connection.
-    is_kept: bool,
-    attempts: Vec<Attempt>,
-    time: Duration,
-}
-
-/// A request as a caller sends it in one attempt.
-struct Request {
-    id: String,
-    body: Arc<[u8]>,
-    /// Time for which the caller waits for the answer.
-    patience: Duration,
-}
-
-/// Connections that callers keep, each with its process.
-type Kept = Arc<Mutex<Vec<(SocketAddr, TcpStream)>>>;
-
 struct Site {
     entries: Vec<Process>,
     _agents: Vec<Process>,
@@ -214,69 +171,6 @@
     Site { entries, _agents: agents, _runners: runners, _store: store, _relay: relay, addresses }
 }
 
-/// Sends a request and reads its answer. Returns the connection if it can be used again.
-async fn exchange(
-    mut stream: TcpStream,
-    Request { id, body, patience }: &Request,
-) -> (Attempt, Option<TcpStream>) {
-    let head = format!(
-        "POST /safe/ HTTP/1.1\r\nhost: host.example\r\nrequest-id: {id}\r\n\
-         authorization: Bearer key\r\ndeadline-remaining-ms: {}\r\ncontent-length: {}\r\n\r\n",
-        patience.as_millis(),
-        body.len()
-    );
-    if stream.write_all(&[head.as_bytes(), body].concat()).await.is_err() {
-        return (Attempt::Unread, None);
-    }
-    let mut answer = Vec::new();
-    let head_end = loop {
-        match stream.read_buf(&mut answer).await {
-            Ok(0) | Err(_) if answer.is_empty() => return (Attempt::Unread, None),
-            Ok(0) | Err(_) => return (Attempt::Refused, None),
-            Ok(_) => {}
-        }
-        if let Some(at) = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            break at + 4;
-        }
-    };
-    let head = String::from_utf8_lossy(&answer[..head_end]).to_ascii_lowercase();
-    let field =
-        |name: &str| head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
-    let length: usize = field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    while answer.len() < head_end + length {
-        if !stream.read_buf(&mut answer).await.is_ok_and(|read| read > 0) {
-            return (Attempt::Refused, None);
-        }
-    }
-    let is_kept = field("connection") != Some("close");
-    let end = if head.starts_with("http/1.1 200") { Attempt::Answered } else { Attempt::Refused };
-    (end, is_kept.then_some(stream))
-}
-
-/// Makes one attempt, on a kept connection or on a new one.
-async fn attempt(
-    to: SocketAddr,
-    kept: Option<TcpStream>,
-    request: &Request,
-    pool: &Kept,
-) -> Attempt {
-    let stream = match kept {
-        Some(stream) => stream,
-        None => match timeout(CONNECT_PATIENCE, TcpStream::connect(to)).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Attempt::Unread,
-        },
-    };
-    match timeout(request.patience, exchange(stream, request)).await {
-        Ok((end, stream)) => {
-            let stream = stream.map(|stream| (to, stream));
-            pool.lock().expect("the lock is not poisoned").extend(stream);
-            end
-        }
-        Err(_) => Attempt::TimedOut,
-    }
-}
-
 /// Lets a process run for `running_time` of each [`PERIOD`] until `is_over` is set.
 async fn slow_down(entry: Process, running_time: Duration, is_over: Arc<AtomicBool>) -> Process {
     while !is_over.load(Ordering::Relaxed) {
@@ -314,21 +208,15 @@
         let body: Arc<[u8]> = vec![b'.'; random.random_range(0..=2 * case.body_bytes)].into();
         let request = move |attempt: u32| Request {
             id: format!("{number}-{attempt}"),
+            path: "/safe/",
             body: Arc::clone(&body),
             patience: case.patience,
         };
-        let wants_kept = random.random_bool(KEPT_SHARE);
+        let route = Route { first, second: other, wants_kept: random.random_bool(KEPT_SHARE) };
         let pool = Arc::clone(&pool);
         requests.push(tokio::spawn(async move {
             let sent = Instant::now();
-            let kept =
-                wants_kept.then(|| pool.lock().expect("the lock is not poisoned").pop()).flatten();
-            let is_kept = kept.is_some();
-            let (to, kept) = kept.map_or((first, None), |(to, stream)| (to, Some(stream)));
-            let mut attempts = vec![attempt(to, kept, &request(1), &pool).await];
-            if attempts[0] != Attempt::Answered {
-                attempts.push(attempt(other, None, &request(2), &pool).await);
-            }
+            let (attempts, is_kept) = callers::call(&route, &pool, request).await;
             Ended { is_counted, is_calm, is_kept, attempts, time: sent.elapsed() }
         }));
     }
@@ -339,19 +227,6 @@
     ended
 }
 
-/// Returns the part of the requests that were answered at the first attempt that was read.
-fn share_at_first_read<'a>(ended: impl Iterator<Item = &'a Ended>) -> f64 {
-    let is_served = |ended: &Ended| {
-        ended.attempts.iter().find(|attempt| attempt.is_read()) == Some(&Attempt::Answered)
-    };
-    let (mut served, mut all) = (0, 0);
-    for request in ended {
-        served += u32::from(is_served(request));
-        all += 1;
-    }
-    f64::from(served) / f64::from(all)
-}
-
 /// Held by the case that runs: each one needs several cores.
 static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,9 +2,12 @@
 
 #![allow(dead_code)]
 
+pub mod batch;
+pub mod callers;
 pub mod crossing;
 pub mod operator;
 pub mod platform;
+pub mod quota;
 pub mod site;
 pub mod way;
 
@@ -93,6 +96,11 @@
         self.signal("CONT");
     }
 
+    /// Process ID.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for the end.
     pub fn wait(mut self) -> ExitStatus {
         self.child.wait().unwrap()
