Let agents log how many held slots their targets don't use

An agent now keeps the moving average of held slots beyond the requests that its probe finds, and logs it when it changes by a whole slot. A report that can't be read is a result of its own: it counted as a target without requests.

Nothing is decided by the average yet.

--- a/components/agent/src/admission/mod.rs
+++ b/components/agent/src/admission/mod.rs
@@ -18,11 +18,19 @@
 /// are still delivered.
 const DENIAL_DELIVERY_TIME: Duration = Duration::from_millis(100);
 
-/// Result of a probe: the number of requests at the target, including those waiting there; `None`
-/// where the target is unreachable.
-pub type Seen = Option<usize>;
+/// Result of a probe of a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Seen {
+    /// The target accepts no connection, or didn't respond within the timeout.
+    #[default]
+    Unreachable,
+    /// The target accepts connections but reports no load.
+    Unknown,
+    /// Number of requests at the target, including those waiting there.
+    Requests(usize),
+}
 
-/// Probe of the target at an address, which returns the number of requests there.
+/// Probe of the target at an address.
 pub type Look = Arc<dyn Fn(SocketAddr) -> Pin<Box<dyn Future<Output = Seen> + Send>> + Send + Sync>;
 
 /// Settings of an agent that only performs admission control.
--- a/components/agent/src/admission/queue.rs
+++ b/components/agent/src/admission/queue.rs
@@ -159,14 +159,18 @@
 
     /// Applies the result of a probe of the target.
     pub fn apply_probe(&mut self, result: Seen) {
-        let is_reachable = result.is_some();
+        let is_reachable = result != Seen::Unreachable;
         if std::mem::replace(&mut self.is_reachable, is_reachable) != is_reachable {
             let address = self.target.address;
             info!(%address, reached = is_reachable, "the target's reachability changed");
             self.reduce(Event::ReachabilityChanged(is_reachable));
         }
         let running = self.state.load().running as usize;
-        let unreserved = result.unwrap_or_default().saturating_sub(running);
+        let requests = if let Seen::Requests(requests) = result { requests } else { 0 };
+        if result == Seen::Requests(requests) {
+            self.record_unused(requests);
+        }
+        let unreserved = requests.saturating_sub(running);
         // A request whose slot was just released may still be at the target, so only requests
         // that two probes in a row have found count.
         let persistent = unreserved.min(self.unreserved);
@@ -174,6 +178,19 @@
         self.reduce(Event::UnreservedRequestsChanged(persistent));
     }
 
+    /// Takes a probe into account that found this number of requests at the target. Logs how many of the held slots
+    /// are unused when that number changes by a whole slot.
+    fn record_unused(&mut self, requests: usize) {
+        let before = self.state.unused_slots() as usize;
+        self.reduce(Event::RequestsProbed(requests));
+        let unused = self.state.unused_slots();
+        if unused as usize != before {
+            let Load { running, waiting, .. } = self.state.load();
+            let (address, granted) = (self.target.address, self.state.pending_grants());
+            info!(%address, unused, held = running, granted, requests, waiting, "the unused slots changed");
+        }
+    }
+
     /// Feeds an event to the reducer and answers the reservations that it grants or denies.
     pub fn reduce(&mut self, event: Event) {
         self.effects(event);
--- a/components/agent/tests/admission.rs
+++ b/components/agent/tests/admission.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use agent::admission::{self, Handle, Look, Settings};
+use agent::admission::{self, Handle, Look, Seen, Settings};
 use model::{
     promise::{self, Redemption},
     refusal::Reason,
@@ -69,7 +69,10 @@
     let load: Arc<AtomicUsize> = Arc::default();
     let probed = Arc::clone(&load);
     let look: Look = Arc::new(move |_| {
-        let found = Some(probed.load(Ordering::Relaxed)).filter(|&load| load != UNREACHABLE);
+        let found = match probed.load(Ordering::Relaxed) {
+            UNREACHABLE => Seen::Unreachable,
+            load => Seen::Requests(load),
+        };
         Box::pin(async move { found })
     });
     let settings = Settings { name: "agent".into(), listen: ([127, 0, 0, 1], 0).into() };
--- a/components/scheduler/src/agent/event.rs
+++ b/components/scheduler/src/agent/event.rs
@@ -39,6 +39,8 @@
     ReachabilityChanged(bool),
     /// An entry reports what it last received about the target's rate limit.
     RateLimitReported(Limit),
+    /// A probe found this number of requests at the target, waiting ones included.
+    RequestsProbed(usize),
     /// Number of requests in flight at the target that were sent without a reservation at this agent.
     UnreservedRequestsChanged(usize),
     /// The process shuts down: waiting and new reservations are denied, granted and running ones finish.
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod queue;
 mod shares;
 mod suspects;
+mod unused;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -32,6 +33,7 @@
 use queue::{Queue, QueueKey, WaitingReservation};
 use shares::TierShares;
 use suspects::SuspectBodies;
+use unused::UnusedSlots;
 
 /// Time for which the final state of an ended reservation is kept, so that late or repeated messages
 /// about the reservation are answered correctly.
@@ -142,6 +144,7 @@
     is_unreachable: bool,
     /// Requests in flight at the target that were sent without a reservation at this agent.
     unreserved_requests: usize,
+    unused_slots: UnusedSlots,
     /// Most recent report about the target's rate limit; `None` before the first report.
     rate_limit: Option<RateLimitReport>,
     /// Spaces grants to respect the rate limit; `Some` only while `rate_limit` has an interval.
@@ -178,6 +181,7 @@
         is_draining: false,
         is_unreachable: false,
         unreserved_requests: 0,
+        unused_slots: UnusedSlots::default(),
         rate_limit: None,
         pacer: None,
         next_grant_at: None,
@@ -207,6 +211,7 @@
             state.set_reachable(now, is_reachable, &mut effects)
         }
         Event::RateLimitReported(limit) => state.update_rate_limit(now, limit),
+        Event::RequestsProbed(requests) => state.unused_slots.record(state.held_slots, requests),
         Event::UnreservedRequestsChanged(requests) => state.unreserved_requests = requests,
         Event::Drain => state.drain(now, &mut effects),
         Event::Tick => {}
@@ -240,6 +245,16 @@
         }
     }
 
+    /// Returns the average number of held slots that the target doesn't use, by the last probes.
+    pub fn unused_slots(&self) -> f64 {
+        self.unused_slots.average()
+    }
+
+    /// Returns the number of grants that aren't started yet.
+    pub fn pending_grants(&self) -> usize {
+        self.grant_expiries.len()
+    }
+
     /// Returns the rank of the lowest tier that has a waiting reservation; `None` if the queue is
     /// empty.
     pub fn lowest_waiting_rank(&self) -> Option<Rank> {
--- /dev/null
+++ b/components/scheduler/src/agent/unused.rs
@@ -0,0 +1,24 @@
+//! Slots that are held but that the target doesn't use: their grant hasn't reached its entry process, their request
+//! hasn't reached the target, or the end of their answer hasn't reached the agent.
+
+/// Weight of the newest probe in the average.
+const NEWEST_PROBE_WEIGHT: f64 = 1.0 / 4.0;
+
+/// Moving average over the probes of the target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UnusedSlots {
+    average: f64,
+}
+
+impl UnusedSlots {
+    /// Records a probe that found this number of requests at the target while `held` slots were held.
+    pub fn record(&mut self, held: usize, requests: usize) {
+        let unused = held.saturating_sub(requests) as f64;
+        self.average += (unused - self.average) * NEWEST_PROBE_WEIGHT;
+    }
+
+    /// Returns the average number of unused slots.
+    pub fn average(&self) -> f64 {
+        self.average
+    }
+}
