Grant slots again that are held but not used by the target

Cause: an agent counted a slot as used from its grant until the entry process released it. A process whose processor quota is used up gets its grants late, those of both of a request's agents, and releases them late, so that 1.0 to 1.9 of 6 held slots had no request at the target while up to 41 reservations waited there. At 0.95 of the slots in use that is more than what is left.

The agent now grants as many slots more as its probes found unused in the average of about a second, half of the slots at most. An average, since a single probe also finds grants and releases that are on their way.

The new tests of the reducer fail without the change (3 of 6 cases).

--- a/components/scheduler/src/agent/estimate.rs
+++ b/components/scheduler/src/agent/estimate.rs
@@ -109,13 +109,13 @@
     }
 
     /// Returns the number of requests that may run or hold a grant at the same time, including grants
-    /// beyond the slots.
+    /// beyond the slots: an entry process that stands still uses a granted slot late and releases it late.
     pub(super) fn grantable_slots(&self) -> usize {
         let extra_grants = if self.policy.allows_extra_grants {
             self.run_times.extra_grants(self.capacity.slots)
         } else {
             0
         };
-        self.capacity.slots + extra_grants
+        self.capacity.slots + extra_grants + self.unused_slots.extra_grants(self.capacity.slots)
     }
 }
--- a/components/scheduler/src/agent/mod.rs
+++ b/components/scheduler/src/agent/mod.rs
@@ -54,8 +54,8 @@
 /// Capacity limits of a target, of its queue and of its grants.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Capacity {
-    /// Maximum number of requests that run or hold a grant at the same time;
-    /// [`Policy::allows_extra_grants`] allows more.
+    /// Maximum number of requests that run or hold a grant at the same time; while held slots are unused,
+    /// and with [`Policy::allows_extra_grants`], more do.
     pub slots: usize,
     /// Maximum sum of the tokens (prompt plus maximum output) of all running and granted requests. A
     /// request that is larger than this limit is granted when nothing else holds a slot.
@@ -285,6 +285,7 @@
     /// until their requests end.
     fn forget_target(&mut self) {
         self.run_times = pace::new();
+        self.unused_slots = UnusedSlots::default();
         self.rate_limit = None;
         self.pacer = None;
         self.next_grant_at = None;
--- a/components/scheduler/tests/agent_admission.rs
+++ b/components/scheduler/tests/agent_admission.rs
@@ -98,6 +98,68 @@
     assert_eq!((granted_ids(&while_full), granted_ids(&with_free_slot)), (vec![], vec![id(1)]));
 }
 
+/// Returns an agent of a target with four slots that are all held, and two reservations that wait.
+fn open_with_all_slots_held(now: Instant) -> State {
+    let mut state = open(4, admission_policy());
+    for request in 1..=6 {
+        agent::reduce(&mut state, now, reserve(request, 0, 60_000 * MS));
+        agent::reduce(&mut state, now, Event::Start(id(request)));
+    }
+    state
+}
+
+/// Probes the target so often that the average follows; `unused` of the held slots have no request at the target.
+/// Returns the reservations that are granted meanwhile.
+fn probe_repeatedly(state: &mut State, now: Instant, unused: impl Fn(u32) -> usize) -> Vec<Id> {
+    let granted = (0..16).flat_map(|number| {
+        let requests = state.load().running as usize - unused(number);
+        granted_ids(&agent::reduce(state, now, Event::RequestsProbed(requests)))
+    });
+    granted.collect()
+}
+
+/// Guards against a target that runs fewer requests than it can, because entry processes that stand still hold its slots.
+#[test_case(|_| 0 => 0; "all slots are used")]
+#[test_case(|_| 1 => 1; "one slot is unused")]
+#[test_case(|_| 3 => 2; "three slots are unused and half of all may be granted again")]
+#[test_case(|number| usize::from(number % 4 == 0) => 0; "one slot is unused in one of four probes")]
+fn held_slots_that_the_target_does_not_use_are_granted_again(unused: fn(u32) -> usize) -> usize {
+    let now = Instant::now();
+    let mut state = open_with_all_slots_held(now);
+
+    probe_repeatedly(&mut state, now, unused).len()
+}
+
+/// Guards against grants beyond the slots after the processes run again.
+#[test]
+fn slots_that_are_used_again_are_granted_once_only() {
+    let now = Instant::now();
+    let mut state = open_with_all_slots_held(now);
+    let while_unused = probe_repeatedly(&mut state, now, |_| 1);
+    agent::reduce(&mut state, now, Event::Start(id(5)));
+
+    let while_used = probe_repeatedly(&mut state, now, |_| 0);
+    let after_one_end = agent::reduce(&mut state, now, Event::Ended(id(1)));
+    let after_two_ends = agent::reduce(&mut state, now, Event::Ended(id(2)));
+
+    let granted =
+        [while_unused, while_used, granted_ids(&after_one_end), granted_ids(&after_two_ends)];
+    assert_eq!(granted, [vec![id(5)], vec![], vec![], vec![id(6)]]);
+}
+
+/// Guards against one slot that two requests share: the second one would wait at the target for the whole first run.
+#[test]
+fn the_only_slot_of_a_target_is_not_granted_again() {
+    let now = Instant::now();
+    let mut state = open(1, admission_policy());
+    agent::reduce(&mut state, now, reserve(1, 0, 60_000 * MS));
+    agent::reduce(&mut state, now, reserve(2, 0, 60_000 * MS));
+
+    let probes = (0..16).flat_map(|_| agent::reduce(&mut state, now, Event::RequestsProbed(0)));
+
+    assert_eq!(granted_ids(&probes.collect::<Vec<Effect>>()), []);
+}
+
 #[test]
 fn more_slots_grant_waiting_reservations_at_once() {
     let now = Instant::now();
