--- a/tests/crowded_streams.rs
+++ b/tests/crowded_streams.rs
@@ -44,6 +44,22 @@
 /// Bytes a second of a link of 10 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 1_250_000.0;
 
+/// Time from the start of the load to the end of that.
+const CROWDED_END: Duration =
+    Duration::from_secs(CALM_TIME.as_secs() + SETTLING_TIME.as_secs() + COUNTED_TIME.as_secs());
+/// Time for which the connections are spread over all processes again after that.
+const AFTER_TIME: Duration = Duration::from_secs(3);
+
+/// What happens in the middle of the time in which requests are counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Meanwhile {
+    Nothing,
+    /// A crowded process is killed; callers are still sent to it.
+    Kill,
+    /// The store doesn't respond for the rest of the run.
+    StoreOutage,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Case {
     name: &'static str,
@@ -69,6 +85,7 @@
     has_narrow_links: bool,
     /// Mean size in bytes of a body.
     body_bytes: usize,
+    meanwhile: Meanwhile,
 }
 
 const NEARLY_ALL_SLOTS: Case = Case {
@@ -85,6 +102,7 @@
     are_retries_crowded: true,
     has_narrow_links: false,
     body_bytes: 0,
+    meanwhile: Meanwhile::Nothing,
 };
 /// A site of a few processes, of which one is crowded.
 const FEW_PROCESSES: Case = Case {
@@ -99,13 +117,15 @@
 /// Quotas of a host of 0.09 cores, and of one that is slower.
 const QUOTA: Option<Limit> = Some(Limit::ProcessorTime(Duration::from_millis(9)));
 const SMALL_QUOTA: Option<Limit> = Some(Limit::ProcessorTime(Duration::from_millis(5)));
-const BY_HAND: [Case; 12] = [
+const BY_HAND: [Case; 14] = [
     Case { name: "narrow", has_narrow_links: true, body_bytes: 4_000, ..NEARLY_ALL_SLOTS },
     Case { name: "kept", kept_share: 0.5, ..NEARLY_ALL_SLOTS },
     Case { name: "whole_cores", crowded_limit: None, ..NEARLY_ALL_SLOTS },
     Case { name: "slot_more", slots: 7, ..NEARLY_ALL_SLOTS },
     Case { name: "ample_slots", slots: 12, ..NEARLY_ALL_SLOTS },
     Case { name: "retries_elsewhere", are_retries_crowded: false, ..NEARLY_ALL_SLOTS },
+    Case { name: "kill", meanwhile: Meanwhile::Kill, ..NEARLY_ALL_SLOTS },
+    Case { name: "store_outage", meanwhile: Meanwhile::StoreOutage, ..NEARLY_ALL_SLOTS },
     Case { name: "base", ..NEARLY_ALL_SLOTS },
     Case { name: "quota", limit: QUOTA, crowded_limit: None, ..NEARLY_ALL_SLOTS },
     // With so few processes these share the slots by the rows that they exchange.
@@ -129,7 +149,7 @@
     entries: Vec<Process>,
     _agents: Vec<Process>,
     _runners: Vec<Batch>,
-    _store: Store,
+    store: Store,
     _relays: Vec<Relay>,
     /// Addresses at which callers reach the processes; the first ones are crowded.
     addresses: Vec<SocketAddr>,
@@ -183,11 +203,11 @@
         }
         addresses.push(address);
     }
-    Site { entries, _agents: agents, _runners: runners, _store: store, _relays: relays, addresses }
+    Site { entries, _agents: agents, _runners: runners, store, _relays: relays, addresses }
 }
 
 /// Sends requests at the rate of the case: first with connections to all processes, then with most of the new ones to
-/// few.
+/// few, and at last with connections to all again.
 async fn load(case: Case, addresses: &[SocketAddr]) -> Vec<Ended> {
     let mut random = StdRng::seed_from_u64(7);
     let mut ticks = interval(Duration::from_secs(1) / case.rate);
@@ -196,12 +216,13 @@
     let pool = Kept::default();
     let mut requests = Vec::new();
     let mut number = 0;
-    while start.elapsed() < CALM_TIME + SETTLING_TIME + COUNTED_TIME {
+    while start.elapsed() < CROWDED_END + AFTER_TIME {
         ticks.tick().await;
         number += 1;
         let since_start = start.elapsed();
         let is_calm = since_start < CALM_TIME;
-        let is_counted = is_calm || since_start >= CALM_TIME + SETTLING_TIME;
+        let is_crowded = !is_calm && since_start < CROWDED_END;
+        let is_counted = is_calm || is_crowded && since_start >= CALM_TIME + SETTLING_TIME;
         let mut choose = |is_crowded: bool| {
             let among = match (is_crowded, random.random_bool(CROWDED_SHARE)) {
                 (false, _) => 0..case.entries,
@@ -210,8 +231,8 @@
             };
             addresses[random.random_range(among)]
         };
-        let first = choose(!is_calm);
-        let second = choose(!is_calm && case.are_retries_crowded);
+        let first = choose(is_crowded);
+        let second = choose(is_crowded && case.are_retries_crowded);
         let route = Route { first, second, wants_kept: random.random_bool(case.kept_share) };
         let body: Arc<[u8]> = vec![b'.'; random.random_range(0..=2 * case.body_bytes)].into();
         let request = move |attempt: u32| Request {
@@ -259,7 +280,7 @@
 
 async fn check(case: Case) {
     let _running = RUNNING.lock().await;
-    let site = start(&case).await;
+    let mut site = start(&case).await;
     let limits = |entries: &[Process], limit: Option<Limit>| {
         let limited = entries.iter().zip(limit.into_iter().cycle());
         limited.map(|(entry, limit)| (entry.id(), limit)).collect::<Vec<_>>()
@@ -268,12 +289,22 @@
     let crowded = limits(&site.entries[..case.crowded], case.crowded_limit);
     let crowding = tokio::spawn(async move {
         sleep(CALM_TIME).await;
-        quota::spawn(&crowded)
+        let limits = quota::spawn(&crowded);
+        sleep(SETTLING_TIME + COUNTED_TIME).await;
+        limits.end()
     });
 
-    let ended = load(case, &site.addresses).await;
+    let meanwhile = async {
+        sleep(CALM_TIME + SETTLING_TIME + COUNTED_TIME / 2).await;
+        match case.meanwhile {
+            Meanwhile::Nothing => {}
+            Meanwhile::Kill => site.entries.remove(0).kill(),
+            Meanwhile::StoreOutage => site.store.stop_responding(),
+        }
+    };
+    let (ended, ()) = tokio::join!(load(case, &site.addresses), meanwhile);
 
-    let stopped = [quotas.end(), crowding.await.expect("the limits hold").end()];
+    let stopped = [quotas.end(), crowding.await.expect("the limits hold")];
     let used = site.entries.iter().map(|entry| quota::processor_time(entry.id()));
     println!(
         "{} stood still for {stopped:?}; used processor time {:?}",
@@ -283,6 +314,9 @@
     let calm: Vec<&Ended> = ended.iter().filter(|ended| ended.is_calm).collect();
     let counted: Vec<&Ended> =
         ended.iter().filter(|ended| ended.is_counted && !ended.is_calm).collect();
+    let seconds = ended.chunks(case.rate as usize);
+    let by_second = seconds.map(|ended| format!("{:.2}", share_at_first_read(ended.iter())));
+    println!("{} by second: {}", case.name, by_second.collect::<Vec<_>>().join(" "));
     print(&case, "calm", &calm);
     print(&case, "crowded", &counted);
     let share = share_at_first_read(counted.into_iter());
--- a/tests/support/quota.rs
+++ b/tests/support/quota.rs
@@ -96,7 +96,9 @@
 
     fn is_used_up(&self, now: Instant) -> bool {
         match self.limit {
-            Limit::ProcessorTime(quota) => processor_time(self.pid) - self.used_before >= quota,
+            Limit::ProcessorTime(quota) => {
+                processor_time(self.pid).saturating_sub(self.used_before) >= quota
+            }
             Limit::RunningTime(time) => now >= self.period_start + time,
         }
     }
@@ -110,14 +112,15 @@
 
 fn signal(pid: u32, signal: Signal) {
     let pid = i32::try_from(pid).ok().and_then(Pid::from_raw).expect("a process ID");
-    kill_process(pid, signal).expect("the process runs");
+    // The test may have killed the process.
+    let _ = kill_process(pid, signal);
 }
 
 /// Returns the processor time that all threads of a process have used.
 pub fn processor_time(pid: u32) -> Duration {
-    let threads = fs::read_dir(format!("/proc/{pid}/task")).expect("the process runs");
+    // The process or a thread may have ended meanwhile.
+    let threads = fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten();
     let used = threads.flatten().filter_map(|thread| {
-        // A thread may have ended meanwhile.
         let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
         text.split(' ').next()?.parse::<u64>().ok()
     });
