Ask for the variant of a probe's result once

apply_probe unpacked the number of requests and then compared the result with that number again. One match does both; what is counted as unreserved and recorded as unused is the same.

--- a/components/agent/src/admission/queue.rs
+++ b/components/agent/src/admission/queue.rs
@@ -166,11 +166,13 @@
             self.reduce(Event::ReachabilityChanged(is_reachable));
         }
         let running = self.state.load().running as usize;
-        let requests = if let Seen::Requests(requests) = result { requests } else { 0 };
-        if result == Seen::Requests(requests) {
-            self.record_unused(requests);
-        }
-        let unreserved = requests.saturating_sub(running);
+        let unreserved = match result {
+            Seen::Requests(requests) => {
+                self.record_unused(requests);
+                requests.saturating_sub(running)
+            }
+            Seen::Unreachable | Seen::Unknown => 0,
+        };
         // A request whose slot was just released may still be at the target, so only requests
         // that two probes in a row have found count.
         let persistent = unreserved.min(self.unreserved);
