Wait for a gateway in one place, and keep the platform's doubles beside each other

The model runner and the callers of the crowded tests speak the platform's protocol and move to platform/tests/support, where its other doubles are. Tests, loads, bounds and assertions are unchanged.

--- a/tests/crowded_streams.rs
+++ b/tests/crowded_streams.rs
@@ -15,13 +15,16 @@
     time::Duration,
 };
 
-use platform_support::{Store, store};
+use platform_support::{
+    Store,
+    batch::{self, Batch},
+    callers::{self, Attempt, Ended, Kept, Request, Route, share_at_first_read},
+    store,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use standin::relay::{self, Relay};
 use support::{
     Process,
-    batch::{self, Batch},
-    callers::{self, Attempt, Ended, Kept, Request, Route, share_at_first_read},
     quota::{self, Limit},
 };
 use test_case::test_case;
@@ -185,11 +188,7 @@
         })
         .collect();
     for entry in &entries {
-        let url = format!("http://{}/api/readiness", entry.address("operators"));
-        support::until_async(async || {
-            reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success())
-        })
-        .await;
+        support::gateway_ready(entry).await;
     }
     let (mut addresses, mut relays) = (Vec::new(), Vec::new());
     for (number, entry) in entries.iter().enumerate() {
--- a/tests/notices_soak.rs
+++ b/tests/notices_soak.rs
@@ -116,7 +116,7 @@
             site.entries.push(Some(entry));
         }
         for entry in site.entries.iter().flatten() {
-            wait_until_ready(entry).await;
+            support::gateway_ready(entry).await;
         }
         site.publish();
         site
@@ -214,7 +214,7 @@
         self.publish();
         self.starts[number] += 1;
         self.entries[number] = Some(self.start_entry(number));
-        wait_until_ready(self.entries[number].as_ref().expect("it was started")).await;
+        support::gateway_ready(self.entries[number].as_ref().expect("it was started")).await;
         self.publish();
     }
 
@@ -270,14 +270,6 @@
     }
 }
 
-async fn wait_until_ready(entry: &Process) {
-    let url = format!("http://{}/api/readiness", entry.address("operators"));
-    support::until_async(async || {
-        reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success())
-    })
-    .await;
-}
-
 /// Sends a request on a connection of its own; returns whether it was answered by a runner.
 async fn call(entry: SocketAddr, id: &str, path: &str) -> bool {
     let request = format!(
--- a/tests/parts_soak.rs
+++ b/tests/parts_soak.rs
@@ -161,7 +161,7 @@
             site.entries.push(Some(entry));
         }
         for entry in site.entries.iter().flatten() {
-            wait_until_ready(entry).await;
+            support::gateway_ready(entry).await;
         }
         site.publish(None);
         (site, runners)
@@ -216,20 +216,12 @@
             self.entries[number] = Some(self.start_entry(number));
         }
         for number in numbers {
-            wait_until_ready(self.entries[number].as_ref().expect("it was started")).await;
+            support::gateway_ready(self.entries[number].as_ref().expect("it was started")).await;
         }
         self.publish(None);
     }
 }
 
-async fn wait_until_ready(entry: &Process) {
-    let url = format!("http://{}/api/readiness", entry.address("operators"));
-    support::until_async(async || {
-        reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success())
-    })
-    .await;
-}
-
 /// Sends a request on a connection of its own; returns whether it was answered by a runner.
 async fn call(entry: SocketAddr, id: &str, prompt: &str) -> bool {
     let request = format!(
--- a/tests/skew.rs
+++ b/tests/skew.rs
@@ -22,15 +22,13 @@
 
 use platform_support::{
     Runner, Store,
+    callers::{self, Attempt, Ended, Kept, Request, Route, share_at_first_read},
     runner::{self, Behavior},
     store,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use standin::relay::{self, Relay};
-use support::{
-    Process,
-    callers::{self, Attempt, Ended, Kept, Request, Route, share_at_first_read},
-};
+use support::Process;
 use test_case::test_case;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
@@ -152,11 +150,7 @@
         })
         .collect();
     for entry in &entries {
-        let url = format!("http://{}/api/readiness", entry.address("operators"));
-        support::until_async(async || {
-            reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success())
-        })
-        .await;
+        support::gateway_ready(entry).await;
     }
     let mut addresses: Vec<SocketAddr> =
         entries.iter().map(|entry| entry.address("callers")).collect();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code)]
 
-pub mod batch;
-pub mod callers;
 pub mod crossing;
 pub mod operator;
 pub mod platform;
@@ -146,6 +144,13 @@
     }
 }
 
+/// Waits until an entry process on the users' platform is ready for work.
+pub async fn gateway_ready(entry: &Process) {
+    let url = format!("http://{}/api/readiness", entry.address("operators"));
+    until_async(async || reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success()))
+        .await;
+}
+
 /// Waits until an entry process asks for no more work.
 pub async fn unready(entry: &Process) {
     while is_ready(entry).await {
--- a/tests/versions_soak.rs
+++ b/tests/versions_soak.rs
@@ -113,7 +113,7 @@
             site.entries.push(Some(entry));
         }
         for entry in site.entries.iter().flatten() {
-            wait_until_ready(entry).await;
+            support::gateway_ready(entry).await;
         }
         site.publish(&BTreeSet::new());
         site
@@ -174,7 +174,7 @@
                 }
             }
             if let Some(entry) = &self.entries[number.min(ENTRIES - 1)] {
-                wait_until_ready(entry).await;
+                support::gateway_ready(entry).await;
             }
             self.publish(&BTreeSet::new());
         }
@@ -194,14 +194,6 @@
     }
 }
 
-async fn wait_until_ready(entry: &Process) {
-    let url = format!("http://{}/api/readiness", entry.address("operators"));
-    support::until_async(async || {
-        reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success())
-    })
-    .await;
-}
-
 /// Receives a stream over as many attempts as it takes, each through a process chosen at random.
 async fn receive(
     client: Client,
