--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """A runner restarts at its address; of its answers, some come twice, the second one late (PROTOCOL.md, Runners)."""
 import os, sys
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 from stand import *
 
 FRONTS, RUNNERS, SLOTS, WORK_S = 3, 3, 6, 0.06   # permit-api of tunturi-reitti: share 1 of 3 is hit at a time
--- a/review/lib/stand.py
+++ b/review/stand.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform, the runners and the clients, after PROTOCOL.md and DEPLOY.md. Standard library only."""
 import asyncio, base64, json, os, random, signal, socket, struct, sys, tempfile, time
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 GATEWAY = os.path.join(ROOT, "target/release/wagtailhill")
 AGENT = os.path.join(ROOT, "target/release/wagtailhill-agent")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
