--- a/review/stand.py
+++ b/review/stand.py
@@ -24,14 +24,14 @@
 
 
 def free_ports(count):
-    """Returns the first of `count` ports in a row that are free on all loopback addresses."""
+    """Returns the first of `count` ports in a row that are free."""
     for _ in range(200):
         first = random.randrange(20000, 32000 - count)
         try:
             for port in range(first, first + count):
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind(("127.0.0.1", port))
             return first
         except OSError:
             continue
@@ -438,6 +438,13 @@
 
     async def whole():
         site = Site(record)
+
+        def interrupted():
+            site.stop()
+            os._exit(2)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, interrupted)
         try:
             await site.start()
             return await asyncio.wait_for(play(site, record), 115)
