Log answers of targets that aren't passed on, with the request and target that they name

Hypotheses before any change of logic: 1. the second copy of a 421 of another request is taken for its answer (the 421 then names another request); 2. the target answers 421 to the request itself and runs it all the same (the 421 then names this request); 3. the HTTP client sends a request again on a new connection by itself (there is then no 421 at all). The new line has the status, the request and the target that an answer names, and so tells the three apart.

Change: the adapter reads what an answer states (read_answer), and the gateway decides which request it belongs to (answer::classify). The decision itself is unchanged.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -19,9 +19,11 @@
 use tracing::warn;
 
 use crate::{
-    AnswerKind, Dialect, Notice, ReceivedRequest,
+    Dialect, Notice, ReceivedRequest,
+    answer::{self, Kind},
     buffer::{self, Charge, Full},
     events::{EventSplitter, StreamEvent},
+    record,
 };
 
 /// Timeout of establishing a connection. A target nearby accepts one within a few milliseconds; a target that
@@ -146,9 +148,13 @@
     let answer = time_limit.wait(client.http.request(request)).await?;
     let answer = answer.map_err(|error| failure_outcome(&error))?;
     let (mut head, body) = answer.into_parts();
-    let kind = (dialect.classify_answer)(&head, call);
+    let info = (dialect.read_answer)(&head);
+    let kind = answer::classify(&info, &call.info.id);
+    if !matches!(kind, Kind::Answer | Kind::Failed) {
+        record::log_answer(&call.info.id, &dispatch.target, head.status, &info, kind);
+    }
     // Answers of other kinds weren't made by this target, or not for this request.
-    if !matches!(kind, AnswerKind::Replaced | AnswerKind::Foreign) {
+    if !matches!(kind, Kind::Replaced | Kind::Foreign) {
         let notice = (dialect.read_notice)(&head);
         for message in &notice.findings {
             warn!(to = dispatch.target, message, "a statement of a target can't be read");
@@ -160,13 +166,13 @@
     (dialect.remove_connection_headers)(&mut head);
     let target = dispatch.target.clone();
     match kind {
-        AnswerKind::Rejected => Err(Outcome::Rejected),
-        AnswerKind::Replaced => Err(Outcome::Replaced),
-        AnswerKind::Foreign | AnswerKind::Improper => {
+        Kind::Rejected => Err(Outcome::Rejected),
+        Kind::Replaced => Err(Outcome::Replaced),
+        Kind::Foreign | Kind::Improper => {
             close_after_use(&connection);
             Err(Outcome::Incomplete { crashed: false })
         }
-        AnswerKind::Answer if dispatch.is_stream => {
+        Kind::Answer if dispatch.is_stream => {
             let body = Box::pin(body);
             let unresponsive_timeout = dispatch.unresponsive_timeout;
             let splitter = EventSplitter::default();
@@ -187,12 +193,12 @@
             };
             Ok(TargetAnswer::Stream(Box::new(head), Box::new(events)))
         }
-        AnswerKind::Answer => {
+        Kind::Answer => {
             let charge = client.budget.begin(MAX_ANSWER_BYTES);
             let unread = UnreadAnswer { is_unframed, head, body, charge, target, time_limit };
             Ok(TargetAnswer::Plain(unread))
         }
-        AnswerKind::Failed => {
+        Kind::Failed => {
             let charge = client.budget.begin(MAX_ANSWER_BYTES);
             let unread = UnreadAnswer { is_unframed, head, body, charge, target, time_limit };
             Ok(TargetAnswer::Failure(unread))
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! crate. A [`Feed`] reads the configuration and the list of targets.
 
 mod agents;
+pub mod answer;
 pub mod buffer;
 mod call;
 pub mod control;
@@ -30,7 +31,7 @@
 use http::{request, response};
 use http_body_util::{Full, combinators::UnsyncBoxBody};
 use metrics::Gateway;
-use model::id::PartId;
+use model::id::{PartId, TargetName};
 use scheduler::direct::{self, Dispatch, Refusal, Tokens};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -119,22 +120,30 @@
     pub info: RequestInfo,
 }
 
-/// Classification of a target's answer by its head.
+/// What the head of a target's answer states.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerInfo {
+    /// ID of the request that the answer names; `None` where it names none.
+    pub request_id: Option<String>,
+    /// Name of the target that made the answer; `None` where the answer doesn't state it.
+    pub target: Option<TargetName>,
+    /// What became of the request that was answered.
+    pub claim: Claim,
+}
+
+/// What a target states about the request that it answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AnswerKind {
-    /// The target ran the request; its answer is passed to the caller.
-    Answer,
-    /// The target ran the request and signed an error answer, which is passed to the caller unless the
-    /// request is dispatched again.
+pub enum Claim {
+    /// The target ran the request and signed its answer.
+    Answered,
+    /// The target ran the request and signed an error answer.
     Failed,
-    /// The target rejected the request and states that it did not run it.
+    /// The target rejected the request and did not run it.
     Rejected,
-    /// Another target now listens at the address; it rejected the request without running it.
+    /// The target isn't the one that the request was sent to, and did not run it.
     Replaced,
-    /// The answer was made for another request.
-    Foreign,
-    /// The answer isn't a proper answer to the request.
-    Improper,
+    /// None of these: the answer isn't proper.
+    Unproven,
 }
 
 /// What a target states in an answer about the requests that it accepts.
@@ -163,8 +172,8 @@
     pub read_request: fn(&request::Parts) -> Result<RequestInfo, String>,
     /// Builds the request to a target.
     pub build_request: BuildRequest,
-    /// Classifies a target's answer to a request by its head.
-    pub classify_answer: fn(&response::Parts, &ReceivedRequest) -> AnswerKind,
+    /// Reads what the head of a target's answer states.
+    pub read_answer: fn(&response::Parts) -> AnswerInfo,
     /// Reads what a target's answer states about the requests that the target accepts.
     pub read_notice: fn(&response::Parts) -> Notice,
     /// Removes the headers from a target's answer that concern only the connection to the target.
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -5,8 +5,12 @@
     time::{Duration, Instant},
 };
 
+use http::StatusCode;
 use metrics::Gateway;
-use model::{id::PartId, promise::Redemption};
+use model::{
+    id::{PartId, TargetName},
+    promise::Redemption,
+};
 use scheduler::direct::{
     DispatchView, Effect, LateWait, LogEntry, Now, Outcome, Refusal, RefusalContext, RefusalReason,
     SharedWork, ShortageCause, State,
@@ -18,7 +22,11 @@
 };
 use tracing::{info, warn};
 
-use crate::relay::{self, Fetched};
+use crate::{
+    AnswerInfo,
+    answer::Kind,
+    relay::{self, Fetched},
+};
 
 /// Change of the load of the process.
 #[derive(Clone, Copy, Debug)]
@@ -216,6 +224,25 @@
     info!(request = view.id, attempt = view.attempt, after_ms, "the unresponsive target continues");
 }
 
+/// Logs an answer of a target that isn't passed on, and which request and target it names.
+pub fn log_answer(
+    request_id: &str,
+    target: &TargetName,
+    status: StatusCode,
+    answer: &AnswerInfo,
+    kind: Kind,
+) {
+    info!(
+        request = request_id,
+        to = target,
+        kind = ?kind,
+        status = status.as_u16(),
+        names = answer.request_id,
+        made_by = answer.target,
+        "an answer isn't passed on"
+    );
+}
+
 /// Logs the end of a dispatch.
 pub fn log_dispatch_ended(view: &DispatchView<'_>, outcome: Outcome, begun: bool, events: u32) {
     info!(
