Don't take a 421 for the answer to a request that it doesn't belong to

Cause: a 421 was trusted before it was known to answer the request. A target that has taken over an address may answer 421 twice; the second copy arrives where the answer to the next request on the connection is expected. The gateway then held that this request hadn't run, and sent it to another target while it ran.

Change: an answer that names another request proves nothing of this one, whatever its status; a 421 of the expected target itself doesn't either; an improper answer without an ID states nothing about the target's limits. After a 421 the connection isn't used again, so that a second copy finds no request. The rule is the gateway's (answer::classify); the adapter only reads what the head states.

Measured: the three forms of a_second_421_is_not_the_answer_to_the_next_request failed before (one request ran twice in each) and pass now, as do the table of classify and the tests of requests, endless and unframed answers.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -14,25 +14,28 @@
     Rejected,
     /// Another target now listens at the address; it rejected the request without running it.
     Replaced,
-    /// The answer was made for another request.
+    /// The answer was made for another request, or nothing shows that it was made for this one.
     Foreign,
-    /// The answer isn't a proper answer to the request.
+    /// The answer to the request isn't proper.
     Improper,
 }
 
-/// Classifies an answer that was received where the answer to the request with this ID is expected.
-pub fn classify(answer: &AnswerInfo, request_id: &str) -> Kind {
-    if answer.claim == Claim::Replaced {
-        return Kind::Replaced;
-    }
-    if answer.request_id.as_ref().is_some_and(|id| id != request_id) {
+/// Classifies an answer that was received where `target` should answer the request with the ID `request_id`. A target
+/// may answer twice, and the second answer arrives where that to a later request on the connection is expected. So an
+/// answer that names another request proves nothing of this one, whatever it states, and neither does the statement of
+/// the expected target that it isn't the expected one.
+pub fn classify(answer: &AnswerInfo, request_id: &str, target: &str) -> Kind {
+    let names_request = answer.request_id.as_deref() == Some(request_id);
+    if answer.request_id.is_some() && !names_request {
         return Kind::Foreign;
     }
     match answer.claim {
+        Claim::Replaced if answer.target.as_deref() == Some(target) => Kind::Foreign,
         Claim::Replaced => Kind::Replaced,
         Claim::Rejected => Kind::Rejected,
-        Claim::Answered if answer.request_id.is_some() => Kind::Answer,
-        Claim::Failed if answer.request_id.is_some() => Kind::Failed,
-        Claim::Answered | Claim::Failed | Claim::Unproven => Kind::Improper,
+        Claim::Answered | Claim::Failed | Claim::Unproven if !names_request => Kind::Foreign,
+        Claim::Answered => Kind::Answer,
+        Claim::Failed => Kind::Failed,
+        Claim::Unproven => Kind::Improper,
     }
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -149,7 +149,7 @@
     let answer = answer.map_err(|error| failure_outcome(&error))?;
     let (mut head, body) = answer.into_parts();
     let info = (dialect.read_answer)(&head);
-    let kind = answer::classify(&info, &call.info.id);
+    let kind = answer::classify(&info, &call.info.id, &dispatch.target);
     if !matches!(kind, Kind::Answer | Kind::Failed) {
         record::log_answer(&call.info.id, &dispatch.target, head.status, &info, kind);
     }
@@ -167,7 +167,11 @@
     let target = dispatch.target.clone();
     match kind {
         Kind::Rejected => Err(Outcome::Rejected),
-        Kind::Replaced => Err(Outcome::Replaced),
+        Kind::Replaced => {
+            // The answer may come again, and the request may be sent to the address again under another name.
+            close_after_use(&connection);
+            Err(Outcome::Replaced)
+        }
         Kind::Foreign | Kind::Improper => {
             close_after_use(&connection);
             Err(Outcome::Incomplete { crashed: false })
