Close the connection to a target that turned a request away

Callers saw requests that may run once only run more than once, and refusals with the promise 'not run' for requests that ran.

Ruled out: comparing IDs alone (the copy at the same request names it), and distrusting rejections without an ID (requests that didn't run could then not be sent elsewhere).

Change: the connection isn't used again after a rejection, so that a second copy finds no request. Costs a new connection for each rejection.

Measured: with this change taken out, the three forms of a_second_rejection_is_not_the_answer_to_the_next_request failed: 24 of 24 requests may run once only and ran twice at the same target (copy at the same request, copy without an ID); 12 of 24 got 502 (copy at another request). They pass now, all requests with status 200.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -166,9 +166,13 @@
     (dialect.remove_connection_headers)(&mut head);
     let target = dispatch.target.clone();
     match kind {
-        Kind::Rejected => Err(Outcome::Rejected),
+        // The answer may come again without the ID of its request, or where the same request is sent again. On
+        // another connection it can't be taken for the answer to a later dispatch.
+        Kind::Rejected => {
+            close_after_use(&connection);
+            Err(Outcome::Rejected)
+        }
         Kind::Replaced => {
-            // The answer may come again, and the request may be sent to the address again under another name.
             close_after_use(&connection);
             Err(Outcome::Replaced)
         }
