Take a 421 of the target that was expected for what it is

A target answers 421 too where the caller names a version of the weights that it doesn't have; such a request hasn't run, and its caller would have got 502 instead of another target or a promise. The rule is needless: after a 421 or a rejection the connection is closed, so that no second copy arrives.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -20,17 +20,15 @@
     Improper,
 }
 
-/// Classifies an answer that was received where `target` should answer the request with the ID `request_id`. A target
-/// may answer twice, and the second answer arrives where that to a later request on the connection is expected. So an
-/// answer that names another request proves nothing of this one, whatever it states, and neither does the statement of
-/// the expected target that it isn't the expected one.
-pub fn classify(answer: &AnswerInfo, request_id: &str, target: &str) -> Kind {
+/// Classifies an answer that was received where that to the request with the ID `request_id` is expected. A target may
+/// answer twice, and the second answer arrives where that to a later request on the connection is expected. So an
+/// answer that names another request proves nothing of this one, whatever it states.
+pub fn classify(answer: &AnswerInfo, request_id: &str) -> Kind {
     let names_request = answer.request_id.as_deref() == Some(request_id);
     if answer.request_id.is_some() && !names_request {
         return Kind::Foreign;
     }
     match answer.claim {
-        Claim::Replaced if answer.target.as_deref() == Some(target) => Kind::Foreign,
         Claim::Replaced => Kind::Replaced,
         Claim::Rejected => Kind::Rejected,
         Claim::Answered | Claim::Failed | Claim::Unproven if !names_request => Kind::Foreign,
