Reserve memory for the bodies of requests before they are read

Cause: admission counts connections, the budget of answers counts bytes of targets, and nothing counted the bytes of callers. A request kept its body until its answer had ended, and each body was in memory twice while it was read.

Change: the memory for a body is reserved before it is read, in the order of arrival; until then flow control holds the body back at its caller, for half a second or a quarter of the caller's time at most. A request that gets none is refused with 503, not run. Small bodies have a part of their own, so that large ones don't get usual traffic refused. Buffers of callers' connections are bounded. The time that a body takes to arrive is no longer added to the caller's time.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -1,13 +1,19 @@
 //! Serves one request of a caller: reads it, carries out the dispatches that the control thread orders and
 //! passes the answer on.
 
-use std::{future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_stream::try_stream;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, response};
+use http::{Request, Response, StatusCode, header, request, response};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
+use metrics::Gateway;
 use model::id::{self, Fingerprint};
 use scheduler::direct::{
     self, Dispatch, Event, Outcome, Refusal, RefusalReason, Resumption, Ticket,
@@ -20,16 +26,25 @@
 
 use crate::{
     Body, Broken, Dialect, Notice, ReceivedRequest, RequestInfo,
+    bodies::{self, Charge},
     control::{self, Command},
     dispatch::{self, EventStream, TargetAnswer, TargetClient, UnreadAnswer},
     events::StreamEvent,
     overload::Work,
+    record::{self, MemoryWait},
 };
 
 /// Timeout of receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size in bytes of a request's body before a configuration is known, which sets the maximum.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Longest time for which a request waits for the memory that its body takes. A caller gives up a request that isn't
+/// read for long, and tries another process.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// Divisor of the caller's time that gives the longest wait where it is shorter.
+const MEMORY_WAIT_DIVISOR: u32 = 4;
+/// Time after which a request may return that was refused for want of memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// State that the tasks of all requests share.
 pub struct Context {
@@ -39,6 +54,10 @@
     pub dialect: Dialect,
     /// HTTP client for targets.
     pub client: TargetClient,
+    /// Memory that bodies of callers' requests take.
+    pub bodies: bodies::Budget,
+    /// Metrics of the process.
+    pub metrics: Arc<Gateway>,
 }
 
 /// A request that was passed to the control thread. If the value is dropped before the request has ended, its
@@ -81,8 +100,8 @@
     work: Work,
 ) -> Response<Body> {
     let dialect = context.dialect;
-    let (call, fingerprint) = match read(&context, request).await {
-        Ok(call) => call,
+    let (call, fingerprint, work) = match read(&context, request, work).await {
+        Ok(read) => read,
         Err(response) => return response,
     };
     let ticket = context.control.next_ticket();
@@ -113,28 +132,113 @@
 }
 
 /// Reads a request to its end, and computes the fingerprint of path, key and body; returns an error answer
-/// where the request is invalid, too large or too slow.
+/// where the request is invalid, too large or too slow, or where there is no memory for its body.
 async fn read(
     context: &Context,
     request: Request<Incoming>,
-) -> Result<(ReceivedRequest, Fingerprint), Response<Body>> {
+    work: Work,
+) -> Result<(ReceivedRequest, Fingerprint, Work), Response<Body>> {
+    let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let info = (context.dialect.read_request)(&head)
+    let mut info = (context.dialect.read_request)(&head)
         .map_err(|message| text_response(StatusCode::BAD_REQUEST, &message))?;
+    let (body, work) = read_body(context, &head, &info, body, work).await?;
+    info.remaining_time = info.remaining_time.map(|time| time.saturating_sub(arrived.elapsed()));
+    let key = info.api_key.as_deref().unwrap_or_default();
+    let fingerprint = id::fingerprint(&[head.uri.path().as_bytes(), key.as_bytes(), &body]);
+    Ok((ReceivedRequest { head, body, info }, fingerprint, work))
+}
+
+/// Reads the body of a request once there is memory for it.
+async fn read_body(
+    context: &Context,
+    head: &request::Parts,
+    info: &RequestInfo,
+    mut body: Incoming,
+    work: Work,
+) -> Result<(Bytes, Work), Response<Body>> {
     let max_bytes =
         context.control.configuration().map_or(DEFAULT_MAX_BODY_BYTES, |plan| plan.max_body_bytes);
-    let body = match timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is larger than {max_bytes} bytes");
-            return Err(text_response(StatusCode::PAYLOAD_TOO_LARGE, &message));
+    let too_large = || {
+        let message = format!("the body is larger than {max_bytes} bytes");
+        text_response(StatusCode::PAYLOAD_TOO_LARGE, &message)
+    };
+    let size = bodies::stated_size(&body);
+    if size.is_some_and(|size| size > max_bytes) {
+        return Err(too_large());
+    }
+    let started = Instant::now();
+    let (reserved, work) = reserve(context, info, size, work).await;
+    let received = match reserved {
+        Some(charge) => {
+            let received = bodies::read(&context.bodies, &mut body, max_bytes, charge);
+            timeout(BODY_TIMEOUT, received).await
         }
-        Ok(Err(_)) => return Err(text_response(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_) => return Err(text_response(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
+        None => Ok(Err(bodies::Error::NoMemory)),
     };
-    let key = info.api_key.as_deref().unwrap_or_default();
-    let fingerprint = id::fingerprint(&[head.uri.path().as_bytes(), key.as_bytes(), &body]);
-    Ok((ReceivedRequest { head, body, info }, fingerprint))
+    match received {
+        Ok(Ok(body)) => Ok((body, work)),
+        Ok(Err(bodies::Error::TooLarge)) => Err(too_large()),
+        Ok(Err(bodies::Error::BrokenOff)) => {
+            Err(text_response(StatusCode::BAD_REQUEST, "the body broke off"))
+        }
+        Ok(Err(bodies::Error::NoMemory)) => {
+            let wait = MemoryWait { body_bytes: size, waited: started.elapsed() };
+            let refusal = refuse_for_memory(context, info, wait);
+            // A caller that expects a permission to send its body hasn't sent it.
+            if !head.headers.contains_key(header::EXPECT) {
+                discard(body, max_bytes).await;
+            }
+            Err(refusal)
+        }
+        Err(_) => Err(text_response(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
+    }
+}
+
+/// Reserves memory for a body of the size that its caller states, if any. The wait for it isn't work of this host.
+async fn reserve(
+    context: &Context,
+    info: &RequestInfo,
+    size: Option<usize>,
+    work: Work,
+) -> (Option<Charge>, Work) {
+    let bytes = size.unwrap_or_default();
+    if let Some(charge) = context.bodies.try_reserve(bytes) {
+        return (Some(charge), work);
+    }
+    let admission = work.suspend();
+    let started = Instant::now();
+    let patience = info
+        .remaining_time
+        .map_or(MAX_MEMORY_WAIT, |time| (time / MEMORY_WAIT_DIVISOR).min(MAX_MEMORY_WAIT));
+    let reserved = context.bodies.reserve(bytes, patience).await;
+    if reserved.is_some() {
+        let wait = MemoryWait { body_bytes: size, waited: started.elapsed() };
+        record::log_memory_wait(&info.id, wait, None, &context.metrics);
+    }
+    (reserved, admission.begin(Instant::now()))
+}
+
+/// Logs and counts the refusal of a request that there is no memory for; returns the answer.
+fn refuse_for_memory(context: &Context, info: &RequestInfo, wait: MemoryWait) -> Response<Body> {
+    let refusal = Refusal {
+        reason: RefusalReason::NoMemory,
+        not_run: true,
+        retry_after: Some(MEMORY_RETRY_DELAY),
+        shortage: None,
+    };
+    context.metrics.count_refusal(record::reason_name(refusal.reason));
+    record::log_memory_wait(&info.id, wait, Some(&refusal), &context.metrics);
+    (context.dialect.build_refusal)(&refusal, Some(&info.id)).map(full_body)
+}
+
+/// Reads a body without keeping it. Many callers read no answer before they have sent their request, and a connection
+/// that is closed with unread bytes is reset.
+async fn discard(body: Incoming, max_bytes: usize) {
+    let mut body = Limited::new(body, max_bytes);
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The answer is sent also to a caller that is slow.
+    let _ = timeout(BODY_TIMEOUT, read).await;
 }
 
 /// Builds the request for the reducer.
@@ -263,7 +367,7 @@
     async fn send(&mut self, dispatch: &Dispatch) -> Result<TargetAnswer, Outcome> {
         let (context, call, last_event) =
             (Arc::clone(&self.context), Arc::clone(&self.call), self.last_event.clone());
-        let Context { control, client, dialect } = &*context;
+        let Context { control, client, dialect, .. } = &*context;
         let ticket = self.ticket;
         let on_notice = |notice: Notice| {
             if let Some(per_second) = notice.rate_limit {
@@ -279,12 +383,24 @@
         let sent =
             dispatch::send(client, dialect, &call, dispatch, last_event.as_deref(), on_notice);
         let answer = self.wait_for_target(dispatch.unresponsive_timeout, sent).await?;
+        drop(call);
+        if dispatch.unresponsive_timeout.is_none() {
+            self.release_body();
+        }
         if answer.is_unframed() {
             control.send(Event::AnswerUnframed { ticket });
         }
         Ok(answer)
     }
 
+    /// Drops the body of the request, which isn't sent again. What the current dispatch has still to send is kept
+    /// until it is sent.
+    fn release_body(&mut self) {
+        if let Some(call) = Arc::get_mut(&mut self.call) {
+            call.body = Bytes::new();
+        }
+    }
+
     async fn read(
         &mut self,
         dispatch: &Dispatch,
--- a/components/gateway/src/ingress.rs
+++ b/components/gateway/src/ingress.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::Gateway;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{Notify, watch},
     task::unconstrained,
     time::{sleep, timeout},
@@ -54,6 +54,15 @@
 /// Time without a refusal after which the process is no longer overloaded.
 const OVERLOAD_END_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum size in bytes of the buffer of a caller's connection, in which the head of a request and each part of its
+/// body are received, and in which parts of an answer are collected.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Size in bytes of each buffer of the socket of a caller's connection. While a body waits for memory, or a caller reads
+/// slowly, the system holds no more than that.
+const SOCKET_BUFFER_BYTES: u32 = 128 << 10;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Handle of the running servers.
 pub struct Handle {
     shared: Arc<Shared>,
@@ -317,10 +326,20 @@
     }
 }
 
+/// Opens a listening socket for callers, whose connections have buffers of a limited size.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Opens the listening socket that this process closed.
 async fn listen_again(address: SocketAddr) -> TcpListener {
     loop {
-        match TcpListener::bind(address).await {
+        match listen(address) {
             Ok(listener) => return listener,
             Err(error) => {
                 warn!(%error, %address, "can't listen for callers again");
@@ -368,6 +387,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_closing = shared.is_closing.subscribe();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod agents;
 pub mod answer;
+pub mod bodies;
 pub mod buffer;
 mod call;
 pub mod control;
@@ -77,6 +78,9 @@
     /// Maximum number of bytes that answers of targets may take before they are passed on, all answers together and
     /// beyond a small part that each may always use.
     pub max_buffered_bytes: usize,
+    /// Maximum number of bytes that bodies of callers' requests may take, all bodies together and beyond a small part
+    /// that each may always use.
+    pub max_body_bytes: usize,
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Settings of the reducer of direct dispatch.
@@ -219,7 +223,8 @@
     records: Records,
 ) -> Result<Handle, Error> {
     let listeners = ingress::Listeners {
-        callers: listen(settings.caller_address).await?,
+        callers: ingress::listen(settings.caller_address)
+            .map_err(|error| Error::Listen(settings.caller_address, error))?,
         operators: listen(settings.health_address).await?,
         metrics: match settings.metrics_address {
             Some(address) => Some(listen(address).await?),
@@ -236,7 +241,14 @@
     let metrics = Arc::clone(&records.metrics);
     let control = control::spawn(&settings, peers, feed, records).map_err(Error::Start)?;
     let client = dispatch::open(settings.max_buffered_bytes);
-    let context = Arc::new(call::Context { control: control.clone(), dialect, client });
+    let bodies = bodies::open(settings.max_body_bytes, Arc::clone(&metrics));
+    let context = Arc::new(call::Context {
+        control: control.clone(),
+        dialect,
+        client,
+        bodies,
+        metrics: Arc::clone(&metrics),
+    });
     let ingress = ingress::spawn(listeners, settings.max_connections, context, metrics);
     let Addresses { caller_address: callers, health_address: operators, peer_address: peers } =
         &addresses;
--- a/components/gateway/src/overload.rs
+++ b/components/gateway/src/overload.rs
@@ -156,6 +156,12 @@
         self.admission.begin(now)
     }
 
+    /// Ends the work without counting its duration, for a request that waits for something else than this host's
+    /// processor; returns the admission with which the work begins again.
+    pub fn suspend(self) -> Arc<Admission> {
+        Arc::clone(&self.admission)
+    }
+
     /// Ends the work and adapts the limit to its duration.
     pub fn finish(self, now: Instant) {
         self.admission.lock().finish(now, self.started);
--- a/components/gateway/src/proof.rs
+++ b/components/gateway/src/proof.rs
@@ -195,7 +195,7 @@
         direct::RefusalReason::NoRoute => Reason::BadInput,
         direct::RefusalReason::BadKey => Reason::Unauthorized,
         direct::RefusalReason::AccountLimit => Reason::AccountLimit,
-        direct::RefusalReason::NoFreeSlot => Reason::Overloaded,
+        direct::RefusalReason::NoFreeSlot | direct::RefusalReason::NoMemory => Reason::Overloaded,
         direct::RefusalReason::Draining => Reason::Draining,
         direct::RefusalReason::Quarantined => Reason::Quarantined,
         direct::RefusalReason::DeadlineExceeded
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -303,6 +303,7 @@
         RefusalReason::BadKey => "unauthorized",
         RefusalReason::AccountLimit => "account_limit",
         RefusalReason::NoFreeSlot => "overloaded",
+        RefusalReason::NoMemory => "memory",
         RefusalReason::TargetsResting => "targets_resting",
         RefusalReason::Draining => "draining",
         RefusalReason::Quarantined => "quarantined",
@@ -369,6 +370,34 @@
     );
 }
 
+/// Memory that a request waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryWait {
+    /// Size in bytes that the caller states for the body; `None` where it states none.
+    pub body_bytes: Option<usize>,
+    /// Time for which the request waited.
+    pub waited: Duration,
+}
+
+/// Logs that a request waited for the memory that its body takes. `refusal` is its refusal, where there was too little.
+pub fn log_memory_wait(id: &str, wait: MemoryWait, refusal: Option<&Refusal>, metrics: &Gateway) {
+    let MemoryWait { body_bytes, waited } = wait;
+    let (waited_ms, used_bytes) = (millis(waited), metrics.request_body_bytes.get());
+    let Some(refusal) = refusal else {
+        return info!(request = id, body_bytes, waited_ms, used_bytes, "a body waited for memory");
+    };
+    info!(
+        request = id,
+        reason = reason_name(refusal.reason),
+        not_run = refusal.not_run,
+        retry_after_ms = refusal.retry_after.map(millis),
+        body_bytes,
+        waited_ms,
+        used_bytes,
+        "refused"
+    );
+}
+
 /// Logs the result of a fetch from another entry process.
 pub fn log_fetch(peer: SocketAddr, topic: Topic, result: &Result<Fetched, relay::Error>) {
     let topic = topic.name();
--- a/components/metrics/src/gateway.rs
+++ b/components/metrics/src/gateway.rs
@@ -112,6 +112,8 @@
     pub are_trials_paused: Gauge,
     /// Number of targets that state a rate limit.
     pub limited_targets: Gauge,
+    /// Bytes of memory that bodies of callers' requests take, beyond a small part of each.
+    pub request_body_bytes: Gauge,
     /// Size in bytes of the row of state that this process last sent to its peers.
     pub row_bytes: Gauge,
     /// Seconds since the platform last answered a read of its list of targets; infinite before the first
@@ -153,6 +155,7 @@
         ready_targets: Gauge::default(),
         are_trials_paused: Gauge::default(),
         limited_targets: Gauge::default(),
+        request_body_bytes: Gauge::default(),
         row_bytes: Gauge::default(),
         target_list_age: Gauge::default(),
         dropped_log_lines: Gauge::default(),
@@ -214,6 +217,11 @@
             &metrics.are_trials_paused,
         ),
         ("targets_limited", "Targets that name a rate limit", &metrics.limited_targets),
+        (
+            "request_body_bytes",
+            "Memory that bodies of requests take, beyond a small part of each",
+            &metrics.request_body_bytes,
+        ),
         ("row_bytes", "Size of the row told to other entry processes", &metrics.row_bytes),
         ("log_lines_left_out", "Log lines that found no room", &metrics.dropped_log_lines),
     ];
--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -371,6 +371,8 @@
     AccountLimit,
     /// No target had a free slot in time.
     NoFreeSlot,
+    /// The bodies of other requests take the memory of this host.
+    NoMemory,
     /// All targets asked this process for a rest that ends after the request's wait.
     TargetsResting,
     /// The process is draining.
