Resume a stream only at a version that a current list proves

What callers saw (a report of other operators): streams that had begun at targets of a new version went on at another one, through a process that was out of step while the version joined; and after all processes were killed and came back, streams of a version that had left went on at the one that replaced it (ORDER).

Cause: where no agent can be asked, or the caller names no first attempt, the only version of the list was taken for the one that began the stream, however old the list or young the process was.

Change: the list counts once a read that began after the request's arrival has ended, and if this process observed it for the timeout of the route; versions that left in that time count too. Else the stream is refused as version_unknown, which has not run.

The reducer's part is tested in scheduler/direct_versions (5 new tests).

--- a/components/scheduler/src/direct/event.rs
+++ b/components/scheduler/src/direct/event.rs
@@ -313,6 +313,11 @@
     TargetsListed(Listing),
     /// The platform answered a read of its list of targets, whether or not the list changed.
     TargetListAnswered,
+    /// A read of the platform's list of targets ended, and all that it returned was sent before.
+    TargetListConfirmed {
+        /// Time at which the list was complete.
+        at: Instant,
+    },
     /// Another entry process stated which versions of the relayed data it has.
     PeerOffered {
         /// Address at which the other process listens.
--- a/components/scheduler/src/direct/mod.rs
+++ b/components/scheduler/src/direct/mod.rs
@@ -22,6 +22,7 @@
 pub mod late;
 pub mod leases;
 mod limits;
+mod listed;
 mod notices;
 pub mod origin;
 pub mod outage;
@@ -236,6 +237,8 @@
     homes: Homes,
     /// Requests that lost their target and wait to go on from a copy.
     continuing: BTreeSet<Ticket>,
+    /// Versions that are listed, and those that were lately.
+    listed_versions: listed::History,
     /// Times at which the versions of resumed streams are looked up again.
     lookups: BTreeSet<(Instant, Ticket)>,
     /// Pace of the pools whose callers return in an order, and the steps that are due for them.
@@ -383,6 +386,7 @@
         late_starts: BTreeMap::new(),
         homes: Homes::default(),
         continuing: BTreeSet::new(),
+        listed_versions: listed::History::default(),
         lookups: BTreeSet::new(),
         returns: Returns::default(),
         rollouts: Rollouts::default(),
@@ -483,6 +487,7 @@
         }
         Event::TargetsListed(listing) => state.apply_read_list(now.steady, listing, &mut effects),
         Event::TargetListAnswered => state.record_list_answer(now),
+        Event::TargetListConfirmed { at } => state.confirm_list(now.steady, at, &mut effects),
         Event::PeerOffered { peer, offer } => state.receive_offer(now, peer, offer),
         Event::Fetched { peer, topic, data } => {
             state.apply_fetched(now.steady, (peer, topic), data, &mut effects);
--- a/components/scheduler/src/direct/origin.rs
+++ b/components/scheduler/src/direct/origin.rs
@@ -12,7 +12,6 @@
 //! agents, and those of an agent to processes, don't grow with the number of targets.
 
 use std::{
-    collections::BTreeSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -32,6 +31,8 @@
 const MAX_LOOKUPS: u32 = 3;
 /// Time between two lookups of the same stream.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for which a request waits until the list of targets is read again.
+const MAX_LIST_WAIT: Duration = Duration::from_secs(2);
 /// Time for which a stream is recorded whose caller states no deadline.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(30);
 
@@ -129,17 +130,16 @@
             return;
         };
         let resumption = pending.request.resumption.as_ref();
-        *lookups += 1;
         let (zone, key) = (&self.settings.zone, &pending.stream_key);
         let agents = match resumption.and_then(|known| known.first_attempt.as_ref()) {
-            Some(_) if *lookups == 1 => self.homes.near(zone, key),
+            Some(_) if *lookups == 0 => self.homes.near(zone, key),
             Some(_) => self.homes.all(zone, key),
             None => Vec::new(),
         };
         if agents.is_empty() {
-            let version = self.only_version(ticket);
-            return self.end_lookup(now, ticket, version, 0, effects);
+            return self.conclude_from_list(now, ticket, effects);
         }
+        *lookups += 1;
         let key = pending.stream_key;
         effects.push(Effect::FindOrigin { ticket, key, agents });
     }
@@ -222,14 +222,44 @@
         }
     }
 
-    /// Returns the version of all listed targets of a request's pool; `None` where there are several versions or
-    /// no targets.
-    fn only_version(&self, ticket: Ticket) -> Option<Version> {
-        let pool = &self.requests.get(&ticket)?.pool;
-        let targets = self.capacity.listed_targets().filter(|target| target.pool == *pool);
-        let versions: BTreeSet<&Version> = targets.map(|target| &target.version).collect();
-        let mut versions = versions.into_iter();
-        versions.next().filter(|_| versions.next().is_none()).cloned()
+    /// Ends the lookup of a stream that no agent can be asked about: its version is known where only one was listed
+    /// since the stream may have begun. An older list may lack the version of the stream, so that the request waits
+    /// until the list is read again.
+    fn conclude_from_list(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get(&ticket) else {
+            return;
+        };
+        let is_current = self.listed_versions.is_confirmed_at(pending.arrived);
+        let wait_end = pending.arrived + MAX_LIST_WAIT;
+        if !is_current && now < wait_end {
+            self.lookups.insert((wait_end, ticket));
+            return;
+        }
+        // The time of a caller is at most the timeout of its route.
+        let begun_since = pending.arrived.checked_sub(self.route_timeout(pending));
+        let version = begun_since.filter(|_| is_current).and_then(|since| {
+            self.listed_versions.only_version_since(&pending.pool, since).cloned()
+        });
+        self.end_lookup(now, ticket, version, 0, effects);
+    }
+
+    /// Returns the timeout of a request's route, or [`DEFAULT_LIFETIME`] where the route was removed.
+    fn route_timeout(&self, pending: &PendingRequest) -> Duration {
+        let hosts = self.configuration.iter().flat_map(|of| of.routes.values());
+        let route = hosts.flatten().find(|route| route.name == pending.route);
+        route.map_or(DEFAULT_LIFETIME, |route| route.timeout)
+    }
+
+    /// Ends the lookups that wait until the list of targets is read again.
+    pub(super) fn confirm_list(&mut self, now: Instant, at: Instant, effects: &mut Vec<Effect>) {
+        self.listed_versions.confirm(at);
+        let waiting =
+            self.requests.iter().filter(|(_, of)| of.origin == Origin::Unknown { lookups: 0 });
+        let mut tickets: Vec<Ticket> = waiting.map(|(&ticket, _)| ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            self.start_lookup(now, ticket, effects);
+        }
     }
 
     /// Records the version of a stream that has begun at those of its homes where it isn't recorded yet.
--- a/components/scheduler/src/direct/world.rs
+++ b/components/scheduler/src/direct/world.rs
@@ -164,6 +164,7 @@
         let ready = used.iter().filter(|target| target.is_ready).count();
         let kept = used.len() - listed.len();
         let listed = used.len();
+        self.listed_versions.replace(now, used.iter());
         let restarted = self.capacity.replace_targets(now, used);
         self.assign_lanes(now);
         let unordered = self.capacity.closed_count();
--- a/components/scheduler/tests/direct_versions.rs
+++ b/components/scheduler/tests/direct_versions.rs
@@ -357,3 +357,123 @@
     let refusal = direct_support::only_refusal(&effects);
     assert_eq!((refusal.reason, refusal.not_run), (RefusalReason::VersionUnavailable, true));
 }
+
+/// Returns a request that resumes a stream without naming the attempt that began it.
+fn unnamed_stream(ticket: Ticket) -> Request {
+    Request { resumption: Some(Resumption { first_attempt: None }), ..stream(ticket) }
+}
+
+/// Returns targets of one version, without agents.
+fn targets_of(version: &str) -> Vec<Target> {
+    let targets = versioned_targets(Admission::Shared).into_iter();
+    targets.map(|target| Target { version: version.into(), ..target }).collect()
+}
+
+/// Returns a process that has listed only this version for longer than a stream lasts.
+fn process_of_one_version(version: &str) -> Process {
+    let mut entry = empty_process(1);
+    let route = direct_support::route("/resume/", Repeat::Resumable);
+    let configuration = configuration(1, vec![route], None);
+    entry.send(Event::ConfigurationRead(Arc::new(configuration)));
+    entry.list_targets(targets_of(version));
+    confirm_list(&mut entry);
+    entry.advance(Duration::from_secs(10));
+    entry.confirm_configuration();
+    confirm_list(&mut entry);
+    entry
+}
+
+/// Ends a read of the list that began now and returned nothing new.
+fn confirm_list(entry: &mut Process) -> Vec<Effect> {
+    entry.send(Event::TargetListConfirmed { at: entry.now.steady })
+}
+
+/// Guards against a process that was cut off while a version joined, and sends the streams of that version to the only
+/// one that it lists.
+#[test]
+fn a_stream_that_no_agent_knows_waits_for_a_list_that_is_read_after_its_arrival() {
+    let mut entry = process_of_one_version("v1");
+    entry.advance(10 * MS);
+    let arrived = entry.arrive(unnamed_stream(1));
+    let begun_before = Event::TargetListConfirmed { at: entry.now.steady - 5 * MS };
+    let by_old_read = entry.send(begun_before);
+    entry.advance(10 * MS);
+
+    let by_new_read = confirm_list(&mut entry);
+
+    assert!(dispatches(&arrived).is_empty() && dispatches(&by_old_read).is_empty());
+    assert_eq!(dispatches(&by_new_read).len(), 1);
+}
+
+/// Guards against the same, where the list shows the version that joined.
+#[test]
+fn a_stream_that_no_agent_knows_is_refused_once_a_second_version_is_listed() {
+    let mut entry = process_of_one_version("v1");
+    entry.advance(10 * MS);
+    let arrived = entry.arrive(unnamed_stream(1));
+    entry.advance(10 * MS);
+    let mut targets = targets_of("v1");
+    targets[0].version = "v1.1".into();
+
+    let listed = entry.list_targets(targets);
+    let confirmed = confirm_list(&mut entry);
+
+    assert!(dispatches(&[arrived, listed].concat()).is_empty());
+    let refusal = direct_support::only_refusal(&confirmed);
+    assert_eq!((refusal.reason, refusal.not_run), (RefusalReason::VersionUnknown, true));
+}
+
+/// Guards against streams of a version that has just left, which go on at the one that replaced it.
+#[test]
+fn a_version_that_left_may_have_begun_a_stream_for_the_timeout_of_its_route() {
+    let mut entry = process_of_one_version("v1");
+    entry.list_targets(targets_of("v1.1"));
+    confirm_list(&mut entry);
+    let mut resume_after = |wait: Duration, ticket: Ticket| {
+        entry.advance(wait);
+        entry.confirm_configuration();
+        let mut effects = entry.arrive(unnamed_stream(ticket));
+        effects.extend(confirm_list(&mut entry));
+        (dispatches(&effects).len(), direct_support::refusals(&effects).len())
+    };
+
+    let soon = resume_after(4_900 * MS, 1);
+    let later = resume_after(200 * MS, 2);
+
+    assert_eq!((soon, later), ((0, 1), (1, 0)));
+}
+
+/// Guards against streams that go on at the only version that a process has seen since it started.
+#[test]
+fn a_process_that_has_just_started_does_not_know_which_version_began_a_stream() {
+    let mut entry = empty_process(1);
+    let route = direct_support::route("/resume/", Repeat::Resumable);
+    entry.send(Event::ConfigurationRead(Arc::new(configuration(1, vec![route], None))));
+    entry.confirm_configuration();
+    entry.list_targets(targets_of("v1"));
+    confirm_list(&mut entry);
+    entry.advance(10 * MS);
+
+    let mut effects = entry.arrive(unnamed_stream(1));
+    effects.extend(confirm_list(&mut entry));
+
+    assert!(dispatches(&effects).is_empty());
+    assert_eq!(direct_support::only_refusal(&effects).reason, RefusalReason::VersionUnknown);
+}
+
+/// Guards against callers that wait to their deadlines while the list can't be read.
+#[test]
+fn a_stream_that_no_agent_knows_is_refused_while_the_list_is_not_read() {
+    let mut entry = process_of_one_version("v1");
+    entry.advance(10 * MS);
+
+    let mut effects = entry.arrive(unnamed_stream(1));
+    effects.extend(entry.advance(1_900 * MS));
+    let waiting = direct_support::refusals(&effects).len();
+    effects.extend(entry.advance(100 * MS));
+
+    assert_eq!(waiting, 0);
+    let refusal = direct_support::only_refusal(&effects);
+    assert_eq!((refusal.reason, refusal.not_run), (RefusalReason::VersionUnknown, true));
+    assert!(refusal.retry_after.is_some());
+}
