Keep odd records from stopping the processes that read them

Cause: records were checked for the types of their fields, not for the ranges in which the arithmetic behind is sound.

An order of a rollout added its duration unchecked.

--- a/components/scheduler/src/direct/capacity.rs
+++ b/components/scheduler/src/direct/capacity.rs
@@ -389,10 +389,8 @@
             (0, 0),
             |(free, all), state| {
                 let slots = state.target.slots;
-                (
-                    free + slots.saturating_sub(state.own_requests + state.other_requests),
-                    all + slots,
-                )
+                let used = state.own_requests.saturating_add(state.other_requests);
+                (free.saturating_add(slots.saturating_sub(used)), all.saturating_add(slots))
             },
         )
     }
--- a/components/scheduler/src/direct/parts.rs
+++ b/components/scheduler/src/direct/parts.rs
@@ -118,10 +118,12 @@
     /// Returns the evidence with its ages after a time in which it was kept elsewhere.
     pub fn aged(mut self, time: Duration) -> PartReport {
         for crash in &mut self.crashes {
-            crash.age += time;
-            crash.dispatch_age += time;
+            crash.age = crash.age.saturating_add(time);
+            crash.dispatch_age = crash.dispatch_age.saturating_add(time);
+        }
+        for proof in &mut self.proofs {
+            proof.age = proof.age.saturating_add(time);
         }
-        self.proofs.iter_mut().for_each(|proof| proof.age += time);
         self
     }
 }
@@ -290,21 +292,24 @@
         self.recent.insert(key, at);
     }
 
-    /// Adds the evidence that another process sent.
+    /// Adds the evidence that another process sent. An age that no clock reaches makes its item void.
     pub fn merge(&mut self, now: Instant, reports: &[PartReport]) {
         for report in reports {
             for crash in &report.crashes {
-                let before = |age| now.checked_sub(age).unwrap_or(now);
-                let (at, dispatched_at) = (before(crash.age), before(crash.dispatch_age));
-                let CrashReport { id, version, .. } = *crash;
+                let CrashReport { id, version, age, dispatch_age } = *crash;
+                let times = now.checked_sub(age).zip(now.checked_sub(dispatch_age));
+                let Some((at, dispatched_at)) = times else {
+                    continue;
+                };
                 let crash = Crash { id, version, at, dispatched_at };
                 self.insert_crash(report.part, crash);
             }
             self.share_recent_proofs(report.part);
             if let Some(evidence) = self.parts.get_mut(&report.part) {
                 for proof in &report.proofs {
-                    let at = now.checked_sub(proof.age).unwrap_or(now);
-                    evidence.prove(proof.version, at);
+                    if let Some(at) = now.checked_sub(proof.age) {
+                        evidence.prove(proof.version, at);
+                    }
                 }
                 evidence.stored = evidence.stored.max(report.stored);
             }
--- a/components/scheduler/src/direct/rollout.rs
+++ b/components/scheduler/src/direct/rollout.rs
@@ -162,7 +162,8 @@
             let is_done = self.is_shift_complete(now) && is_idle && peers.are_all_shifted;
             return is_done.then_some(Action::Complete);
         }
-        let left = (self.ordered_at + self.order.duration).saturating_duration_since(now);
+        let passed = now.saturating_duration_since(self.ordered_at);
+        let left = self.order.duration.saturating_sub(passed);
         if left <= self.shift_duration() && judgement == Judgement::Good && peers.is_half_fresh {
             return Some(Action::StartShift);
         }
