Count answers until they are written to their callers

Callers that read large answers slowly take a process beyond its memory, and all requests in work lose their connections.

Cause: the charge of a plain answer was returned when its last byte had come from the target, while all of its bytes waited to be written to the caller.

Change: the bytes hold their charge until the last reference to them is dropped, which is when they are written. Bodies of requests use the same.

--- a/components/gateway/src/bodies.rs
+++ b/components/gateway/src/bodies.rs
@@ -17,6 +17,8 @@
     time::timeout,
 };
 
+use crate::buffer;
+
 /// Number of bytes that each body may take whatever the others do. They count as a part of their connection.
 pub const FREE_BYTES: usize = 16 << 10;
 /// Largest size in bytes of a small body.
@@ -58,18 +60,6 @@
     NoMemory,
 }
 
-/// A body with the memory that it takes.
-struct Counted {
-    bytes: Bytes,
-    _charge: Charge,
-}
-
-impl AsRef<[u8]> for Counted {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Returns an unused budget of `max_bytes`, beyond [`FREE_BYTES`] of each body.
 pub fn open(max_bytes: usize, metrics: Arc<Gateway>) -> Budget {
     let permits = (max_bytes / PERMIT_BYTES).min(Semaphore::MAX_PERMITS);
@@ -171,5 +161,5 @@
         }
         received.extend_from_slice(data);
     }
-    Ok(Bytes::from_owner(Counted { bytes: received.freeze(), _charge: charge }))
+    Ok(buffer::hold(received.freeze(), charge))
 }
--- a/components/gateway/src/buffer.rs
+++ b/components/gateway/src/buffer.rs
@@ -1,4 +1,5 @@
-//! Limits of the memory that answers of targets take before they are passed on: for each answer, and for all of them.
+//! Limits of the memory that answers of targets take before they are written to their callers: for each answer, and for
+//! all of them.
 //!
 //! A faulty target may send bytes without end. What one answer may buffer is bounded by its own limit. Beyond a part
 //! that each answer may always use, all answers share one budget, so that many of them don't exhaust the memory of a
@@ -9,6 +10,7 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use bytes::Bytes;
 use displaydoc::Display;
 use thiserror::Error;
 
@@ -41,6 +43,23 @@
     charged_bytes: usize,
 }
 
+/// Bytes with the charge of the memory that they take.
+struct Held<C> {
+    bytes: Bytes,
+    _charge: C,
+}
+
+impl<C> AsRef<[u8]> for Held<C> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns bytes that hold the charge of their memory until the last reference to them is dropped.
+pub fn hold<C: Send + 'static>(bytes: Bytes, charge: C) -> Bytes {
+    Bytes::from_owner(Held { bytes, _charge: charge })
+}
+
 /// Returns an unused budget.
 pub fn open(max_bytes: usize) -> Arc<Budget> {
     Arc::new(Budget { max_bytes, used_bytes: AtomicUsize::new(0) })
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -241,7 +241,7 @@
 }
 
 impl UnreadAnswer {
-    /// Reads the body of the answer; returns the complete answer.
+    /// Reads the body of the answer; returns the complete answer, which counts until it is written to the caller.
     pub async fn read(self) -> Result<Response<Bytes>, Outcome> {
         let UnreadAnswer { head, mut body, mut charge, target, time_limit, .. } = self;
         let mut bytes = BytesMut::new();
@@ -256,7 +256,7 @@
                 bytes.extend_from_slice(data);
             }
         }
-        Ok(Response::from_parts(head, bytes.freeze()))
+        Ok(Response::from_parts(head, buffer::hold(bytes.freeze(), charge)))
     }
 }
 
--- a/components/gateway/tests/buffer.rs
+++ b/components/gateway/tests/buffer.rs
@@ -1,5 +1,6 @@
 //! Memory that answers of targets share.
 
+use bytes::Bytes;
 use gateway::buffer::{self, FREE_BYTES, Full};
 
 const MAX_ANSWER_BYTES: usize = 100 * FREE_BYTES;
@@ -50,3 +51,19 @@
 
     assert_eq!(budget.used_bytes(), 0);
 }
+
+/// Guards against answers that count no longer while their callers haven't read them yet.
+#[test]
+fn bytes_count_until_the_last_reference_to_them_is_dropped() {
+    let budget = buffer::open(2 * FREE_BYTES);
+    let mut charge = budget.begin(MAX_ANSWER_BYTES);
+    charge.set(3 * FREE_BYTES).expect("the budget is unused");
+    let mut answer = buffer::hold(Bytes::from(vec![b'.'; 3 * FREE_BYTES]), charge);
+
+    let rest = answer.split_off(FREE_BYTES);
+    drop(answer);
+    let while_unwritten = budget.used_bytes();
+    drop(rest);
+
+    assert_eq!((while_unwritten, budget.used_bytes()), (2 * FREE_BYTES, 0));
+}
--- a/tests/large_bodies.rs
+++ b/tests/large_bodies.rs
@@ -1,4 +1,5 @@
-//! Requests with the largest allowed body, more of them at once than the memory of the host holds.
+//! Requests with the largest allowed body, and large answers to callers that read nothing, more of them at once than the
+//! memory of the host holds.
 
 #[path = "../platform/tests/support/mod.rs"]
 mod platform_support;
@@ -17,10 +18,19 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use platform_support::{Store, batch, batch::Batch, store};
+use platform_support::{
+    Store, batch,
+    batch::Batch,
+    runner::{self, Behavior},
+    store,
+};
 use serde_json::json;
 use support::Process;
 use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// Memory of the host.
 const MEMORY_MB: usize = 64;
@@ -39,14 +49,29 @@
 /// Interval between two looks at the memory of the process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Size in bytes of a large answer.
+const LARGE_ANSWER_BYTES: usize = 8 << 20;
+/// Number of callers that read nothing. Their answers take three times the memory of the host.
+const SILENT_CALLERS: usize = 24;
+
 struct Site {
     entry: Process,
     _runner: Batch,
     _store: Store,
 }
 
-async fn start() -> Site {
-    let host = IpAddr::from([127, 0, 5, 1]);
+/// Starts an entry process on a host of [`MEMORY_MB`].
+async fn start_entry(host: IpAddr, store: &Store) -> Process {
+    let port = support::free_ports(&[host]);
+    let mut settings =
+        platform_support::entry_settings("entry-1", "north", host, port, store.address);
+    settings["limits"] = json!({"memory_mb": MEMORY_MB});
+    let entry = support::gateway(&settings);
+    support::gateway_ready(&entry).await;
+    entry
+}
+
+async fn start(host: IpAddr) -> Site {
     let store = store::bind().await;
     let mut config = platform_support::config(1, &["key"]);
     config["limits"]["max_body_bytes"] = LARGEST_BODY_BYTES.into();
@@ -56,12 +81,7 @@
     // A runner without models has no agent.
     record["models"] = json!([]);
     store.write_runner("i-1", &record);
-    let port = support::free_ports(&[host]);
-    let mut settings =
-        platform_support::entry_settings("entry-1", "north", host, port, store.address);
-    settings["limits"] = json!({"memory_mb": MEMORY_MB});
-    let entry = support::gateway(&settings);
-    support::gateway_ready(&entry).await;
+    let entry = start_entry(host, &store).await;
     Site { entry, _runner: runner, _store: store }
 }
 
@@ -140,11 +160,14 @@
 
 /// Guards against large bodies that together take more memory than the host has: the process is killed, and all its
 /// requests lose their connections.
-#[test_case("/stream/"; "bodies that are sent once")]
-#[test_case("/resume/"; "bodies that are kept until the stream ends")]
+#[test_case("/stream/", 1; "bodies that are sent once")]
+#[test_case("/resume/", 2; "bodies that are kept until the stream ends")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_burst_of_the_largest_bodies_takes_no_more_memory_than_the_host_has(path: &'static str) {
-    let site = start().await;
+async fn a_burst_of_the_largest_bodies_takes_no_more_memory_than_the_host_has(
+    path: &'static str,
+    host: u8,
+) {
+    let site = start(IpAddr::from([127, 0, 5, host])).await;
     let address = site.entry.address("callers");
     let is_over = Arc::new(AtomicBool::new(false));
     let memory = watch_memory(site.entry.id(), Arc::clone(&is_over));
@@ -164,3 +187,50 @@
     assert!([before, usual, after].concat().iter().all(|&end| end == End::Answered));
     assert!(answered > 0);
 }
+
+/// Sends a request and reads nothing.
+async fn send_only(address: SocketAddr, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    let request = format!(
+        "POST /unsafe/ HTTP/1.1\r\nhost: host.example\r\nrequest-id: {id}\r\n\
+         deadline-remaining-ms: 10000\r\nauthorization: Bearer key\r\ncontent-length: 0\r\n\
+         connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sends the request");
+    stream
+}
+
+/// Guards against answers that take more memory than the host has, since their callers read slowly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_that_callers_do_not_read_take_no_more_memory_than_the_host_has() {
+    let host = IpAddr::from([127, 0, 5, 3]);
+    let store = store::bind().await;
+    store.write_config(&platform_support::config(1, &["key"]));
+    let behavior = Behavior::LargeBody { bytes: LARGE_ANSWER_BYTES };
+    let runner = runner::bind_at(host, "i-1", behavior).await;
+    let mut record = runner.model_record("v1", "north", SILENT_CALLERS as u32);
+    record["models"] = json!([]);
+    store.write_runner("i-1", &record);
+    let entry = start_entry(host, &store).await;
+    let address = entry.address("callers");
+    let is_over = Arc::new(AtomicBool::new(false));
+    let memory = watch_memory(entry.id(), Arc::clone(&is_over));
+
+    let mut silent = Vec::new();
+    for number in 0..SILENT_CALLERS {
+        silent.push(send_only(address, &format!("silent-{number}")).await);
+        support::until(|| runner.ended_requests() > number).await;
+    }
+    let mut complete = 0;
+    for stream in &mut silent {
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer).await;
+        complete += usize::from(read.is_ok() && answer.len() > LARGE_ANSWER_BYTES);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let peak = memory.join().expect("the memory is observed");
+
+    println!("{complete} of {SILENT_CALLERS} answers complete, peak {peak} bytes");
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(complete > 0);
+}
