Don't promise that a request did not run because its target failed

What callers saw: by the users' record of real machines, requests that may run once had run and were answered with a promise that they had not (REFUSED). Whether this is the cause there is only suspected: their record is cut before it would tell.

Cause: a target's signed 408, 429 or 503 was passed on with its status, which promises callers that the request has not run, though the target doesn't state that.

Change: for a request that may run once such an answer isn't proper; the caller is told 502, may_have_run. Others get it unchanged.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -22,8 +22,9 @@
 
 /// Classifies an answer that was received where that to the request with the ID `request_id` is expected. A target may
 /// answer twice, and the second answer arrives where that to a later request on the connection is expected. So an
-/// answer that names another request proves nothing of this one, whatever it states.
-pub fn classify(answer: &AnswerInfo, request_id: &str) -> Kind {
+/// answer that names another request proves nothing of this one, whatever it states. An error answer by which the caller
+/// would believe that the request didn't run is passed on only if the request is repeatable.
+pub fn classify(answer: &AnswerInfo, request_id: &str, is_repeatable: bool) -> Kind {
     let names_request = answer.request_id.as_deref() == Some(request_id);
     if answer.request_id.is_some() && !names_request {
         return Kind::Foreign;
@@ -31,9 +32,10 @@
     match answer.claim {
         Claim::Replaced => Kind::Replaced,
         Claim::Rejected => Kind::Rejected,
-        Claim::Answered | Claim::Failed | Claim::Unproven if !names_request => Kind::Foreign,
+        _ if !names_request => Kind::Foreign,
         Claim::Answered => Kind::Answer,
         Claim::Failed => Kind::Failed,
-        Claim::Unproven => Kind::Improper,
+        Claim::FailedAmbiguously if is_repeatable => Kind::Failed,
+        Claim::FailedAmbiguously | Claim::Unproven => Kind::Improper,
     }
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -149,7 +149,7 @@
     let answer = answer.map_err(|error| failure_outcome(&error))?;
     let (mut head, body) = answer.into_parts();
     let info = (dialect.read_answer)(&head);
-    let kind = answer::classify(&info, &call.info.id);
+    let kind = answer::classify(&info, &call.info.id, dispatch.is_repeatable);
     if !matches!(kind, Kind::Answer | Kind::Failed) {
         record::log_answer(&call.info.id, &dispatch.target, head.status, &info, kind);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -142,6 +142,9 @@
     Answered,
     /// The target ran the request and signed an error answer.
     Failed,
+    /// The target signed an error answer whose status states to callers that the request didn't run, without stating so
+    /// itself: it may have run.
+    FailedAmbiguously,
     /// The target rejected the request and did not run it.
     Rejected,
     /// The target isn't the one that the request was sent to, and did not run it.
--- a/components/gateway/tests/answer.rs
+++ b/components/gateway/tests/answer.rs
@@ -39,5 +39,19 @@
         claim,
     };
 
-    classify(&answer, "own")
+    classify(&answer, "own", false)
+}
+
+/// Guards against requests that their callers send again although they may have run.
+#[test_case(OWN, false => Kind::Improper; "a request that may run once")]
+#[test_case(OWN, true => Kind::Failed; "a request that may be repeated")]
+#[test_case(OTHER, true => Kind::Foreign; "another request")]
+fn an_error_answer_that_leaves_open_whether_the_request_ran_is_passed_on_only_if_it_may_be_repeated(
+    request: Option<&str>,
+    is_repeatable: bool,
+) -> Kind {
+    let request_id = request.map(str::to_owned);
+    let answer = AnswerInfo { request_id, target: None, claim: Claim::FailedAmbiguously };
+
+    classify(&answer, "own", is_repeatable)
 }
