--- a/components/scheduler/src/direct/origin.rs
+++ b/components/scheduler/src/direct/origin.rs
@@ -113,8 +113,8 @@
     /// Returns the time for which the stream's record is kept: until the caller's deadline, which may be later
     /// than that of this request and limits all its attempts.
     fn record_lifetime(&self, now: Instant) -> Duration {
-        let end = self.arrived + self.request.timeout.unwrap_or(DEFAULT_LIFETIME);
-        end.saturating_duration_since(now)
+        let lifetime = self.request.timeout.unwrap_or(DEFAULT_LIFETIME);
+        lifetime.saturating_sub(now.saturating_duration_since(self.arrived))
     }
 }
 
