End a process whose control thread or feed has ended

What callers saw: a process whose control thread had ended stayed ready, and answered every request with 502 (review: its health check gave 200).

Cause: readiness was read from the last status that the control thread had published, and nobody looked at its end. The tasks of the feed ended unnoticed as well, and the process went on deciding by what it had read until then.

Change: a status whose publisher is gone isn't ready; the process logs "the control thread ended" and exits with code 1, so that it is started again.

The real program wasn't made to panic, since no input is known any more that does it.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -194,8 +194,17 @@
                 Err(error) => error!(%error, "can't serve other entry processes"),
             }
             thread_handle.add_peers(&settings.seeds);
-            tokio::spawn(feed(thread_handle));
-            thread.run(inbox).await;
+            let feed = tokio::spawn(feed(thread_handle));
+            // Without its feed the process would decide by what it has read so far.
+            let feed_panic = async {
+                if feed.await.is_ok() {
+                    std::future::pending().await
+                }
+            };
+            tokio::select! {
+                () = thread.run(inbox) => {}
+                () = feed_panic => {}
+            }
         });
     })?;
     Ok(handle)
@@ -282,7 +291,16 @@
 
     /// Returns whether the load balancer should send requests to this process.
     pub fn is_ready(&self) -> bool {
-        self.status.borrow().is_ready && !self.fails_health_checks.load(Ordering::Relaxed)
+        let has_ended = self.status.has_changed().is_err();
+        let fails_health_checks = self.fails_health_checks.load(Ordering::Relaxed);
+        self.status.borrow().is_ready && !has_ended && !fails_health_checks
+    }
+
+    /// Waits until the control thread has ended. It ends before the process only if it or its feed panics, and then
+    /// no request is served any more.
+    pub async fn wait_for_end(&self) {
+        let mut status = self.status();
+        while status.changed().await.is_ok() {}
     }
 
     /// Returns the configuration in force; `None` before the first one is known.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -49,13 +49,15 @@
 /// future runs on the control thread.
 pub type Feed = Box<dyn FnOnce(control::Handle) -> Pin<Box<dyn Future<Output = ()> + Send>> + Send>;
 
-/// Reason why the process can't start.
+/// Reason why the process can't start, or ends.
 #[derive(Debug, Display, Error)]
 pub enum Error {
     /// can't listen at {0}: {1}
     Listen(SocketAddr, io::Error),
     /// the control thread can't be started: {0}
     Start(io::Error),
+    /// the control thread ended
+    ControlEnded,
 }
 
 /// Settings of an entry process.
@@ -287,6 +289,11 @@
         self.control.status().borrow().peers.clone()
     }
 
+    /// Waits until the process can serve no more requests, since its control thread has ended.
+    pub async fn wait_for_end(&self) {
+        self.control.wait_for_end().await;
+    }
+
     /// Fails the load balancer's health checks, finishes the open requests as far as the grace period
     /// allows, and stops.
     pub async fn drain(self) {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -66,6 +66,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            () = gateway.wait_for_end() => return Err(gateway::Error::ControlEnded),
             _ = hangup.recv() => known = reload(path, known, &gateway),
             _ = look.tick() => {
                 known = reload(path, known, &gateway);
