Build the headers of callers and name the topics in one place in the tests

The new tests of real processes each wrote the platform's headers and topics out; these names belong to platform/. Its test fixtures now build a caller's headers (caller_headers, resumption_headers) and name the topics, and the fixture for resumed streams uses the same.

--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -8,6 +8,7 @@
     collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use futures::{StreamExt, stream};
@@ -33,6 +34,8 @@
 const BODY: &str = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
 /// Maximum number of requests that are sent until the target receives one.
 const MAX_TRIES: usize = 200;
+/// Time for which a caller waits for its answer. Requests that may be repeated wait for another target until then.
+const PATIENCE: Duration = Duration::from_millis(300);
 /// Number of requests that are sent at once.
 const AT_ONCE: usize = 16;
 
@@ -143,11 +146,7 @@
             let id = format!("cut-{length:03}-{tries:03}");
             let request = client
                 .post(format!("http://{}{path}", entry.address("callers")))
-                .header("host", "host.example")
-                .header("request-id", &id)
-                // Requests that may be repeated wait for another target until then.
-                .header("deadline-remaining-ms", "300")
-                .header("authorization", "Bearer key")
+                .headers(platform_support::caller_headers(&id, PATIENCE))
                 .header("token-usage", "100,10")
                 // Equal requests are refused once a few of them have broken off.
                 .body(id.clone());
--- a/tests/extreme_headers.rs
+++ b/tests/extreme_headers.rs
@@ -4,7 +4,7 @@
 mod platform_support;
 mod support;
 
-use std::net::IpAddr;
+use std::{net::IpAddr, time::Duration};
 
 use http::StatusCode;
 use platform_support::{
@@ -46,6 +46,8 @@
     "99999999999999999999999999999999999999999",
     "",
 ];
+/// Time for which a caller waits for its answer.
+const PATIENCE: Duration = Duration::from_secs(2);
 const ROUTES: [&str; 4] = ["/safe/", "/unsafe/", "/stream/", "/resume/"];
 
 fn request(
@@ -56,14 +58,11 @@
     header: Option<(&'static str, String)>,
 ) -> reqwest::RequestBuilder {
     let url = format!("http://{}{path}", entry.address("callers"));
-    let mut headers = reqwest::header::HeaderMap::new();
-    let usual =
-        [("deadline-remaining-ms", "2000".to_owned()), ("token-usage", "100,10".to_owned())];
-    for (name, value) in usual.into_iter().chain(header) {
+    let mut headers = platform_support::caller_headers(id, PATIENCE);
+    if let Some((name, value)) = header {
         headers.insert(name, value.parse().expect("a header value"));
     }
-    let request = client.post(url).headers(headers).header("host", "host.example");
-    request.header("request-id", id).header("authorization", "Bearer key").body(id.to_owned())
+    client.post(url).headers(headers).body(id.to_owned())
 }
 
 /// Guards against a caller that ends the scheduler of a process with one header.
--- a/tests/large_bodies.rs
+++ b/tests/large_bodies.rs
@@ -46,6 +46,8 @@
 const REQUESTS: usize = 4;
 /// Time for which a stream runs at its runner.
 const RUN_TIME: Duration = Duration::from_millis(600);
+/// Time for which a caller waits for its answer.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// Interval between two looks at the memory of the process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -117,11 +119,7 @@
     for number in 0..REQUESTS {
         let request = client
             .post(format!("http://{address}{path}"))
-            .header("host", "host.example")
-            .header("request-id", format!("{name}-{number}"))
-            .header("deadline-remaining-ms", "10000")
-            .header("authorization", "Bearer key")
-            .header("token-usage", "100,10")
+            .headers(platform_support::caller_headers(&format!("{name}-{number}"), PATIENCE))
             .body(body.clone());
         let answer = request.send().await.expect("an answer");
         let (status, headers) = (answer.status(), answer.headers().clone());
@@ -191,10 +189,13 @@
 /// Sends a request and reads nothing.
 async fn send_only(address: SocketAddr, id: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("connects");
+    let headers = platform_support::caller_headers(id, PATIENCE);
+    let lines = headers
+        .iter()
+        .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().expect("a text")));
     let request = format!(
-        "POST /unsafe/ HTTP/1.1\r\nhost: host.example\r\nrequest-id: {id}\r\n\
-         deadline-remaining-ms: 10000\r\nauthorization: Bearer key\r\ncontent-length: 0\r\n\
-         connection: close\r\n\r\n"
+        "POST /unsafe/ HTTP/1.1\r\n{}content-length: 0\r\nconnection: close\r\n\r\n",
+        lines.collect::<String>()
     );
     stream.write_all(request.as_bytes()).await.expect("sends the request");
     stream
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -5,13 +5,16 @@
 mod platform_support;
 mod support;
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use http::StatusCode;
 use platform_support::{
     Runner, Store,
     runner::{self, Behavior},
-    store,
+    store::{self, OPERATOR_TOPIC, RUNNERS_TOPIC, STATUS_TOPIC},
 };
 use reqwest::Client;
 use serde_json::{Value, json};
@@ -20,6 +23,8 @@
 
 /// Depth to which an odd entry is nested.
 const DEPTH: usize = 100_000;
+/// Time for which a caller waits for its answer.
+const PATIENCE: Duration = Duration::from_secs(3);
 /// Number of requests after each odd entry.
 const REQUESTS: usize = 4;
 
@@ -97,15 +102,15 @@
     let quarantine = json!({"written_ms": 0, "evidence": evidence});
     let order = |duration: f64| json!({"service": "other", "target": "v9", "duration_s": duration});
     vec![
-        ("keyed.status", "quarantine/1", quarantine.to_string()),
-        ("keyed.status", "quarantine/2", nested.clone()),
-        ("keyed.status", "rollout/pool", nested.clone()),
-        ("keyed.status", "entry-9", "0.0.0.0:0 18446744073709551615".to_owned()),
-        ("keyed.status", "entry-8", nested.clone()),
-        ("keyed.op", "rollout/other", order(1.8e19).to_string()),
-        ("keyed.op", "rollout/other", order(1e300).to_string()),
-        ("keyed.op", "rollout/pool", nested.clone()),
-        ("keyed.op", "config", nested),
+        (STATUS_TOPIC, "quarantine/1", quarantine.to_string()),
+        (STATUS_TOPIC, "quarantine/2", nested.clone()),
+        (STATUS_TOPIC, "rollout/pool", nested.clone()),
+        (STATUS_TOPIC, "entry-9", "0.0.0.0:0 18446744073709551615".to_owned()),
+        (STATUS_TOPIC, "entry-8", nested.clone()),
+        (OPERATOR_TOPIC, "rollout/other", order(1.8e19).to_string()),
+        (OPERATOR_TOPIC, "rollout/other", order(1e300).to_string()),
+        (OPERATOR_TOPIC, "rollout/pool", nested.clone()),
+        (OPERATOR_TOPIC, "config", nested),
     ]
 }
 
@@ -133,11 +138,7 @@
             let request = self
                 .client
                 .post(format!("http://{}/safe/", entry.address("callers")))
-                .header("host", "host.example")
-                .header("request-id", format!("{name}-{number}"))
-                .header("deadline-remaining-ms", "3000")
-                .header("authorization", "Bearer key")
-                .header("token-usage", "100,10");
+                .headers(platform_support::caller_headers(&format!("{name}-{number}"), PATIENCE));
             statuses.push(request.send().await.expect("an answer").status());
         }
         statuses
@@ -174,7 +175,7 @@
 
     let mut failed = Vec::new();
     for (key, text) in odd_entries(&site.record(&elsewhere, "ready")) {
-        site.store.write("keyed.servers", &key, &text);
+        site.store.write(RUNNERS_TOPIC, &key, &text);
         // The list is followed: the entry before it is no longer the only one.
         let next = &runners[usize::from(failed.len() % 2 == 0)];
         site.store.write_runner(&next.name, &site.record(next, "ready"));
--- a/tests/old_lists.rs
+++ b/tests/old_lists.rs
@@ -13,7 +13,7 @@
 use platform_support::{
     Runner, Store,
     runner::{self, Behavior},
-    store,
+    store::{self, RUNNERS_TOPIC},
 };
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
@@ -110,18 +110,14 @@
         store.write_runner("i-new", &record(new, NEW, "ready", self.has_agents));
         match old_state {
             Some(state) => store.write_runner("i-old", &record(old, OLD, state, self.has_agents)),
-            None => store.write("keyed.servers", "i-old", ""),
+            None => store.write(RUNNERS_TOPIC, "i-old", ""),
         }
     }
 
     fn request(&self, process: &Process, id: &str) -> reqwest::RequestBuilder {
         self.client
             .post(format!("http://{}/resume/", process.address("callers")))
-            .header("host", "host.example")
-            .header("request-id", id)
-            .header("deadline-remaining-ms", ROUTE_TIMEOUT.as_millis().to_string())
-            .header("authorization", "Bearer key")
-            .header("token-usage", "100,10")
+            .headers(platform_support::caller_headers(id, ROUTE_TIMEOUT))
     }
 
     /// Begins a stream and returns the response once the first event was received.
@@ -135,10 +131,8 @@
 
     /// Resumes a stream after its first event; returns the status of the answer, and the text of a refusal.
     async fn resume(&self, id: &str, first_attempt: Option<&str>) -> (StatusCode, String) {
-        let mut request = self.request(&self.second, id).header("last-event-id", "1");
-        if let Some(first_attempt) = first_attempt {
-            request = request.header("resumes", first_attempt);
-        }
+        let request = self.request(&self.second, id);
+        let request = request.headers(platform_support::resumption_headers(1, first_attempt));
         let response = request.send().await.expect("a response");
         let status = response.status();
         let is_answered = status == StatusCode::OK;
