--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -172,13 +172,16 @@
 }
 
 fn find_listening(lines: &mut BufReader<ChildStdout>) -> Value {
+    let mut last = String::new();
     loop {
         let mut line = String::new();
-        assert_ne!(lines.read_line(&mut line).unwrap(), 0, "the program ended early");
+        let length = lines.read_line(&mut line).unwrap();
+        assert_ne!(length, 0, "the program ended early, its last line: {last}");
         let record: Value = serde_json::from_str(&line).unwrap();
         if record["message"] == "listening" {
             return record;
         }
+        last = line;
     }
 }
 
