--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -147,7 +147,6 @@
             let request = client
                 .post(format!("http://{}{path}", entry.address("callers")))
                 .headers(platform_support::caller_headers(&id, PATIENCE))
-                .header("token-usage", "100,10")
                 // Equal requests are refused once a few of them have broken off.
                 .body(id.clone());
             let answer = request.send().await.expect("an answer");
