Show that a stream runs at two runners after a second answer of another request

Cause: a connection on which the answer to another request came is poisoned, but stays open in the client's pool, so that the runner works on.

--- a/review/stand2.py
+++ b/review/stand2.py
@@ -347,6 +347,13 @@
     async def stream(self, headers, signed, writer, reader, fault, number):
         total, gap = int(headers["events"]), float(headers.get("gap", "0.02"))
         start = int(headers.get("last-event-id", "0")) + 1
+        # The prompt is read before the first event.
+        ready = self.record.now() + float(headers.get("prefill", "0"))
+        while self.record.now() < ready:
+            await asyncio.sleep(0.01)
+            if reader.at_eof() or writer.is_closing():
+                self.record(f"{self.name} drops {number}: its connection is closed")
+                return False
         writer.write(message("HTTP/1.1 200 OK", signed | {"content-type": "text/event-stream",
                                                            "transfer-encoding": "chunked"}))
         for event in range(start, total + 1):
