--- a/review/8/case.py
+++ b/review/8/case.py
@@ -128,6 +128,9 @@
     site = Site(record)
     try:
         code = await play(record, site)
+    except OSError as error:
+        record(f"the case couldn't run: {error}")
+        code = 2
     finally:
         site.end()
     record({0: "the rule held", 1: "BUDGET is broken", 2: "the case couldn't run"}[code])
